Add design page, build and base package

Cause: the repository is empty; every later part needs a build, a linter, a test runner and the types shared by all packages. Change: CMake workspace of packages, Makefile entry points, clang-format and clang-tidy in the Linux kernel style, the base package and the public types of the table and the host list.

--- /dev/null
+++ b/packages/base/counter.c
@@ -0,0 +1,138 @@
+/* Registry of counters and histograms, and its Prometheus text form. */
+#include "cassia/counter.h"
+
+#include <glib.h>
+
+typedef struct metric {
+	const char *name;
+	const char *labels;
+	cas_counter_t counter;
+	cas_hist_t *hist;
+} metric_t;
+
+struct cas_metrics {
+	GHashTable *by_key;
+};
+
+/* Upper edges of the printed histogram buckets in microseconds. */
+static const int64_t printed_edges_us[] = {
+	100,   250,   500,    1000,   2500,   5000,    10000,
+	25000, 50000, 100000, 250000, 500000, 1000000, 5000000,
+};
+
+static int metrics_destroy(cas_metrics_t *metrics)
+{
+	g_hash_table_destroy(metrics->by_key);
+	return 0;
+}
+
+cas_metrics_t *cas_metrics_create(TALLOC_CTX *ctx)
+{
+	cas_metrics_t *metrics = talloc_zero(ctx, cas_metrics_t);
+
+	if (!metrics)
+		return NULL;
+	metrics->by_key = g_hash_table_new(g_str_hash, g_str_equal);
+	talloc_set_destructor(metrics, metrics_destroy);
+	return metrics;
+}
+
+static metric_t *metric_get(cas_metrics_t *metrics, const char *name,
+			    const char *labels)
+{
+	char *key = talloc_asprintf(metrics, "%s{%s}", name, labels);
+	metric_t *metric;
+
+	if (!key)
+		return NULL;
+	metric = g_hash_table_lookup(metrics->by_key, key);
+	if (metric) {
+		talloc_free(key);
+		return metric;
+	}
+	metric = talloc_zero(metrics, metric_t);
+	if (!metric) {
+		talloc_free(key);
+		return NULL;
+	}
+	metric->name = talloc_strdup(metric, name);
+	metric->labels = talloc_strdup(metric, labels);
+	g_hash_table_insert(metrics->by_key, key, metric);
+	return metric;
+}
+
+cas_counter_t *cas_metrics_counter(cas_metrics_t *metrics, const char *name,
+				   const char *labels)
+{
+	metric_t *metric = metric_get(metrics, name, labels);
+
+	return metric ? &metric->counter : NULL;
+}
+
+cas_hist_t *cas_metrics_hist(cas_metrics_t *metrics, const char *name,
+			     const char *labels)
+{
+	metric_t *metric = metric_get(metrics, name, labels);
+
+	if (metric && !metric->hist)
+		metric->hist = cas_hist_create(metric);
+	return metric ? metric->hist : NULL;
+}
+
+static char *print_counter(char *out, const metric_t *metric)
+{
+	if (!*metric->labels)
+		return talloc_asprintf_append_buffer(
+			out, "%s %lld\n", metric->name,
+			(long long)metric->counter.value);
+	return talloc_asprintf_append_buffer(out, "%s{%s} %lld\n", metric->name,
+					     metric->labels,
+					     (long long)metric->counter.value);
+}
+
+static char *print_hist(char *out, const metric_t *metric)
+{
+	const char *comma = *metric->labels ? "," : "";
+
+	for (size_t i = 0; i < G_N_ELEMENTS(printed_edges_us); i++) {
+		int64_t edge = printed_edges_us[i];
+		unsigned long long below =
+			cas_hist_count_below(metric->hist, edge);
+
+		out = talloc_asprintf_append_buffer(
+			out, "%s_bucket{%s%sle=\"%lld\"} %llu\n", metric->name,
+			metric->labels, comma, (long long)edge, below);
+	}
+	return talloc_asprintf_append_buffer(
+		out,
+		"%s_bucket{%s%sle=\"+Inf\"} %llu\n"
+		"%s_sum{%s} %lld\n%s_count{%s} %llu\n",
+		metric->name, metric->labels, comma,
+		(unsigned long long)cas_hist_count(metric->hist), metric->name,
+		metric->labels, (long long)cas_hist_sum(metric->hist),
+		metric->name, metric->labels,
+		(unsigned long long)cas_hist_count(metric->hist));
+}
+
+cas_str_t cas_metrics_print(cas_metrics_t *metrics, TALLOC_CTX *ctx)
+{
+	GList *keys = g_hash_table_get_keys(metrics->by_key);
+	const char *previous = "";
+	char *out = talloc_strdup(ctx, "");
+
+	keys = g_list_sort(keys, (GCompareFunc)g_strcmp0);
+	for (GList *it = keys; it; it = it->next) {
+		metric_t *metric =
+			g_hash_table_lookup(metrics->by_key, it->data);
+
+		if (strcmp(previous, metric->name) != 0)
+			out = talloc_asprintf_append_buffer(
+				out, "# TYPE %s %s\n", metric->name,
+				metric->hist ? "histogram" : "gauge");
+		previous = metric->name;
+		out = metric->hist ? print_hist(out, metric)
+				   : print_counter(out, metric);
+	}
+	g_list_free(keys);
+	return (cas_str_t){ out, out ? talloc_get_size(out) - 1 : 0 };
+}
--- /dev/null
+++ b/packages/base/include/cassia/test.h
@@ -0,0 +1,13 @@
+/* The headers that cmocka needs, in the order in which it needs them. */
+#ifndef CASSIA_TEST_H
+#define CASSIA_TEST_H
+
+/* clang-format off */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+/* clang-format on */
+
+#endif
--- /dev/null
+++ b/packages/base/log.c
@@ -0,0 +1,197 @@
+/* Key=value log lines on log4c. */
+#include "cassia/log.h"
+
+#include <log4c.h>
+#include <stdbool.h>
+#include <stdio.h>
+#include <sys/time.h>
+#include <time.h>
+
+#include "cassia/error.h"
+
+#define LINE_MAX_BYTES 2048
+#define VALUE_MAX_BYTES 512
+
+typedef struct line {
+	char text[LINE_MAX_BYTES];
+	size_t len;
+} line_t;
+
+static cas_log_level_t least_level = CAS_LOG_INFO;
+static log4c_category_t *category;
+
+static int priority_of(cas_log_level_t level)
+{
+	switch (level) {
+	case CAS_LOG_ERROR:
+		return LOG4C_PRIORITY_ERROR;
+	case CAS_LOG_WARN:
+		return LOG4C_PRIORITY_WARN;
+	case CAS_LOG_INFO:
+		return LOG4C_PRIORITY_INFO;
+	case CAS_LOG_DEBUG:
+		break;
+	}
+	return LOG4C_PRIORITY_DEBUG;
+}
+
+static void append_char(line_t *line, char c)
+{
+	if (line->len + 1 < sizeof(line->text))
+		line->text[line->len++] = c;
+}
+
+static void append_z(line_t *line, const char *z)
+{
+	while (*z)
+		append_char(line, *z++);
+}
+
+static bool needs_quotes(cas_str_t value)
+{
+	for (size_t i = 0; i < value.len; i++) {
+		unsigned char c = (unsigned char)value.ptr[i];
+
+		if (c <= ' ' || c == '"' || c == '=' || c == '\\' || c == 127)
+			return true;
+	}
+	return value.len == 0;
+}
+
+static void append_escaped(line_t *line, char c)
+{
+	char hex[8];
+
+	if (c == '"' || c == '\\') {
+		append_char(line, '\\');
+		append_char(line, c);
+	} else if ((unsigned char)c < ' ' || c == 127) {
+		snprintf(hex, sizeof(hex), "\\x%02x", (unsigned char)c);
+		append_z(line, hex);
+	} else {
+		append_char(line, c);
+	}
+}
+
+static void append_value(line_t *line, cas_str_t value)
+{
+	bool quoted = needs_quotes(value);
+
+	if (value.len > VALUE_MAX_BYTES)
+		value.len = VALUE_MAX_BYTES;
+	if (quoted)
+		append_char(line, '"');
+	for (size_t i = 0; i < value.len; i++) {
+		if (quoted)
+			append_escaped(line, value.ptr[i]);
+		else
+			append_char(line, value.ptr[i]);
+	}
+	if (quoted)
+		append_char(line, '"');
+}
+
+static void append_field(line_t *line, const cas_log_field_t *field)
+{
+	char number[24];
+
+	append_char(line, ' ');
+	append_z(line, field->key);
+	append_char(line, '=');
+	if (field->is_number) {
+		snprintf(number, sizeof(number), "%lld",
+			 (long long)field->number);
+		append_z(line, number);
+	} else {
+		append_value(line, field->text);
+	}
+}
+
+static void append_time(line_t *line)
+{
+	char text[40];
+	char date[24];
+	struct timeval tv;
+	struct tm tm;
+
+	gettimeofday(&tv, NULL);
+	gmtime_r(&tv.tv_sec, &tm);
+	strftime(date, sizeof(date), "%Y-%m-%dT%H:%M:%S", &tm);
+	snprintf(text, sizeof(text), "time=%s.%03dZ", date,
+		 (int)(tv.tv_usec / 1000));
+	append_z(line, text);
+}
+
+static const char *plain_format(const log4c_layout_t *layout,
+				const log4c_logging_event_t *event)
+{
+	(void)layout;
+	return event->evt_msg;
+}
+
+static int stderr_append(log4c_appender_t *appender,
+			 const log4c_logging_event_t *event)
+{
+	(void)appender;
+	return fprintf(stderr, "%s\n", event->evt_rendered_msg);
+}
+
+static const log4c_layout_type_t plain_layout = {
+	.name = "cassia",
+	.format = plain_format,
+};
+
+static const log4c_appender_type_t stderr_appender = {
+	.name = "cassia",
+	.append = stderr_append,
+};
+
+int cas_log_init(cas_log_level_t level)
+{
+	log4c_appender_t *appender;
+
+	least_level = level;
+	if (log4c_init())
+		return BASE_EINVAL;
+	log4c_layout_type_set(&plain_layout);
+	log4c_appender_type_set(&stderr_appender);
+	appender = log4c_appender_get("cassia");
+	log4c_appender_set_type(appender, &stderr_appender);
+	log4c_appender_set_layout(appender, log4c_layout_get("cassia"));
+	log4c_layout_set_type(log4c_layout_get("cassia"), &plain_layout);
+	category = log4c_category_get("cassia");
+	log4c_category_set_appender(category, appender);
+	log4c_category_set_additivity(category, 0);
+	log4c_category_set_priority(category, LOG4C_PRIORITY_DEBUG);
+	return 0;
+}
+
+void cas_log_fini(void)
+{
+	category = NULL;
+	log4c_fini();
+}
+
+void cas_log_set_level(cas_log_level_t level)
+{
+	least_level = level;
+}
+
+void cas_log_write(cas_log_level_t level, const char *event,
+		   const cas_log_field_t *fields, size_t count)
+{
+	static const char *const names[] = { "error", "warn", "info", "debug" };
+	line_t line = { .len = 0 };
+
+	if (!category || level > least_level)
+		return;
+	append_time(&line);
+	append_z(&line, " level=");
+	append_z(&line, names[level]);
+	append_z(&line, " event=");
+	append_z(&line, event);
+	for (size_t i = 0; i < count; i++)
+		append_field(&line, &fields[i]);
+	line.text[line.len] = '\0';
+	log4c_category_log(category, priority_of(level), "%s", line.text);
+}
--- /dev/null
+++ b/packages/config/include/cassia/roster.h
@@ -0,0 +1,36 @@
+/*
+ * The host list of the platform: one entry for each upstream host, live or
+ * leaving, with the addresses of its daemon. Never changed after reading.
+ */
+#ifndef CASSIA_ROSTER_H
+#define CASSIA_ROSTER_H
+
+#include <netinet/in.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "cassia/hash.h"
+#include "cassia/str.h"
+
+typedef struct roster_host {
+	cas_id_t id;
+	cas_str_t name;
+	cas_id_t service_id;
+	cas_id_t data_centre_id;
+	struct in_addr address;
+	uint16_t peer_port; /* HTTP between daemons, host byte order */
+	uint16_t control_port; /* UDP, ONC RPC between daemons */
+	bool leaving;
+} roster_host_t;
+
+typedef struct roster {
+	int64_t revision; /* 1 or more */
+	roster_host_t *hosts; /* sorted by id */
+	size_t host_count;
+	cas_str_t source;
+} roster_t;
+
+/* Returns a borrowed pointer into the roster, or NULL. */
+const roster_host_t *roster_find(const roster_t *roster, cas_id_t id);
+
+#endif
