Add HTTP server and client packages on tevent

Cause: requests pass through daemons by HTTP with streamed bodies. Change: front on libmicrohttpd, back on libcurl multi, bounded pipes.

--- /dev/null
+++ b/packages/http/back_reply.c
@@ -0,0 +1,137 @@
+/* HTTP client: the response of a call. */
+#include "back_internal.h"
+
+#include <errno.h>
+#include <stdlib.h>
+
+#include "cassia/http_error.h"
+
+#define HEADER_MAX_BYTES ((size_t)64 * 1024)
+
+static cas_str_t trim(cas_str_t s)
+{
+	while (s.len && (s.ptr[0] == ' ' || s.ptr[0] == '\t')) {
+		s.ptr++;
+		s.len--;
+	}
+	while (s.len && strchr(" \t\r\n", s.ptr[s.len - 1]))
+		s.len--;
+	return s;
+}
+
+/* A status line starts a new head: those before it were provisional. */
+static void read_status(http_call_t *call, cas_str_t line)
+{
+	const char *blank = memchr(line.ptr, ' ', line.len);
+
+	call->headers->count = 0;
+	call->content_length = -1;
+	call->status = blank ? (int)strtol(blank, NULL, 10) : 0;
+}
+
+static int read_field(http_call_t *call, cas_str_t line)
+{
+	const char *colon = memchr(line.ptr, ':', line.len);
+	cas_str_t name;
+	cas_str_t value;
+
+	if (!colon)
+		return 0;
+	line = cas_str_dup(call->headers, line);
+	if (!line.ptr)
+		return HTTP_ENOMEM;
+	colon = memchr(line.ptr, ':', line.len);
+	name = (cas_str_t){ line.ptr, (size_t)(colon - line.ptr) };
+	value = trim((cas_str_t){ colon + 1, line.len - name.len - 1 });
+	if (http_name_equal(name, CAS_STR("Content-Length")))
+		call->content_length = strtoll(value.ptr, NULL, 10);
+	return http_headers_add(call->headers, name, value);
+}
+
+static void end_head(http_call_t *call)
+{
+	if (call->status < 200)
+		return;
+	if (http_headers_find(call->headers, CAS_STR("Transfer-Encoding")))
+		call->content_length = -1;
+	call->head_ready = true;
+	back_add_news(call);
+}
+
+size_t reply_on_header(char *data, size_t size, size_t count, void *cls)
+{
+	http_call_t *call = cls;
+	cas_str_t line = trim((cas_str_t){ data, size * count });
+
+	/* Trailers come behind the head and are dropped. */
+	if (call->head_ready)
+		return size * count;
+	call->header_bytes += size * count;
+	if (call->header_bytes > HEADER_MAX_BYTES) {
+		call->too_large = true;
+		return 0;
+	}
+	if (!line.len)
+		end_head(call);
+	else if (cas_str_starts_with(line, CAS_STR("HTTP/")))
+		read_status(call, line);
+	else if (read_field(call, line))
+		return 0;
+	return size * count;
+}
+
+size_t reply_on_body(char *data, size_t size, size_t count, void *cls)
+{
+	http_call_t *call = cls;
+	size_t len = size * count;
+
+	if (http_pipe_room(call->pipe) < len) {
+		http_pipe_wait_room(call->pipe);
+		call->receive_paused = true;
+		return CURL_WRITEFUNC_PAUSE;
+	}
+	call->response_bytes += (int64_t)len;
+	return http_pipe_write(call->pipe, data, len);
+}
+
+static int reply_error(const http_call_t *call, CURLcode code)
+{
+	if (call->expired)
+		return HTTP_EEXPIRED;
+	if (call->too_large)
+		return HTTP_ETOOLARGE;
+	switch (code) {
+	case CURLE_OK:
+		return call->head_ready ? 0 : HTTP_EPROTO;
+	case CURLE_COULDNT_CONNECT:
+	case CURLE_COULDNT_RESOLVE_HOST:
+	case CURLE_INTERFACE_FAILED:
+		return HTTP_ECONNECT;
+	case CURLE_OPERATION_TIMEDOUT:
+		return call->sends ? HTTP_ETIMEOUT : HTTP_ECONNECT;
+	case CURLE_OUT_OF_MEMORY:
+		return HTTP_ENOMEM;
+	case CURLE_GOT_NOTHING:
+	case CURLE_SEND_ERROR:
+	case CURLE_ABORTED_BY_CALLBACK:
+		return HTTP_ERESET;
+	case CURLE_RECV_ERROR:
+	case CURLE_PARTIAL_FILE:
+		return call->head_ready ? HTTP_ETRUNCATED : HTTP_ERESET;
+	default:
+		return HTTP_EPROTO;
+	}
+}
+
+http_result_t reply_result(const http_call_t *call, CURLcode code)
+{
+	long number = 0;
+
+	curl_easy_getinfo(call->easy, CURLINFO_OS_ERRNO, &number);
+	return (http_result_t){
+		.error = reply_error(call, code),
+		.sent = call->sends > 0,
+		.silent = code != CURLE_OK && number == ETIMEDOUT,
+		.response_bytes = call->response_bytes,
+	};
+}
--- /dev/null
+++ b/packages/http/front_mhd.c
@@ -0,0 +1,407 @@
+/* HTTP server: the callbacks of libmicrohttpd. */
+#include "front_internal.h"
+
+#include <netinet/tcp.h>
+#include <stdarg.h>
+#include <sys/socket.h>
+
+#include "cassia/http_error.h"
+#include "cassia/http_problem.h"
+#include "cassia/http_target.h"
+
+/*
+ * Memory of one connection: a 16 KB header with its parsed fields. libmicrohttpd
+ * clears all of it between requests, so it stays resident on idle connections;
+ * 10,000 of them must stay below 256 MB.
+ */
+#define CONN_MEMORY_BYTES ((size_t)22 * 1024)
+#define CONN_MEMORY_STEP_BYTES ((size_t)2 * 1024)
+/* Block of a streamed response body. */
+#define BLOCK_BYTES ((size_t)16 * 1024)
+/* Bytes of an oversized chunked body that are read and dropped before the
+ * connection is closed without a response. */
+#define OVERSIZE_READ_BYTES (256 * 1024)
+
+static void *on_uri(void *cls, const char *uri, struct MHD_Connection *mhd)
+{
+	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+		mhd, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+	http_conn_t *conn = info ? info->socket_context : NULL;
+
+	(void)cls;
+	return conn ? exchange_create(conn, uri) : NULL;
+}
+
+static void conn_started(http_front_t *front, struct MHD_Connection *mhd,
+			 void **socket_context)
+{
+	const union MHD_ConnectionInfo *info =
+		MHD_get_connection_info(mhd, MHD_CONNECTION_INFO_CONNECTION_FD);
+	http_conn_t *conn = talloc_zero(front, http_conn_t);
+	const int on = 1;
+
+	*socket_context = conn;
+	if (!conn)
+		return;
+	conn->front = front;
+	conn->mhd = mhd;
+	conn->fd = info->connect_fd;
+	conn->seen = true;
+	conn->last_used_us = cas_clock_now(front->clock);
+	conn->next = front->conns;
+	if (conn->next)
+		conn->next->prev = conn;
+	front->conns = conn;
+	front->conn_count++;
+	setsockopt(conn->fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+	front_watch_add(conn);
+}
+
+static void conn_closed(http_front_t *front, http_conn_t *conn)
+{
+	if (!conn)
+		return;
+	if (conn->exchange)
+		exchange_destroy(conn->exchange);
+	if (conn->next)
+		conn->next->prev = conn->prev;
+	if (conn->prev)
+		conn->prev->next = conn->next;
+	else
+		front->conns = conn->next;
+	front->conn_count--;
+	talloc_free(conn);
+}
+
+static void on_connection(void *cls, struct MHD_Connection *mhd,
+			  void **socket_context,
+			  enum MHD_ConnectionNotificationCode code)
+{
+	if (code == MHD_CONNECTION_NOTIFY_STARTED)
+		conn_started(cls, mhd, socket_context);
+	else
+		conn_closed(cls, *socket_context);
+}
+
+static void on_completed(void *cls, struct MHD_Connection *mhd, void **req_cls,
+			 enum MHD_RequestTerminationCode code)
+{
+	http_exchange_t *exchange = *req_cls;
+
+	(void)cls;
+	(void)mhd;
+	if (!exchange)
+		return;
+	*req_cls = NULL;
+	exchange->suspended = false;
+	exchange->whole = code == MHD_REQUEST_TERMINATED_COMPLETED_OK &&
+			  exchange->phase == PHASE_SENDING && !exchange->gone;
+	exchange_destroy(exchange);
+}
+
+static enum MHD_Result on_header(void *cls, enum MHD_ValueKind kind,
+				 const char *key, size_t key_len,
+				 const char *value, size_t value_len)
+{
+	http_exchange_t *exchange = cls;
+	int error =
+		http_headers_add(exchange->headers, (cas_str_t){ key, key_len },
+				 (cas_str_t){ value, value_len });
+
+	(void)kind;
+	return error ? MHD_NO : MHD_YES;
+}
+
+static enum MHD_Result suspend(http_exchange_t *exchange)
+{
+	if (exchange->conn->left) {
+		exchange->gone = true;
+		return MHD_NO;
+	}
+	exchange->suspended = true;
+	MHD_suspend_connection(exchange->mhd);
+	return MHD_YES;
+}
+
+static void on_reply_data(void *private)
+{
+	exchange_wake(private);
+}
+
+static ssize_t read_reply(void *cls, uint64_t pos, char *buf, size_t max)
+{
+	http_exchange_t *exchange = cls;
+	http_pipe_t *pipe = exchange->reply.body;
+	size_t len;
+
+	(void)pos;
+	if (exchange->gone)
+		return MHD_CONTENT_READER_END_WITH_ERROR;
+	len = http_pipe_read(pipe, buf, max);
+	if (len)
+		return (ssize_t)len;
+	if (!http_pipe_is_closed(pipe)) {
+		return suspend(exchange) ? 0
+					 : MHD_CONTENT_READER_END_WITH_ERROR;
+	}
+	if (!http_pipe_error(pipe))
+		return MHD_CONTENT_READER_END_OF_STREAM;
+	http_exchange_abort(exchange);
+	return MHD_CONTENT_READER_END_WITH_ERROR;
+}
+
+static bool has_no_body(const http_exchange_t *exchange)
+{
+	int status = exchange->reply.status;
+
+	return http_name_equal(exchange->method, CAS_STR("HEAD")) ||
+	       status == MHD_HTTP_NO_CONTENT || status == MHD_HTTP_NOT_MODIFIED;
+}
+
+/* A response that is complete already goes out in one piece. */
+static struct MHD_Response *make_response(http_exchange_t *exchange)
+{
+	const http_reply_t *reply = &exchange->reply;
+	cas_str_t ready = http_pipe_peek(reply->body);
+	uint64_t size = MHD_SIZE_UNKNOWN;
+
+	if (!has_no_body(exchange) && http_pipe_is_closed(reply->body) &&
+	    !http_pipe_error(reply->body) && ready.len <= BLOCK_BYTES)
+		return MHD_create_response_from_buffer(
+			ready.len, (void *)(uintptr_t)ready.ptr,
+			MHD_RESPMEM_MUST_COPY);
+	if (reply->content_length >= 0)
+		size = (uint64_t)reply->content_length;
+	http_pipe_on_data(reply->body, on_reply_data, exchange);
+	return MHD_create_response_from_callback(size, BLOCK_BYTES, read_reply,
+						 exchange, NULL);
+}
+
+static void add_fields(struct MHD_Response *response,
+		       const http_headers_t *headers, TALLOC_CTX *ctx)
+{
+	for (size_t i = 0; headers && i < headers->count; i++) {
+		const http_header_t *header = &headers->items[i];
+		cas_str_t name = cas_str_dup(ctx, header->name);
+		cas_str_t value = cas_str_dup(ctx, header->value);
+
+		if (name.ptr && value.ptr)
+			MHD_add_response_header(response, name.ptr, value.ptr);
+	}
+}
+
+static enum MHD_Result send_reply(http_exchange_t *exchange)
+{
+	struct MHD_Response *response = make_response(exchange);
+	enum MHD_Result result;
+
+	if (!response)
+		return MHD_NO;
+	add_fields(response, exchange->reply.headers, exchange);
+	if (exchange->front->draining)
+		MHD_add_response_header(response, "Connection", "close");
+	exchange->phase = PHASE_SENDING;
+	result = MHD_queue_response(
+		exchange->mhd, (unsigned int)exchange->reply.status, response);
+	MHD_destroy_response(response);
+	return result;
+}
+
+static enum MHD_Result reject_head(http_exchange_t *exchange, int status)
+{
+	const http_problem_t problem = { .status = status,
+					 .outcome = "not-run",
+					 .reason = "malformed-request" };
+
+	http_problem_reply(exchange, &problem);
+	send_reply(exchange);
+	/* The user has not seen this exchange; closed is not called. */
+	exchange->phase = PHASE_NEW;
+	return MHD_YES;
+}
+
+static int64_t body_length(const http_exchange_t *exchange)
+{
+	cas_str_t text = http_headers_value(exchange->headers,
+					    CAS_STR("Content-Length"));
+
+	if (http_headers_find(exchange->headers, CAS_STR("Transfer-Encoding")))
+		return -1;
+	return text.len ? strtoll(text.ptr, NULL, 10) : 0;
+}
+
+/* A request with a length and chunks, or with two lengths, can be read in two
+ * ways; it is refused because another hop may read it differently. */
+static bool has_ambiguous_length(const http_headers_t *headers)
+{
+	size_t lengths = 0;
+	size_t encodings = 0;
+
+	for (size_t i = 0; i < headers->count; i++) {
+		cas_str_t name = headers->items[i].name;
+
+		lengths += http_name_equal(name, CAS_STR("Content-Length"));
+		encodings +=
+			http_name_equal(name, CAS_STR("Transfer-Encoding"));
+	}
+	return lengths + encodings > 1;
+}
+
+static int check_head(http_exchange_t *exchange)
+{
+	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+		exchange->mhd, MHD_CONNECTION_INFO_REQUEST_HEADER_SIZE);
+	cas_str_t coding = http_headers_value(exchange->headers,
+					      CAS_STR("Transfer-Encoding"));
+
+	if (info && info->header_size > HTTP_HEADER_MAX_BYTES)
+		return MHD_HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE;
+	if (http_target_check(cas_str_from(exchange->target),
+			      &exchange->origin))
+		return MHD_HTTP_BAD_REQUEST;
+	if (has_ambiguous_length(exchange->headers))
+		return MHD_HTTP_BAD_REQUEST;
+	if (coding.len && !http_name_equal(coding, CAS_STR("chunked")))
+		return MHD_HTTP_NOT_IMPLEMENTED;
+	return 0;
+}
+
+static enum MHD_Result read_head(http_exchange_t *exchange, const char *method)
+{
+	int status;
+
+	exchange->method = cas_str_dup(exchange, cas_str_from(method));
+	if (!exchange->method.ptr)
+		return MHD_NO;
+	MHD_get_connection_values_n(exchange->mhd, MHD_HEADER_KIND, on_header,
+				    exchange);
+	status = check_head(exchange);
+	if (status)
+		return reject_head(exchange, status);
+	exchange->content_length = body_length(exchange);
+	exchange->phase = PHASE_HEAD;
+	exchange->front->ops->request(exchange->front->private, exchange);
+	return MHD_YES;
+}
+
+static void on_body_room(void *private)
+{
+	exchange_wake(private);
+}
+
+static enum MHD_Result drop_body(http_exchange_t *exchange, size_t *size)
+{
+	exchange->received_bytes += (int64_t)*size;
+	*size = 0;
+	if (exchange->received_bytes >
+	    exchange->max_body_bytes + OVERSIZE_READ_BYTES)
+		return MHD_NO;
+	return MHD_YES;
+}
+
+/* Takes what the pipe has room for. A reply given before the end of the body
+ * is sent behind it, because libmicrohttpd takes none in between. */
+static enum MHD_Result read_body(http_exchange_t *exchange, const char *data,
+				 size_t *size)
+{
+	http_front_t *front = exchange->front;
+	size_t taken;
+
+	if (exchange->has_reply || http_pipe_is_closed(exchange->body))
+		return drop_body(exchange, size);
+	if (exchange->received_bytes + (int64_t)*size >
+	    exchange->max_body_bytes) {
+		http_pipe_close(exchange->body, HTTP_ETOOLARGE);
+		front->ops->body(front->private, exchange);
+		return drop_body(exchange, size);
+	}
+	http_pipe_on_room(exchange->body, on_body_room, exchange);
+	taken = http_pipe_write(exchange->body, data, *size);
+	exchange->received_bytes += (int64_t)taken;
+	*size -= taken;
+	front->ops->body(front->private, exchange);
+	return *size && !exchange->gone ? suspend(exchange) : MHD_YES;
+}
+
+static void end_body(http_exchange_t *exchange)
+{
+	http_front_t *front = exchange->front;
+
+	exchange->phase = PHASE_WAIT;
+	if (http_pipe_is_closed(exchange->body))
+		return;
+	http_pipe_close(exchange->body, 0);
+	front->ops->body(front->private, exchange);
+}
+
+/* Called again for the head until it lets libmicrohttpd go on. */
+static enum MHD_Result decide_head(http_exchange_t *exchange,
+				   const char *method)
+{
+	if (exchange->phase == PHASE_NEW) {
+		if (read_head(exchange, method) == MHD_NO)
+			return MHD_NO;
+		if (exchange->phase == PHASE_NEW)
+			return MHD_YES;
+	}
+	if (exchange->gone)
+		return MHD_NO;
+	if (exchange->has_reply)
+		return send_reply(exchange);
+	if (exchange->phase == PHASE_HEAD)
+		return suspend(exchange);
+	exchange->head_done = true;
+	return MHD_YES;
+}
+
+static enum MHD_Result on_request(void *cls, struct MHD_Connection *mhd,
+				  const char *url, const char *method,
+				  const char *version, const char *data,
+				  size_t *size, void **req_cls)
+{
+	http_exchange_t *exchange = *req_cls;
+
+	(void)cls;
+	(void)mhd;
+	(void)url;
+	(void)version;
+	if (!exchange || exchange->gone)
+		return MHD_NO;
+	if (!exchange->head_done)
+		return decide_head(exchange, method);
+	if (*size)
+		return read_body(exchange, data, size);
+	if (exchange->phase == PHASE_BODY)
+		end_body(exchange);
+	if (exchange->gone)
+		return MHD_NO;
+	if (exchange->has_reply)
+		return send_reply(exchange);
+	return suspend(exchange);
+}
+
+static void on_log(void *cls, const char *format, va_list args)
+{
+	(void)cls;
+	(void)format;
+	(void)args;
+}
+
+struct MHD_Daemon *front_mhd_start(http_front_t *front, int listen_fd)
+{
+	const unsigned int flags = MHD_USE_EPOLL | MHD_USE_TURBO |
+				   MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ERROR_LOG;
+
+	return MHD_start_daemon(
+		flags, front->port, NULL, NULL, on_request, front,
+		MHD_OPTION_EXTERNAL_LOGGER, on_log, NULL,
+		MHD_OPTION_LISTEN_SOCKET, listen_fd,
+		MHD_OPTION_CONNECTION_LIMIT, front->settings.connections_max,
+		MHD_OPTION_CONNECTION_MEMORY_LIMIT, CONN_MEMORY_BYTES,
+		MHD_OPTION_CONNECTION_MEMORY_INCREMENT, CONN_MEMORY_STEP_BYTES,
+		MHD_OPTION_CONNECTION_TIMEOUT, front->settings.idle_timeout_s,
+		MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_URI_LOG_CALLBACK,
+		on_uri, front, MHD_OPTION_NOTIFY_COMPLETED, on_completed, front,
+		MHD_OPTION_NOTIFY_CONNECTION, on_connection, front,
+		MHD_OPTION_END);
+}
