--- a/packages/config/include/cassia/roster.h
+++ b/packages/config/include/cassia/roster.h
@@ -9,6 +9,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "cassia/fault.h"
 #include "cassia/hash.h"
 #include "cassia/str.h"
 
@@ -27,9 +28,19 @@
 	int64_t revision; /* 1 or more */
 	roster_host_t *hosts; /* sorted by id */
 	size_t host_count;
-	cas_str_t source;
+	cas_str_t source; /* the text it was read from, passed to peers */
+	uint64_t fingerprint; /* of the content */
 } roster_t;
 
+/*
+ * Reads a host list from TOML text: a host list of its own, or a table that
+ * also has hosts_revision and [[host]] rows, which is then checked as a whole.
+ * Returns 0 and *roster (new reference, owned by ctx), CONFIG_EFAULTS with
+ * every fault added to faults, or CONFIG_ENOMEM. Ends with [end] like a table.
+ */
+int roster_read(TALLOC_CTX *ctx, cas_str_t text, config_faults_t *faults,
+		roster_t **roster);
+
 /* Returns a borrowed pointer into the roster, or NULL. */
 const roster_host_t *roster_find(const roster_t *roster, cas_id_t id);
 
--- a/packages/config/include/cassia/table.h
+++ b/packages/config/include/cassia/table.h
@@ -9,9 +9,14 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "cassia/fault.h"
 #include "cassia/hash.h"
+#include "cassia/roster.h"
 #include "cassia/str.h"
 
+/* Largest settings, table or host list document, in bytes. */
+#define CONFIG_DOCUMENT_MAX (1 << 20)
+
 #define TABLE_IMPORTANCE_MAX 15
 #define TABLE_KEY_HASH_BYTES 32
 #define TABLE_SALT_BYTES 16
@@ -77,8 +82,24 @@
 	table_key_t *keys; /* sorted by hash */
 	size_t key_count;
 	cas_str_t source; /* the text it was read from, passed to peers */
+	roster_t *hosts; /* host list in the same file, or NULL */
+	uint64_t fingerprint; /* of the content, without the host list */
 } table_t;
 
+/*
+ * Reads a table from TOML text. The verdict depends on the text only, so all
+ * daemons agree. Returns 0 and *table (new reference, owned by ctx),
+ * CONFIG_EFAULTS with every fault added to faults, or CONFIG_ENOMEM.
+ *
+ * The last line of a table is [end], optionally followed by rows = N, the
+ * number of rows of all kinds. A text without it counts as cut off.
+ */
+int table_read(TALLOC_CTX *ctx, cas_str_t text, config_faults_t *faults,
+	       table_t **table);
+
+/* Checks a table without keeping it; returns as table_read. */
+int table_check(cas_str_t text, config_faults_t *faults);
+
 /* Lookups return a borrowed pointer into the table, or NULL. */
 const table_data_centre_t *table_find_data_centre(const table_t *table,
 						  cas_id_t id);
