--- /dev/null
+++ b/packages/admission/admission.c
@@ -0,0 +1,347 @@
+/* Admission: puts limit, queue and thresholds together for one upstream. */
+#include "admission_internal.h"
+
+#define TICK_US (10 * CAS_USEC_PER_MSEC)
+#define UPDATE_US (100 * CAS_USEC_PER_MSEC)
+#define QUEUE_TIME_MIN_US (20 * CAS_USEC_PER_MSEC)
+#define QUEUE_TIME_LATENCIES 2
+#define QUEUE_LENGTH_MIN 8
+
+const char *admission_reason_name(admission_reason_t reason)
+{
+	static const char *const names[] = {
+		[ADMISSION_REASON_NONE] = "none",
+		[ADMISSION_REASON_SHED] = "shed",
+		[ADMISSION_REASON_DEADLINE] = "deadline",
+		[ADMISSION_REASON_QUEUE_FULL] = "queue-full",
+		[ADMISSION_REASON_QUEUE_TIME] = "queue-time",
+		[ADMISSION_REASON_MEMORY] = "memory",
+		[ADMISSION_REASON_STOPPED] = "stopped",
+	};
+
+	return names[reason];
+}
+
+admission_t *admission_create(TALLOC_CTX *ctx, const cas_clock_t *clock,
+			      cas_rng_t *rng, const admission_ops_t *ops,
+			      void *private)
+{
+	admission_t *admission = talloc_zero(ctx, admission_t);
+
+	if (!admission)
+		return NULL;
+	admission->clock = clock;
+	admission->rng = rng;
+	admission->ops = *ops;
+	admission->private = private;
+	admission->updated_us = cas_clock_now(clock);
+	admission->queue_changed_us = admission->updated_us;
+	limit_init(&admission->limit, admission->updated_us);
+	if (demand_init(admission)) {
+		talloc_free(admission);
+		return NULL;
+	}
+	return admission;
+}
+
+int64_t admission_typical_us(const admission_t *admission)
+{
+	return (int64_t)admission->limit.typical_us;
+}
+
+static bool too_late(const admission_t *admission, int64_t now_us,
+		     int64_t deadline_us)
+{
+	return deadline_us - now_us <= admission_typical_us(admission);
+}
+
+static void start(admission_t *admission, admission_ticket_t *ticket,
+		  int64_t now_us)
+{
+	ticket->running = true;
+	ticket->since_us = now_us;
+	limit_start(&admission->limit, now_us);
+}
+
+/* Drops a request that is off the queue. */
+static void drop_popped(admission_t *admission, admission_ticket_t *ticket,
+			admission_reason_t reason)
+{
+	void *private = ticket->private;
+
+	talloc_free(ticket);
+	if (reason != ADMISSION_REASON_STOPPED)
+		admission->dropped++;
+	admission->ops.drop(admission->private, private, reason);
+}
+
+static void drop(admission_t *admission, admission_ticket_t *ticket,
+		 admission_reason_t reason)
+{
+	queue_remove(admission, ticket);
+	drop_popped(admission, ticket, reason);
+}
+
+/* Starts queued requests while the limit allows it. A callback that ends up
+ * here again only returns, because the outer loop goes on. */
+static void dispatch(admission_t *admission)
+{
+	if (admission->dispatching)
+		return;
+	admission->dispatching = true;
+	while (admission->queued && limit_allows(&admission->limit)) {
+		int64_t now_us = cas_clock_now(admission->clock);
+		admission_ticket_t *ticket = queue_pop(admission);
+
+		if (too_late(admission, now_us, ticket->deadline_us)) {
+			drop_popped(admission, ticket,
+				    ADMISSION_REASON_DEADLINE);
+			continue;
+		}
+		start(admission, ticket, now_us);
+		admission->ops.run(admission->private, ticket, ticket->private);
+	}
+	admission->dispatching = false;
+}
+
+static int32_t queue_length_max(const admission_t *admission)
+{
+	int32_t limit = (int32_t)admission->limit.limit;
+
+	return limit > QUEUE_LENGTH_MIN ? limit : QUEUE_LENGTH_MIN;
+}
+
+/* Makes room for a request of the class. Returns false when there is none. */
+static bool make_room(admission_t *admission, const request_class_t *class)
+{
+	admission_ticket_t *victim;
+
+	if (admission->queued < queue_length_max(admission))
+		return true;
+	victim = queue_victim(admission, class);
+	if (!victim) {
+		admission->dropped++;
+		return false;
+	}
+	drop(admission, victim, ADMISSION_REASON_QUEUE_FULL);
+	return true;
+}
+
+static admission_ticket_t *ticket_create(admission_t *admission,
+					 const admission_request_t *request,
+					 request_class_t *class)
+{
+	admission_ticket_t *ticket = talloc_zero(admission, admission_ticket_t);
+
+	if (!ticket)
+		return NULL;
+	ticket->admission = admission;
+	ticket->class = class;
+	ticket->deadline_us = request->deadline_us;
+	ticket->since_us = cas_clock_now(admission->clock);
+	ticket->private = request->private;
+	return ticket;
+}
+
+static admission_verdict_t reject(admission_reason_t *out,
+				  admission_reason_t reason)
+{
+	*out = reason;
+	return ADMISSION_REJECTED;
+}
+
+static request_class_t *note_arrival(admission_t *admission,
+				     const admission_request_t *request)
+{
+	request_class_t *class = demand_class_add(
+		admission, request->importance, request->customer);
+
+	if (!class)
+		return NULL;
+	class->weight = request->weight > 0 ? request->weight : 1;
+	class->used_us = cas_clock_now(admission->clock);
+	demand_arrived(class, request->draw);
+	return class;
+}
+
+admission_verdict_t admission_offer(admission_t *admission,
+				    const admission_request_t *request,
+				    admission_ticket_t **ticket,
+				    admission_reason_t *reason)
+{
+	int64_t now_us = cas_clock_now(admission->clock);
+	request_class_t *class = note_arrival(admission, request);
+
+	*ticket = NULL;
+	*reason = ADMISSION_REASON_NONE;
+	if (!class)
+		return reject(reason, ADMISSION_REASON_MEMORY);
+	if (too_late(admission, now_us, request->deadline_us))
+		return reject(reason, ADMISSION_REASON_DEADLINE);
+	if (!draw_below(request->draw, class->fraction))
+		return reject(reason, ADMISSION_REASON_SHED);
+	dispatch(admission);
+	if ((admission->queued || !limit_allows(&admission->limit)) &&
+	    !make_room(admission, class))
+		return reject(reason, ADMISSION_REASON_QUEUE_FULL);
+	*ticket = ticket_create(admission, request, class);
+	if (!*ticket)
+		return reject(reason, ADMISSION_REASON_MEMORY);
+	if (!admission->queued && limit_allows(&admission->limit)) {
+		start(admission, *ticket, now_us);
+		return ADMISSION_RUN;
+	}
+	queue_push(admission, *ticket);
+	return ADMISSION_QUEUED;
+}
+
+void admission_finish(admission_t *admission, admission_ticket_t *ticket,
+		      admission_result_t result)
+{
+	int64_t now_us = cas_clock_now(admission->clock);
+	bool counted = result == ADMISSION_OK || result == ADMISSION_FAILED;
+
+	limit_finish(&admission->limit, now_us, now_us - ticket->since_us,
+		     result == ADMISSION_OK, counted);
+	if (counted)
+		admission->finished++;
+	if (result == ADMISSION_SHED_BY_UPSTREAM)
+		limit_shed(&admission->limit, now_us);
+	talloc_free(ticket);
+	dispatch(admission);
+}
+
+void admission_cancel(admission_t *admission, admission_ticket_t *ticket)
+{
+	if (ticket->running) {
+		admission_finish(admission, ticket, ADMISSION_CANCELLED);
+		return;
+	}
+	queue_remove(admission, ticket);
+	talloc_free(ticket);
+}
+
+static int64_t queue_time_max(const admission_t *admission)
+{
+	int64_t time_us =
+		admission_typical_us(admission) * QUEUE_TIME_LATENCIES;
+
+	return time_us > QUEUE_TIME_MIN_US ? time_us : QUEUE_TIME_MIN_US;
+}
+
+static admission_reason_t expired(const admission_t *admission,
+				  const admission_ticket_t *ticket,
+				  int64_t now_us)
+{
+	if (too_late(admission, now_us, ticket->deadline_us))
+		return ADMISSION_REASON_DEADLINE;
+	if (now_us - ticket->since_us > queue_time_max(admission))
+		return ADMISSION_REASON_QUEUE_TIME;
+	return ADMISSION_REASON_NONE;
+}
+
+/* Returns a queued request of the importance that must go, or NULL. */
+static admission_ticket_t *find_expired(admission_t *admission, int importance,
+					int64_t now_us,
+					admission_reason_t *reason)
+{
+	request_class_t *head = admission->active[importance];
+	request_class_t *class = head;
+
+	if (!head)
+		return NULL;
+	do {
+		for (ticket_link_t *link = class->queue.next;
+		     link != &class->queue; link = link->next) {
+			admission_ticket_t *ticket = (void *)link;
+
+			*reason = expired(admission, ticket, now_us);
+			if (*reason != ADMISSION_REASON_NONE)
+				return ticket;
+		}
+		class = class->next_active;
+	} while (class != head);
+	return NULL;
+}
+
+/* Restarts the search after each callback, since that may change the queue. */
+static void drop_expired(admission_t *admission, int64_t now_us)
+{
+	for (int i = 0; i < ADMISSION_IMPORTANCES; i++) {
+		admission_reason_t reason;
+		admission_ticket_t *ticket;
+
+		while ((ticket = find_expired(admission, i, now_us, &reason)))
+			drop(admission, ticket, reason);
+	}
+}
+
+void admission_tick(admission_t *admission)
+{
+	int64_t now_us = cas_clock_now(admission->clock);
+
+	limit_tick(&admission->limit, now_us);
+	drop_expired(admission, now_us);
+	if (now_us - admission->updated_us >= UPDATE_US)
+		demand_update(admission, now_us);
+	dispatch(admission);
+}
+
+int64_t admission_next_due(const admission_t *admission)
+{
+	int64_t now_us = cas_clock_now(admission->clock);
+
+	if (admission->queued || admission->limit.inflight)
+		return now_us + TICK_US;
+	return admission->updated_us + UPDATE_US;
+}
+
+void admission_stop_queue(admission_t *admission)
+{
+	while (admission->queued)
+		drop_popped(admission, queue_pop(admission),
+			    ADMISSION_REASON_STOPPED);
+}
+
+double admission_threshold(const admission_t *admission, int32_t importance,
+			   cas_id_t customer)
+{
+	const request_class_t *class =
+		demand_class(admission, importance, customer);
+
+	return class ? class->fraction : 1;
+}
+
+void admission_note_early(admission_t *admission, int32_t importance,
+			  cas_id_t customer, uint64_t count)
+{
+	request_class_t *class =
+		demand_class_add(admission, importance, customer);
+
+	if (!class)
+		return;
+	class->early += count;
+	class->used_us = cas_clock_now(admission->clock);
+}
+
+int32_t admission_limit(const admission_t *admission)
+{
+	return (int32_t)admission->limit.limit;
+}
+
+int32_t admission_inflight(const admission_t *admission)
+{
+	return admission->limit.inflight;
+}
+
+int32_t admission_queued(const admission_t *admission)
+{
+	return admission->queued;
+}
+
+int32_t admission_busy_permille(const admission_t *admission)
+{
+	int64_t work = admission_inflight(admission) + admission->queued;
+
+	return (int32_t)(work * 1000 / admission_limit(admission));
+}
--- /dev/null
+++ b/packages/admission/admission_internal.h
@@ -0,0 +1,101 @@
+/* Classes of requests, the queue and the demand of each class. */
+#ifndef CASSIA_ADMISSION_INTERNAL_H
+#define CASSIA_ADMISSION_INTERNAL_H
+
+#include <glib.h>
+
+#include "cassia/admission.h"
+#include "limit_internal.h"
+
+/* The lowest of this many published fractions is certainly in force at all
+ * entry daemons. */
+#define CLASS_PUBLISHED 6
+
+typedef struct ticket_link {
+	struct ticket_link *next;
+	struct ticket_link *prev;
+} ticket_link_t;
+
+/* All requests of one customer at one importance. */
+typedef struct request_class {
+	int32_t importance;
+	cas_id_t customer;
+	int32_t weight;
+	/* Queue. */
+	ticket_link_t queue; /* list head */
+	int32_t queued;
+	int32_t deficit;
+	struct request_class *next_active; /* ring within the importance */
+	struct request_class *prev_active;
+	/* Demand since the last update and as a smoothed rate. */
+	uint64_t arrived;
+	uint64_t early;
+	uint64_t sure; /* arrived with a draw that no entry daemon rejects */
+	double demand; /* requests a second */
+	double granted; /* requests a second, by the last division */
+	double fraction;
+	double published[CLASS_PUBLISHED];
+	int published_next;
+	int64_t used_us;
+} request_class_t;
+
+struct admission_ticket {
+	ticket_link_t link; /* first, so that a link is a ticket */
+	admission_t *admission;
+	request_class_t *class;
+	int64_t deadline_us;
+	int64_t since_us; /* queued, then started */
+	void *private;
+	bool running;
+};
+
+struct admission {
+	const cas_clock_t *clock;
+	cas_rng_t *rng;
+	admission_ops_t ops;
+	void *private;
+	limit_t limit;
+	/* Queue. */
+	request_class_t *active[ADMISSION_IMPORTANCES];
+	int32_t queued_at[ADMISSION_IMPORTANCES];
+	int32_t queued;
+	int64_t queue_changed_us;
+	int64_t queue_busy_us; /* time with a queue since the last update */
+	bool dispatching;
+	/* Division of capacity. */
+	GHashTable *classes; /* request_class_t, keyed by itself */
+	request_class_t **order; /* scratch space of the division */
+	size_t order_size;
+	int64_t updated_us;
+	uint64_t finished;
+	uint64_t dropped; /* from the queue since the last update */
+	double rate; /* smoothed completions a second under load */
+	bool shedding;
+};
+
+/* Queue (queue.c). */
+void queue_push(admission_t *admission, admission_ticket_t *ticket);
+void queue_remove(admission_t *admission, admission_ticket_t *ticket);
+/* Returns the next request in order, taken off the queue, or NULL. */
+admission_ticket_t *queue_pop(admission_t *admission);
+/* Returns a queued request that gives way to one of the class, still in the
+ * queue, or NULL when the class itself has the least claim. */
+admission_ticket_t *queue_victim(admission_t *admission,
+				 const request_class_t *class);
+
+/* Demand and division (demand.c). */
+int demand_init(admission_t *admission);
+request_class_t *demand_class(const admission_t *admission, int32_t importance,
+			      cas_id_t customer);
+request_class_t *demand_class_add(admission_t *admission, int32_t importance,
+				  cas_id_t customer);
+void demand_arrived(request_class_t *class, uint32_t draw);
+void demand_update(admission_t *admission, int64_t now_us);
+
+/* Returns whether the draw lies below the fraction. */
+static inline bool draw_below(uint32_t draw, double fraction)
+{
+	return (double)draw < fraction * 4294967296.0;
+}
+
+#endif
