--- /dev/null
+++ b/packages/quota/messages/quota.x
@@ -0,0 +1,33 @@
+/*
+ * Messages between asking daemons, bucket holders and lenders. All amounts are
+ * micro-tokens, all times microseconds. A bucket is (customer, data centre of
+ * the receiver, slot).
+ *
+ * rpcgen output in ../generated: run sh messages/generate.sh in packages/quota.
+ */
+
+/* from_slot of a daemon that asks for itself rather than for a bucket. */
+const QUOTA_FROM_DAEMON = 0xffff;
+
+/* Sequence numbers count per (sender incarnation, from_slot, bucket). A resend
+ * repeats the whole message. */
+struct quota_ask {
+	unsigned hyper customer;
+	unsigned int slots;	/* from_slot << 16 | to_slot */
+	unsigned int sequence;
+	unsigned int received;	/* latest sequence whose reply was accepted */
+	hyper need;		/* for requests that wait */
+	hyper ahead;		/* for the forecast */
+	hyper left;		/* granted by this bucket and not yet used */
+	hyper returned;		/* given back unused */
+};
+
+struct quota_reply {
+	unsigned hyper customer;
+	unsigned int slots;
+	unsigned int sequence;
+	hyper granted;
+	unsigned int life;	/* of the grant, from the sending of the ask */
+	unsigned int wait;	/* no further ask before this time */
+	unsigned int report;	/* use is to be reported by this time */
+};
