--- a/packages/attempt/messages/attempt.x
+++ b/packages/attempt/messages/attempt.x
@@ -45,6 +45,8 @@
 	hyper now;			/* the host's clock at sending */
 	unsigned int outcome;
 	unsigned int status;		/* of the response */
+	unsigned int reason;		/* of a refusal; 0: none */
+	unsigned int retry_after_ms;	/* 0: not known */
 	unsigned int fraction;		/* admitted, in millionths */
 	unsigned int unspent;		/* retries of the budget */
 	unsigned int limit;		/* concurrency, 0: not known */
