--- /dev/null
+++ b/packages/config/curl_loop.c
@@ -0,0 +1,159 @@
+/* libcurl's multi socket interface on tevent. */
+#include "curl_loop_internal.h"
+
+#include "cassia/clock.h"
+#include "cassia/fault.h"
+#include "mono_timer_internal.h"
+
+struct curl_loop {
+	struct tevent_context *ev;
+	CURLM *multi;
+	mono_timer_t *timer;
+};
+
+typedef struct watched_socket {
+	curl_loop_t *loop;
+	curl_socket_t fd;
+	struct tevent_fd *fde;
+} watched_socket_t;
+
+static void read_messages(curl_loop_t *loop)
+{
+	CURLMsg *message;
+	int left;
+
+	while ((message = curl_multi_info_read(loop->multi, &left))) {
+		CURLcode code = message->data.result;
+		CURL *easy = message->easy_handle;
+		curl_transfer_t *transfer = NULL;
+
+		if (message->msg != CURLMSG_DONE)
+			continue;
+		curl_easy_getinfo(easy, CURLINFO_PRIVATE, (char **)&transfer);
+		curl_multi_remove_handle(loop->multi, easy);
+		transfer->done(transfer->private, code);
+	}
+}
+
+static void act(curl_loop_t *loop, curl_socket_t fd, int events)
+{
+	int running;
+
+	curl_multi_socket_action(loop->multi, fd, events, &running);
+	read_messages(loop);
+}
+
+static void fd_handler(struct tevent_context *ev, struct tevent_fd *fde,
+		       uint16_t flags, void *private)
+{
+	watched_socket_t *watched = private;
+	int events = 0;
+
+	(void)ev;
+	(void)fde;
+	if (flags & TEVENT_FD_READ)
+		events |= CURL_CSELECT_IN;
+	if (flags & TEVENT_FD_WRITE)
+		events |= CURL_CSELECT_OUT;
+	act(watched->loop, watched->fd, events);
+}
+
+static watched_socket_t *watch_socket(curl_loop_t *loop, curl_socket_t fd)
+{
+	watched_socket_t *watched = talloc_zero(loop, watched_socket_t);
+
+	if (!watched)
+		return NULL;
+	watched->loop = loop;
+	watched->fd = fd;
+	watched->fde =
+		tevent_add_fd(loop->ev, watched, fd, 0, fd_handler, watched);
+	if (!watched->fde) {
+		talloc_free(watched);
+		return NULL;
+	}
+	curl_multi_assign(loop->multi, fd, watched);
+	return watched;
+}
+
+static int socket_changed(CURL *easy, curl_socket_t fd, int what, void *private,
+			  void *assigned)
+{
+	watched_socket_t *watched = assigned;
+	curl_loop_t *loop = private;
+	uint16_t flags = 0;
+
+	(void)easy;
+	if (what == CURL_POLL_REMOVE) {
+		talloc_free(watched);
+		curl_multi_assign(loop->multi, fd, NULL);
+		return 0;
+	}
+	if (!watched)
+		watched = watch_socket(loop, fd);
+	if (!watched)
+		return -1;
+	if (what & CURL_POLL_IN)
+		flags |= TEVENT_FD_READ;
+	if (what & CURL_POLL_OUT)
+		flags |= TEVENT_FD_WRITE;
+	tevent_fd_set_flags(watched->fde, flags);
+	return 0;
+}
+
+static void timer_fired(void *private)
+{
+	act(private, CURL_SOCKET_TIMEOUT, 0);
+}
+
+static int timer_changed(CURLM *multi, long timeout_ms, void *private)
+{
+	curl_loop_t *loop = private;
+
+	(void)multi;
+	if (timeout_ms < 0)
+		mono_timer_disarm(loop->timer);
+	else
+		mono_timer_arm(loop->timer, timeout_ms * CAS_USEC_PER_MSEC);
+	return 0;
+}
+
+static int loop_destroy(curl_loop_t *loop)
+{
+	curl_multi_cleanup(loop->multi);
+	return 0;
+}
+
+curl_loop_t *curl_loop_create(TALLOC_CTX *ctx, struct tevent_context *ev)
+{
+	curl_loop_t *loop = talloc_zero(ctx, curl_loop_t);
+
+	if (!loop)
+		return NULL;
+	loop->ev = ev;
+	loop->timer = mono_timer_create(loop, ev, timer_fired, loop);
+	loop->multi = loop->timer ? curl_multi_init() : NULL;
+	if (!loop->multi) {
+		talloc_free(loop);
+		return NULL;
+	}
+	talloc_set_destructor(loop, loop_destroy);
+	curl_multi_setopt(loop->multi, CURLMOPT_SOCKETFUNCTION, socket_changed);
+	curl_multi_setopt(loop->multi, CURLMOPT_SOCKETDATA, loop);
+	curl_multi_setopt(loop->multi, CURLMOPT_TIMERFUNCTION, timer_changed);
+	curl_multi_setopt(loop->multi, CURLMOPT_TIMERDATA, loop);
+	return loop;
+}
+
+int curl_loop_start(curl_loop_t *loop, curl_transfer_t *transfer)
+{
+	curl_easy_setopt(transfer->easy, CURLOPT_PRIVATE, transfer);
+	return curl_multi_add_handle(loop->multi, transfer->easy) == CURLM_OK
+		       ? 0
+		       : CONFIG_EINVAL;
+}
+
+void curl_loop_stop(curl_loop_t *loop, curl_transfer_t *transfer)
+{
+	curl_multi_remove_handle(loop->multi, transfer->easy);
+}
--- a/packages/config/document.c
+++ b/packages/config/document.c
@@ -86,6 +86,14 @@
 	return node && reader_is_rows(reader, node) ? node->count : 0;
 }
 
+void document_need_rows(reader_t *reader, const toml_node_t *node)
+{
+	if (node && node->kind == TOML_KIND_ARRAY && !node->count)
+		reader_fault(reader, node, NULL, CAS_STR(""),
+			     "there must be at least one [[%.*s]]",
+			     CAS_STR_ARG(node->key));
+}
+
 cas_str_t document_read_row(reader_t *reader, const row_kind_t *kind,
 			    const toml_node_t *row, size_t index, void *out)
 {
--- a/packages/config/document_internal.h
+++ b/packages/config/document_internal.h
@@ -23,11 +23,14 @@
 /* Returns the number of rows; 0 when node is NULL or no list of rows. */
 size_t document_row_count(reader_t *reader, const toml_node_t *node);
 
+/* Reports an empty list. */
+void document_need_rows(reader_t *reader, const toml_node_t *node);
+
 /* Reads one row into *out and returns its name for faults. */
 cas_str_t document_read_row(reader_t *reader, const row_kind_t *kind,
 			    const toml_node_t *row, size_t index, void *out);
 
-/* Reads the [[host]] rows below root. tables is NULL without a table. */
+/* Reads the [[host]] rows below root. table is NULL without a table. */
 void document_read_hosts(reader_t *reader, const toml_node_t *root,
 			 const table_t *table, roster_t *roster);
 
--- a/packages/config/nearest.c
+++ b/packages/config/nearest.c
@@ -35,11 +35,11 @@
 
 int nearest_pick(cas_str_t text, const char *const *candidates, size_t count)
 {
-	size_t best_distance = text.len / 2 + 1;
+	size_t best_distance = SIZE_MAX;
 	int best = -1;
 
 	if (text.len > WORD_MAX)
-		return -1;
+		text.len = WORD_MAX;
 	for (size_t i = 0; i < count; i++) {
 		cas_str_t candidate = cas_str_from(candidates[i]);
 		size_t distance;
--- a/packages/config/roster.c
+++ b/packages/config/roster.c
@@ -2,7 +2,7 @@
 #include <arpa/inet.h>
 #include <stdlib.h>
 
-#include "document_internal.h"
+#include "diff_internal.h"
 
 #define FIELD(key, kind, required, member, min, max)                           \
 	{                                                                      \
@@ -26,7 +26,7 @@
 	FIELD("leaving", FIELD_BOOL, false, leaving, 0, 0),
 };
 
-static const row_kind_t host_kind = { "host", host_fields,
+const row_kind_t roster_host_kind = { "host", host_fields,
 				      sizeof(host_fields) /
 					      sizeof(host_fields[0]),
 				      sizeof(roster_host_t) };
@@ -79,7 +79,7 @@
 {
 	host_row_t read = { 0 };
 	cas_str_t name =
-		document_read_row(reader, &host_kind, row, index, &read);
+		document_read_row(reader, &roster_host_kind, row, index, &read);
 
 	*host = read.host;
 	host->id = cas_id_of(host->name);
@@ -111,6 +111,7 @@
 	size_t count = document_row_count(reader, rows);
 	host_uniques_t uniques;
 
+	document_need_rows(reader, rows);
 	roster->hosts = reader_array(reader, sizeof(roster_host_t), count);
 	uniques.names = reader_array(reader, sizeof(unique_t), count);
 	uniques.peers = reader_array(reader, sizeof(unique_t), count);
--- a/packages/config/schema_internal.h
+++ b/packages/config/schema_internal.h
@@ -71,14 +71,14 @@
 void reader_unique(reader_t *reader, unique_t *rows, size_t count,
 		   const char *what);
 
-/* Returns the index of the candidate nearest to text, or -1 when none is
- * close. */
+/* Returns the index of the candidate nearest to text by edit distance, or -1
+ * without candidates. Candidates over 32 bytes are left out. */
 int nearest_pick(cas_str_t text, const char *const *candidates, size_t count);
 
 /* Returns count zeroed items owned by the reader's ctx; NULL for none. */
 void *reader_array(reader_t *reader, size_t size, size_t count);
 
-/* Adds value and its tag to the hash; equal trees give equal hashes. */
+/* Returns a hash of keys and values; positions and comments do not count. */
 uint64_t toml_fingerprint(const toml_node_t *node, uint64_t seed);
 
 #endif
--- /dev/null
+++ b/packages/config/source.c
@@ -0,0 +1,62 @@
+/* What all sources share. */
+#include "cassia/source.h"
+
+#include "cassia/log.h"
+
+static int64_t store_held(void *private, config_document_t document)
+{
+	return config_store_revision(private, document);
+}
+
+static int store_offer(void *private, config_document_t document,
+		       cas_str_t text)
+{
+	return config_store_offer(private, document, text);
+}
+
+static void store_failed(void *private, config_document_t document,
+			 const char *reason)
+{
+	(void)private;
+	cas_log(CAS_LOG_WARN, "config_read_failed",
+		CAS_LOG_Z("document",
+			  document == CONFIG_TABLE ? "table" : "hosts"),
+		CAS_LOG_Z("reason", reason));
+}
+
+const source_sink_t source_store_sink = {
+	.held = store_held,
+	.offer = store_offer,
+	.failed = store_failed,
+};
+
+void source_check_now(source_t *source)
+{
+	source->ops->check_now(source);
+}
+
+void source_set_watching(source_t *source, bool watching)
+{
+	source->ops->set_watching(source, watching);
+}
+
+source_t *source_create(TALLOC_CTX *ctx, struct tevent_context *ev,
+			cas_rng_t *rng, const settings_t *settings,
+			const source_sink_t *sink, void *private)
+{
+	TALLOC_CTX *names = talloc_new(NULL);
+	source_t *source;
+
+	if (settings->source_kind == SETTINGS_SOURCE_FILE)
+		source = source_create_file(
+			ctx, ev, cas_str_dup(names, settings->table_path).ptr,
+			cas_str_dup(names, settings->hosts_path).ptr, sink,
+			private);
+	else
+		source = source_create_http(
+			ctx, ev, rng,
+			cas_str_dup(names, settings->source_url).ptr, sink,
+			private);
+	talloc_free(names);
+	return source;
+}
--- /dev/null
+++ b/packages/config/source_file.c
@@ -0,0 +1,141 @@
+/* Tables and host lists in files that the operators place on the host. */
+#include <errno.h>
+#include <sys/stat.h>
+
+#include "mono_timer_internal.h"
+#include "source_internal.h"
+
+typedef struct watched_file {
+	char *path;
+	config_document_t document;
+	struct stat seen;
+	bool settling; /* changed at the last look */
+	int last_errno; /* of the last failure, 0 after a read */
+} watched_file_t;
+
+typedef struct file_source {
+	source_t base;
+	mono_timer_t *timer;
+	watched_file_t files[CONFIG_DOCUMENT_COUNT];
+	size_t file_count;
+} file_source_t;
+
+static bool same_file(const struct stat *a, const struct stat *b)
+{
+	return a->st_mtim.tv_sec == b->st_mtim.tv_sec &&
+	       a->st_mtim.tv_nsec == b->st_mtim.tv_nsec &&
+	       a->st_size == b->st_size && a->st_ino == b->st_ino &&
+	       a->st_dev == b->st_dev;
+}
+
+static void report_errno(file_source_t *source, watched_file_t *file, int error)
+{
+	char reason[256];
+
+	if (file->last_errno == error)
+		return;
+	file->last_errno = error;
+	snprintf(reason, sizeof(reason), "%s: %s", file->path, strerror(error));
+	source->base.sink->failed(source->base.private, file->document, reason);
+}
+
+static void read_file(file_source_t *source, watched_file_t *file)
+{
+	TALLOC_CTX *ctx = talloc_new(source);
+	cas_str_t text;
+
+	if (config_read_file(ctx, file->path, &text)) {
+		report_errno(source, file, errno);
+	} else {
+		file->last_errno = 0;
+		source->base.sink->offer(source->base.private, file->document,
+					 text);
+	}
+	talloc_free(ctx);
+}
+
+/*
+ * A changed file is read at once and again at the next look: two edits within
+ * the resolution of the modification time would otherwise look like one.
+ */
+static void look_at(file_source_t *source, watched_file_t *file, bool force)
+{
+	struct stat now;
+	bool changed;
+
+	if (stat(file->path, &now)) {
+		report_errno(source, file, errno);
+		memset(&file->seen, 0, sizeof(file->seen));
+		return;
+	}
+	changed = !same_file(&now, &file->seen);
+	file->seen = now;
+	if (changed || file->settling || force)
+		read_file(source, file);
+	file->settling = changed;
+}
+
+static void look_at_all(file_source_t *source, bool force)
+{
+	for (size_t i = 0; i < source->file_count; i++)
+		look_at(source, &source->files[i], force);
+}
+
+static void check_now(source_t *base)
+{
+	look_at_all((file_source_t *)base, true);
+}
+
+static void set_watching(source_t *base, bool watching)
+{
+	(void)base;
+	(void)watching;
+}
+
+static const source_ops_t file_ops = {
+	.check_now = check_now,
+	.set_watching = set_watching,
+};
+
+static void timer_fired(void *private)
+{
+	file_source_t *source = private;
+
+	mono_timer_arm(source->timer, SOURCE_FILE_CHECK_US);
+	look_at_all(source, false);
+}
+
+static int add_file(file_source_t *source, config_document_t document,
+		    const char *path)
+{
+	watched_file_t *file = &source->files[source->file_count++];
+
+	file->document = document;
+	file->path = talloc_strdup(source, path);
+	return file->path ? 0 : CONFIG_ENOMEM;
+}
+
+source_t *source_create_file(TALLOC_CTX *ctx, struct tevent_context *ev,
+			     const char *table_path, const char *hosts_path,
+			     const source_sink_t *sink, void *private)
+{
+	file_source_t *source = talloc_zero(ctx, file_source_t);
+
+	if (!source)
+		return NULL;
+	source->base = (source_t){ &file_ops, sink, private };
+	source->timer = mono_timer_create(source, ev, timer_fired, source);
+	if (!source->timer)
+		goto error;
+	if (add_file(source, CONFIG_TABLE, table_path))
+		goto error;
+	if (strcmp(table_path, hosts_path) != 0 &&
+	    add_file(source, CONFIG_HOSTS, hosts_path))
+		goto error;
+	mono_timer_arm(source->timer, SOURCE_FILE_CHECK_US);
+	look_at_all(source, false);
+	return &source->base;
+error:
+	talloc_free(source);
+	return NULL;
+}
--- /dev/null
+++ b/packages/config/source_http.c
@@ -0,0 +1,309 @@
+/*
+ * Tables and host lists from the platform's configuration service. There is
+ * at most one read in flight for each document.
+ */
+#include "curl_loop_internal.h"
+#include "mono_timer_internal.h"
+#include "source_internal.h"
+
+#define HTTP_OK 200
+#define HTTP_NOT_MODIFIED 304
+#define BACKOFF_SHIFT_MAX 16
+
+typedef struct http_source http_source_t;
+
+typedef struct http_read {
+	http_source_t *source;
+	config_document_t document;
+	const char *path;
+	curl_transfer_t transfer;
+	bool in_flight;
+	bool again; /* read once more when the current read ends */
+	bool long_poll; /* the read in flight waits for a change */
+	char *body;
+	size_t body_len;
+	mono_timer_t *timer;
+	unsigned int failures; /* in a row */
+	char last_reason[CURL_ERROR_SIZE + 32];
+	char curl_error[CURL_ERROR_SIZE];
+} http_read_t;
+
+struct http_source {
+	source_t base;
+	struct tevent_context *ev;
+	cas_rng_t *rng;
+	char *base_url;
+	source_timing_t timing;
+	curl_loop_t *loop;
+	bool watching;
+	http_read_t reads[CONFIG_DOCUMENT_COUNT];
+};
+
+static void start_read(http_read_t *read);
+
+static void timer_fired(void *private)
+{
+	start_read(private);
+}
+
+static void schedule(http_read_t *read, int64_t delay_us)
+{
+	mono_timer_arm(read->timer, delay_us);
+}
+
+/* Returns a time between half of base_us and one and a half. */
+static int64_t jitter(http_source_t *source, int64_t base_us)
+{
+	return base_us / 2 +
+	       (int64_t)(cas_rng_double(source->rng) * (double)base_us);
+}
+
+static int64_t backoff(http_read_t *read)
+{
+	const source_timing_t *timing = &read->source->timing;
+	int64_t limit = read->source->watching ? timing->backoff_watcher_us
+					       : timing->backoff_reader_us;
+	unsigned int shift = read->failures - 1;
+	int64_t delay;
+
+	if (shift > BACKOFF_SHIFT_MAX)
+		shift = BACKOFF_SHIFT_MAX;
+	delay = timing->backoff_min_us << shift;
+	return jitter(read->source, delay < limit ? delay : limit) * 2 / 3;
+}
+
+static void report(http_read_t *read, const char *reason)
+{
+	http_source_t *source = read->source;
+
+	if (!strcmp(read->last_reason, reason))
+		return;
+	snprintf(read->last_reason, sizeof(read->last_reason), "%s", reason);
+	source->base.sink->failed(source->base.private, read->document, reason);
+}
+
+static void read_failed(http_read_t *read, const char *reason)
+{
+	read->failures++;
+	report(read, reason);
+	schedule(read, backoff(read));
+}
+
+/* A watcher goes on at once when its read took as long as a long poll. */
+static void read_succeeded(http_read_t *read, bool fresh)
+{
+	http_source_t *source = read->source;
+	const source_timing_t *timing = &source->timing;
+	curl_off_t took_us = 0;
+	bool waited;
+
+	curl_easy_getinfo(read->transfer.easy, CURLINFO_TOTAL_TIME_T, &took_us);
+	waited = read->long_poll &&
+		 took_us >= timing->wait_s * CAS_USEC_PER_SEC / 2;
+	read->failures = 0;
+	read->last_reason[0] = '\0';
+	if (!source->watching)
+		schedule(read, jitter(source, timing->period_us));
+	else
+		schedule(read, fresh || waited ? 0 : timing->gap_us);
+}
+
+static void take_body(http_read_t *read)
+{
+	http_source_t *source = read->source;
+	cas_str_t text = { read->body, read->body_len };
+	int rc = source->base.sink->offer(source->base.private, read->document,
+					  text);
+
+	if (!rc || rc == CONFIG_ESTALE)
+		read_succeeded(read, !rc);
+	else
+		read_failed(read, "the document was refused");
+}
+
+static void take_reply(http_read_t *read, CURLcode code)
+{
+	char reason[CURL_ERROR_SIZE + 32];
+	long status = 0;
+
+	curl_easy_getinfo(read->transfer.easy, CURLINFO_RESPONSE_CODE, &status);
+	if (code != CURLE_OK) {
+		snprintf(reason, sizeof(reason), "%s",
+			 read->curl_error[0] ? read->curl_error
+					     : curl_easy_strerror(code));
+		read_failed(read, reason);
+	} else if (status == HTTP_NOT_MODIFIED) {
+		read_succeeded(read, false);
+	} else if (status == HTTP_OK) {
+		take_body(read);
+	} else {
+		snprintf(reason, sizeof(reason), "HTTP status %ld", status);
+		read_failed(read, reason);
+	}
+}
+
+static void read_done(void *private, CURLcode code)
+{
+	http_read_t *read = private;
+
+	read->in_flight = false;
+	take_reply(read, code);
+	TALLOC_FREE(read->body);
+	read->body_len = 0;
+	if (read->again) {
+		read->again = false;
+		schedule(read, 0);
+	}
+}
+
+static size_t body_arrived(char *data, size_t size, size_t count, void *private)
+{
+	http_read_t *read = private;
+	size_t len = size * count;
+	char *body;
+
+	if (read->body_len + len > CONFIG_DOCUMENT_MAX) {
+		snprintf(read->curl_error, sizeof(read->curl_error),
+			 "the document is larger than %d bytes",
+			 CONFIG_DOCUMENT_MAX);
+		return 0;
+	}
+	body = talloc_realloc(read->source, read->body, char,
+			      read->body_len + len);
+	if (!body)
+		return 0;
+	read->body = body;
+	memcpy(body + read->body_len, data, len);
+	read->body_len += len;
+	return len;
+}
+
+static void set_url(http_read_t *read)
+{
+	http_source_t *source = read->source;
+	long long held =
+		source->base.sink->held(source->base.private, read->document);
+	long long wait = read->long_poll ? source->timing.wait_s : 0;
+	char *url = talloc_asprintf(source, "%s/%s?after=%lld&wait=%lld",
+				    source->base_url, read->path, held, wait);
+
+	curl_easy_setopt(read->transfer.easy, CURLOPT_URL, url);
+	curl_easy_setopt(read->transfer.easy, CURLOPT_TIMEOUT_MS,
+			 (long)(wait * 1000 + source->timing.reply_ms));
+	talloc_free(url);
+}
+
+static void start_read(http_read_t *read)
+{
+	if (read->in_flight) {
+		read->again = true;
+		return;
+	}
+	mono_timer_disarm(read->timer);
+	read->long_poll = read->source->watching;
+	read->curl_error[0] = '\0';
+	set_url(read);
+	if (curl_loop_start(read->source->loop, &read->transfer))
+		read_failed(read, "the read could not be started");
+	else
+		read->in_flight = true;
+}
+
+static void check_now(source_t *base)
+{
+	http_source_t *source = (http_source_t *)base;
+
+	for (size_t i = 0; i < CONFIG_DOCUMENT_COUNT; i++)
+		start_read(&source->reads[i]);
+}
+
+static void set_watching(source_t *base, bool watching)
+{
+	http_source_t *source = (http_source_t *)base;
+
+	if (source->watching == watching)
+		return;
+	source->watching = watching;
+	if (watching)
+		check_now(base);
+}
+
+static const source_ops_t http_ops = {
+	.check_now = check_now,
+	.set_watching = set_watching,
+};
+
+static int source_destroy(http_source_t *source)
+{
+	for (size_t i = 0; i < CONFIG_DOCUMENT_COUNT; i++) {
+		http_read_t *read = &source->reads[i];
+
+		if (read->in_flight)
+			curl_loop_stop(source->loop, &read->transfer);
+		curl_easy_cleanup(read->transfer.easy);
+	}
+	return 0;
+}
+
+static int init_read(http_source_t *source, config_document_t document,
+		     const char *path)
+{
+	http_read_t *read = &source->reads[document];
+	CURL *easy = curl_easy_init();
+
+	read->timer = mono_timer_create(source, source->ev, timer_fired, read);
+	if (!easy || !read->timer) {
+		curl_easy_cleanup(easy);
+		return CONFIG_ENOMEM;
+	}
+	read->source = source;
+	read->document = document;
+	read->path = path;
+	read->transfer = (curl_transfer_t){ easy, read_done, read };
+	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(easy, CURLOPT_PROXY, "");
+	curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
+	curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
+			 (long)source->timing.connect_ms);
+	curl_easy_setopt(easy, CURLOPT_ERRORBUFFER, read->curl_error);
+	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, body_arrived);
+	curl_easy_setopt(easy, CURLOPT_WRITEDATA, read);
+	return 0;
+}
+
+source_t *source_create_http_timed(TALLOC_CTX *ctx, struct tevent_context *ev,
+				   cas_rng_t *rng, const char *base_url,
+				   const source_sink_t *sink, void *private,
+				   const source_timing_t *timing)
+{
+	http_source_t *source = talloc_zero(ctx, http_source_t);
+
+	if (!source)
+		return NULL;
+	source->base = (source_t){ &http_ops, sink, private };
+	source->ev = ev;
+	source->rng = rng;
+	source->timing = *timing;
+	source->base_url = talloc_strdup(source, base_url);
+	source->loop = curl_loop_create(source, ev);
+	if (!source->base_url || !source->loop)
+		goto error;
+	talloc_set_destructor(source, source_destroy);
+	if (init_read(source, CONFIG_TABLE, "table") ||
+	    init_read(source, CONFIG_HOSTS, "hosts"))
+		goto error;
+	schedule(&source->reads[CONFIG_TABLE], 0);
+	schedule(&source->reads[CONFIG_HOSTS], 0);
+	return &source->base;
+error:
+	talloc_free(source);
+	return NULL;
+}
+
+source_t *source_create_http(TALLOC_CTX *ctx, struct tevent_context *ev,
+			     cas_rng_t *rng, const char *base_url,
+			     const source_sink_t *sink, void *private)
+{
+	return source_create_http_timed(ctx, ev, rng, base_url, sink, private,
+					&SOURCE_TIMING_DEFAULT);
+}
