Add keys package

Cause: requests must run only for the customer of their key, and a withdrawn key must stop working on queued and connected requests as well.

--- /dev/null
+++ b/packages/keys/token.c
@@ -0,0 +1,16 @@
+/* New keys. */
+#include <sodium.h>
+
+#include "cassia/keys.h"
+
+void keys_generate(char text[KEYS_TEXT_BYTES])
+{
+	uint8_t random[KEYS_RANDOM_BYTES];
+	size_t prefix = strlen(KEYS_PREFIX);
+
+	randombytes_buf(random, sizeof(random));
+	memcpy(text, KEYS_PREFIX, prefix);
+	sodium_bin2hex(text + prefix, KEYS_TEXT_BYTES - prefix, random,
+		       sizeof(random));
+	sodium_memzero(random, sizeof(random));
+}
