Add a first working version of the quota package

Cause: the daemon needs exact customer quotas over the whole fleet. Change: holders with fence states, grants in lots with lifetimes, reports of use, lending between holders, and waiting requests at the asking daemon.

--- a/packages/quota/include/cassia/quota.h
+++ b/packages/quota/include/cassia/quota.h
@@ -42,8 +42,7 @@
 
 typedef struct quota_ops {
 	/* Sends an ask (borrowed) to another host; it may be lost. */
-	void (*send_ask)(void *private_data, cas_id_t to,
-			 const quota_ask *ask);
+	void (*send_ask)(void *private_data, cas_id_t to, const quota_ask *ask);
 	/* Fence of this host's data centre at a roster revision. */
 	bool (*fence_held)(void *private_data, int64_t revision);
 	bool (*fence_settled)(void *private_data, int64_t revision);
@@ -82,7 +81,7 @@
 /*
  * Adopts a table and a roster (borrowed until the next call, either may be
  * unchanged). Returns 0, QUOTA_ENOMEM, or QUOTA_EHOST when the roster does not
- * list this host; the module then refuses every request.
+ * list this host; the module then holds no bucket and only asks others.
  */
 int quota_set_view(quota_t *quota, const table_t *table,
 		   const roster_t *roster);
@@ -128,7 +127,6 @@
 } quota_bucket_info_t;
 
 /* Fills in up to limit held buckets and returns how many there are. */
-size_t quota_buckets(quota_t *quota, quota_bucket_info_t *infos,
-		     size_t limit);
+size_t quota_buckets(quota_t *quota, quota_bucket_info_t *infos, size_t limit);
 
 #endif
--- /dev/null
+++ b/packages/quota/link.c
@@ -0,0 +1,143 @@
+/* The asking side towards one bucket: asks, resends, replies, reports. */
+#include "quota_internal.h"
+
+#define RETURN_BEFORE_EXPIRY (300 * CAS_USEC_PER_MSEC)
+
+int64_t quota_link_left(const quota_link_t *link)
+{
+	int64_t left = 0;
+
+	for (size_t i = 0; i < link->lots.count; i++) {
+		if (link->lots.items[i].host == link->to)
+			left += link->lots.items[i].amount;
+	}
+	return left;
+}
+
+static void answer_here(quota_t *quota, quota_customer_t *customer,
+			quota_link_t *link)
+{
+	quota_bucket_t *bucket = quota_bucket_find(customer, link->to_slot);
+	quota_ask ask = link->message;
+	quota_reply reply = { 0 };
+
+	if (!bucket) {
+		quota_link_abandon(link);
+		return;
+	}
+	quota_bucket_ask(quota, bucket, quota->self, quota->incarnation, &ask,
+			 &reply);
+	if (link->from_slot == QUOTA_FROM_DAEMON)
+		quota_client_reply(quota, customer, quota->self,
+				   quota->incarnation, &reply);
+	else
+		quota_borrow_reply(quota,
+				   quota_bucket_find(customer, link->from_slot),
+				   quota->self, quota->incarnation, &reply);
+}
+
+void quota_link_send(quota_t *quota, quota_customer_t *customer,
+		     quota_link_t *link, int64_t need, int64_t ahead,
+		     int64_t returned)
+{
+	int64_t now = cas_clock_now(quota->clock);
+
+	link->message = (quota_ask){
+		.customer = customer->id,
+		.slots = (uint32_t)link->from_slot << 16 | link->to_slot,
+		.sequence = ++quota->sequence,
+		.received = link->received,
+		.need = need,
+		.ahead = ahead,
+		.left = quota_link_left(link),
+		.returned = returned,
+	};
+	link->in_flight = true;
+	link->first_sent_us = now;
+	link->last_sent_us = now;
+	link->report_due_us = QUOTA_NEVER;
+	if (link->to == quota->self) {
+		answer_here(quota, customer, link);
+		return;
+	}
+	quota->stats.asks_sent++;
+	quota->ops->send_ask(quota->private_data, link->to, &link->message);
+}
+
+bool quota_link_resend(quota_t *quota, quota_link_t *link, int64_t limit)
+{
+	int64_t now = cas_clock_now(quota->clock);
+
+	if (now - link->first_sent_us >= limit) {
+		quota_link_abandon(link);
+		return false;
+	}
+	if (now - link->last_sent_us < QUOTA_RESEND_PERIOD)
+		return true;
+	link->last_sent_us = now;
+	quota->stats.asks_sent++;
+	quota->ops->send_ask(quota->private_data, link->to, &link->message);
+	return true;
+}
+
+bool quota_link_accept(quota_t *quota, quota_link_t *link, cas_id_t from,
+		       uint64_t incarnation, const quota_reply *reply,
+		       int64_t *granted)
+{
+	int64_t now = cas_clock_now(quota->clock);
+	int64_t life = quota_min(reply->life, QUOTA_GRANT_LIFE);
+	int64_t expires = link->first_sent_us + life;
+
+	*granted = 0;
+	if (!link->in_flight || link->to != from ||
+	    reply->sequence != link->message.sequence)
+		return false;
+	link->in_flight = false;
+	link->received = reply->sequence;
+	link->incarnation = incarnation;
+	link->wait_until_us = now + quota_min(reply->wait, QUOTA_WAIT_LIMIT);
+	link->report_due_us = now + quota_min(reply->report, QUOTA_GRANT_LIFE);
+	link->counted = link->message.left + quota_max(reply->granted, 0);
+	if (reply->granted <= 0 || expires <= now ||
+	    quota_lots_full(&link->lots))
+		return true;
+	*granted = reply->granted;
+	quota_lots_add(&link->lots,
+		       (quota_lot_t){ .amount = reply->granted,
+				      .expires_us = expires,
+				      .host = from,
+				      .incarnation = incarnation });
+	return true;
+}
+
+void quota_link_abandon(quota_link_t *link)
+{
+	link->in_flight = false;
+	link->counted = quota_link_left(link);
+}
+
+int64_t quota_link_report_at(const quota_link_t *link)
+{
+	int64_t due = QUOTA_NEVER;
+
+	if (link->in_flight || link->to == 0)
+		return QUOTA_NEVER;
+	if (quota_link_left(link) < link->counted)
+		due = link->report_due_us;
+	for (size_t i = 0; i < link->lots.count; i++) {
+		const quota_lot_t *lot = &link->lots.items[i];
+
+		if (lot->host == link->to &&
+		    lot->incarnation == link->incarnation)
+			return quota_min(due, lot->expires_us -
+						      RETURN_BEFORE_EXPIRY);
+	}
+	return due;
+}
+
+int64_t quota_link_due(const quota_link_t *link)
+{
+	if (link->in_flight)
+		return link->last_sent_us + QUOTA_RESEND_PERIOD;
+	return quota_link_report_at(link);
+}
--- a/packages/quota/messages/quota.x
+++ b/packages/quota/messages/quota.x
@@ -9,6 +9,9 @@
 /* from_slot of a daemon that asks for itself rather than for a bucket. */
 const QUOTA_FROM_DAEMON = 0xffff;
 
+/* report of a reply from a host that does not hold the bucket. */
+const QUOTA_NOT_HOLDER = 0xffffffff;
+
 /* Sequence numbers count per (sender incarnation, from_slot, bucket). A resend
  * repeats the whole message. */
 struct quota_ask {
