--- a/packages/http/back_call.c
+++ b/packages/http/back_call.c
@@ -296,6 +296,8 @@
 	set_target(call, spec);
 	set_method(call, spec);
 	set_limits(call, spec);
+	if (spec->fresh)
+		curl_easy_setopt(call->easy, CURLOPT_FRESH_CONNECT, 1L);
 	set_callbacks(call);
 	call_link(call);
 	curl_multi_add_handle(back->multi, call->easy);
--- a/packages/http/include/cassia/http_back.h
+++ b/packages/http/include/cassia/http_back.h
@@ -37,6 +37,7 @@
 	/* Called right before the request is sent; false stops the call with
 	 * HTTP_EEXPIRED. May be NULL. */
 	bool (*may_send)(void *private);
+	bool fresh; /* on a new connection */
 } http_call_spec_t;
 
 typedef struct http_result {
--- /dev/null
+++ b/programs/cassiad/children.c
@@ -0,0 +1,39 @@
+/* Child calls by parent. */
+#include "children.h"
+
+#include "entry.h"
+
+void children_add(attempt_live_entry_t *parent, entry_request_t *child)
+{
+	entry_request_t *first = parent->private;
+
+	child->parent = parent;
+	child->next_child = first;
+	if (first)
+		first->prev_child = child;
+	parent->private = child;
+}
+
+void children_remove(attempt_live_entry_t *parent, entry_request_t *child)
+{
+	if (child->next_child)
+		child->next_child->prev_child = child->prev_child;
+	if (child->prev_child)
+		child->prev_child->next_child = child->next_child;
+	else
+		parent->private = child->next_child;
+	child->next_child = NULL;
+	child->prev_child = NULL;
+}
+
+void children_detach(attempt_live_entry_t *parent, bool cancel)
+{
+	while (parent->private) {
+		entry_request_t *child = parent->private;
+
+		children_remove(parent, child);
+		child->parent = NULL;
+		if (cancel)
+			http_exchange_abort(child->exchange);
+	}
+}
--- a/programs/cassiad/daemon.h
+++ b/programs/cassiad/daemon.h
@@ -13,6 +13,7 @@
 #include "cassia/drain.h"
 #include "cassia/http_back.h"
 #include "cassia/http_front.h"
+#include "cassia/keys.h"
 #include "cassia/retry.h"
 #include "cassia/rng.h"
 #include "cassia/routing.h"
@@ -25,7 +26,6 @@
 typedef struct explain explain_t;
 typedef struct stats stats_t;
 typedef struct entry_request entry_request_t;
-typedef struct access access_t;
 
 /* What is known of the incarnation of another daemon and of its clock. */
 typedef struct binding {
@@ -50,7 +50,8 @@
 	source_t *source;
 	const table_t *table; /* borrowed from the store */
 	const roster_t *roster;
-	access_t *access;
+	keys_t *keys;
+	bool fetches[CONFIG_DOCUMENT_COUNT]; /* running */
 
 	http_front_t *front; /* callers */
 	http_front_t *local; /* child calls of the upstream */
--- /dev/null
+++ b/programs/cassiad/entry_head.c
@@ -0,0 +1,182 @@
+/* The head of a request: its route, its customer and its context. */
+#include <stdlib.h>
+
+#include "cassia/http_target.h"
+#include "children.h"
+#include "entry.h"
+
+/* Any key of this fleet is recognised by its prefix. */
+static bool holds_key(cas_str_t text)
+{
+	return memmem(text.ptr, text.len, KEYS_PREFIX,
+		      sizeof(KEYS_PREFIX) - 1) != NULL;
+}
+
+/* A key outside of Authorization would reach the upstream. */
+static bool has_misplaced_key(const entry_request_t *request)
+{
+	const http_headers_t *headers =
+		http_exchange_headers(request->exchange);
+	cas_str_t target = http_exchange_target(request->exchange);
+
+	if (holds_key(target) ||
+	    http_query_value(http_target_query(target),
+			     CAS_STR("access_token"))
+		    .ptr)
+		return true;
+	for (size_t i = 0; i < headers->count; i++) {
+		if (!keys_header_is_secret(headers->items[i].name) &&
+		    holds_key(headers->items[i].value))
+			return true;
+	}
+	return false;
+}
+
+static reason_t find_customer(entry_request_t *request,
+			      const table_route_t *route)
+{
+	const cassiad_t *daemon = request->daemon;
+	cas_str_t value =
+		http_headers_value(http_exchange_headers(request->exchange),
+				   CAS_STR("Authorization"));
+	cas_str_t token = CAS_STR("");
+	const table_customer_t *customer;
+
+	if (keys_parse_bearer(value, &token))
+		return REASON_NO_KEY;
+	if (keys_lookup(daemon->keys, token, &request->key))
+		return REASON_UNKNOWN_KEY;
+	customer = table_find_customer(daemon->table,
+				       request->key.customer_id);
+	if (!customer)
+		return REASON_UNKNOWN_KEY;
+	request->has_key = true;
+	request->context.customer = customer->id;
+	request->context.weight = (u_int)customer->weight;
+	if (keys_check_route(route, customer->id))
+		return REASON_NOT_ALLOWED;
+	if ((u_int)customer->importance < request->context.importance)
+		request->context.importance = (u_int)customer->importance;
+	return REASON_NONE;
+}
+
+/* A child call takes over what was decided for its root request. */
+static reason_t join_parent(entry_request_t *request, cas_str_t handle,
+			    const table_route_t *route)
+{
+	attempt_live_entry_t *parent =
+		attempt_live_find(request->daemon->live, handle);
+	attempt_context *own = &request->context;
+
+	if (!parent)
+		return REASON_UNKNOWN_HANDLE;
+	memcpy(own->root, parent->context.root, ATTEMPT_ID_BYTES);
+	attempt_print_id(own->root, request->id_text);
+	own->customer = parent->context.customer;
+	own->weight = parent->context.weight;
+	own->importance = parent->context.importance;
+	own->draw = parent->context.draw;
+	if (parent->context.deadline < own->deadline)
+		own->deadline = parent->context.deadline;
+	request->is_child = true;
+	if (!route->open && keys_check_route(route, own->customer))
+		return REASON_NOT_ALLOWED;
+	children_add(parent, request);
+	return REASON_NONE;
+}
+
+static int64_t wanted_timeout_us(const entry_request_t *request,
+				 const table_route_t *route)
+{
+	cas_str_t text =
+		http_headers_value(http_exchange_headers(request->exchange),
+				   CAS_STR("Cassia-Timeout-Ms"));
+	int64_t limit_us = route->timeout_ms * CAS_USEC_PER_MSEC;
+	int64_t wanted_us = text.len ? strtoll(text.ptr, NULL, 10) : 0;
+
+	if (limit_us > ATTEMPT_LIFE_MAX - CAS_USEC_PER_SEC)
+		limit_us = ATTEMPT_LIFE_MAX - CAS_USEC_PER_SEC;
+	if (wanted_us <= 0 || wanted_us > limit_us / CAS_USEC_PER_MSEC)
+		return limit_us;
+	return wanted_us * CAS_USEC_PER_MSEC;
+}
+
+static void take_route(entry_request_t *request, const table_route_t *route)
+{
+	attempt_context *context = &request->context;
+
+	context->route = route->id;
+	context->service = route->service_id;
+	context->importance = (u_int)route->importance;
+	context->idempotent = route->idempotent;
+	context->weight = 1;
+	context->deadline = request->started_us +
+			    wanted_timeout_us(request, route);
+	request->max_body_bytes = route->max_body_bytes;
+	request->own_budget = retry_budget_of(route->retries);
+}
+
+/* Keys end at the entry daemon. */
+static reason_t take_headers(entry_request_t *request)
+{
+	const http_headers_t *headers =
+		http_exchange_headers(request->exchange);
+
+	request->headers = http_headers_create(request);
+	if (!request->headers)
+		return REASON_OVERLOADED;
+	for (size_t i = 0; i < headers->count; i++) {
+		const http_header_t *header = &headers->items[i];
+
+		if (!keys_header_is_secret(header->name) &&
+		    http_headers_add(request->headers, header->name,
+				     header->value))
+			return REASON_OVERLOADED;
+	}
+	return REASON_NONE;
+}
+
+static reason_t check_body(entry_request_t *request)
+{
+	int64_t length = http_exchange_content_length(request->exchange);
+	cas_str_t method = http_exchange_method(request->exchange);
+
+	request->wants_body = length != 0 ||
+			      http_name_equal(method, CAS_STR("POST")) ||
+			      http_name_equal(method, CAS_STR("PUT")) ||
+			      http_name_equal(method, CAS_STR("PATCH"));
+	return length > request->max_body_bytes ? REASON_TOO_LARGE
+						: REASON_NONE;
+}
+
+reason_t entry_identify(entry_request_t *request, bool local)
+{
+	const cassiad_t *daemon = request->daemon;
+	http_exchange_t *exchange = request->exchange;
+	cas_str_t handle = http_headers_value(http_exchange_headers(exchange),
+					      CAS_STR("Cassia-Handle"));
+	const table_route_t *route;
+	reason_t reason = REASON_NONE;
+
+	if (!daemon->ready || !daemon->table)
+		return REASON_STARTING;
+	route = table_match_route(
+		daemon->table, http_exchange_method(exchange),
+		http_target_path(http_exchange_target(exchange)));
+	if (!route)
+		return REASON_NO_ROUTE;
+	take_route(request, route);
+	if (has_misplaced_key(request))
+		return REASON_BAD_REQUEST;
+	if (local && handle.len)
+		reason = join_parent(request, handle, route);
+	else if (!route->open)
+		reason = find_customer(request, route);
+	if (local && !handle.len) {
+		request->context.importance = 0;
+		request->own_budget = retry_budget_of(0);
+	}
+	if (reason == REASON_NONE)
+		reason = check_body(request);
+	return reason == REASON_NONE ? take_headers(request) : reason;
+}
--- /dev/null
+++ b/programs/cassiad/entry_reply.c
@@ -0,0 +1,94 @@
+/* Answers to callers. */
+#include "cassia/http_problem.h"
+#include "entry.h"
+#include "stats.h"
+
+static int64_t whole_seconds(int64_t time_us)
+{
+	return (time_us + CAS_USEC_PER_SEC - 1) / CAS_USEC_PER_SEC;
+}
+
+/* RateLimit fields as in draft-ietf-httpapi-ratelimit-headers. */
+static int add_rate_limit(entry_request_t *request, http_headers_t *headers,
+			  int64_t retry_s)
+{
+	const table_customer_t *customer = table_find_customer(
+		request->daemon->table, request->context.customer);
+	char *policy;
+	char *limit;
+
+	if (!customer)
+		return 0;
+	policy = talloc_asprintf(
+		headers, "\"customer\";q=%lld;w=%lld",
+		(long long)(customer->burst_micro / 1000000),
+		(long long)whole_seconds(customer->burst_micro *
+					 CAS_USEC_PER_SEC /
+					 customer->rate_micro));
+	limit = talloc_asprintf(headers, "\"customer\";r=0;t=%lld",
+				(long long)retry_s);
+	if (!policy || !limit)
+		return -1;
+	http_headers_add(headers, CAS_STR("RateLimit-Policy"),
+			 cas_str_from(policy));
+	return http_headers_add(headers, CAS_STR("RateLimit"),
+				cas_str_from(limit));
+}
+
+static int add_refusal_fields(entry_request_t *request, http_headers_t *headers,
+			      int64_t retry_after_us)
+{
+	int64_t retry_s = whole_seconds(retry_after_us);
+
+	if (request->status == 401)
+		http_headers_add(headers, CAS_STR("WWW-Authenticate"),
+				 CAS_STR("Bearer"));
+	if (request->status != 429 && request->status != 503)
+		return 0;
+	if (retry_s < 1)
+		retry_s = 1;
+	if (request->status == 429 &&
+	    add_rate_limit(request, headers, retry_s))
+		return -1;
+	return http_headers_add_int(headers, headers, "Retry-After", retry_s);
+}
+
+void entry_reply_refusal(entry_request_t *request, int64_t retry_after_us)
+{
+	const http_problem_t problem = {
+		.status = request->status,
+		.outcome = stats_outcome_name(request->outcome),
+		.reason = reason_name(request->reason),
+		.detail = reason_detail(request->reason),
+		.request_id = cas_str_from(request->id_text),
+	};
+	http_headers_t *headers = http_headers_create(request);
+	cas_str_t text = http_problem_text(request, &problem);
+
+	if (!headers || !text.ptr || http_problem_add_type(headers) ||
+	    http_headers_add(headers, CAS_STR("Cassia-Request-Id"),
+			     problem.request_id) ||
+	    add_refusal_fields(request, headers, retry_after_us)) {
+		http_exchange_abort(request->exchange);
+		return;
+	}
+	http_exchange_reply_text(request->exchange, request->status, headers,
+				 text);
+}
+
+void entry_reply_served(entry_request_t *request, const http_reply_t *reply)
+{
+	http_headers_t *headers = http_headers_create(request->exchange);
+	http_reply_t own = *reply;
+
+	if (!headers || http_headers_forward(headers, reply->headers) ||
+	    http_headers_add(headers, CAS_STR("Cassia-Request-Id"),
+			     cas_str_from(request->id_text))) {
+		http_exchange_abort(request->exchange);
+		return;
+	}
+	/* The fields borrow from the reply's own list. */
+	talloc_steal(headers, reply->headers);
+	own.headers = headers;
+	http_exchange_reply(request->exchange, &own);
+}
--- /dev/null
+++ b/programs/cassiad/serve.c
@@ -0,0 +1,375 @@
+/* Requests to the upstream of this host. */
+#include "serve.h"
+
+#include "cassia/http_error.h"
+#include "children.h"
+
+struct serve {
+	cassiad_t *daemon;
+	const leg_ops_t *ops;
+	void *private;
+	attempt_context context;
+	leg_spec_t spec;
+	admission_ticket_t *ticket;
+	attempt_live_entry_t *live;
+	http_call_t *call;
+	struct tevent_immediate *soon;
+	leg_result_t result;
+	bool head_given;
+	bool shed_by_upstream;
+	bool crossed;
+	int status;
+};
+
+static const http_call_ops_t upstream_ops;
+
+void serve_report(cassiad_t *daemon, const attempt_context *context,
+		  const attempt_live_entry_t *live, uint32_t outcome,
+		  reason_t reason, int status, attempt_outcome *report)
+{
+	double fraction = admission_threshold(daemon->admission,
+					      (int32_t)context->importance,
+					      context->customer);
+
+	if (live && live->fraction < fraction)
+		fraction = live->fraction;
+	*report = (attempt_outcome){
+		.host = daemon->settings->host_id,
+		.incarnation = daemon->incarnation,
+		.now = cas_clock_now(daemon->clock),
+		.outcome = outcome,
+		.status = (u_int)status,
+		.reason = reason,
+		.fraction = (u_int)(fraction * ATTEMPT_FRACTION_WHOLE),
+		.unspent = live ? (u_int)live->budget.left : context->budget,
+		.limit = (u_int)admission_limit(daemon->admission),
+		.busy = admission_busy_permille(daemon->admission),
+	};
+	memcpy(report->attempt, context->attempt, ATTEMPT_ID_BYTES);
+}
+
+/* Leaves the live set, so that later child calls find no handle. */
+static void leave(serve_t *serve, bool cancel_children)
+{
+	if (!serve->live)
+		return;
+	children_detach(serve->live, cancel_children);
+	TALLOC_FREE(serve->live);
+	serve->daemon->serving--;
+}
+
+static void finish(serve_t *serve)
+{
+	leg_result_t *result = &serve->result;
+
+	serve_report(serve->daemon, &serve->context, serve->live,
+		     result->outcome, result->reason,
+		     reason_status(result->reason), &result->report);
+	result->has_report = true;
+	leave(serve, result->outcome != ATTEMPT_SERVED);
+	serve->ops->done(serve->private, result);
+	talloc_free(serve);
+}
+
+static void on_soon(struct tevent_context *ev, struct tevent_immediate *im,
+		    void *private)
+{
+	(void)ev;
+	(void)im;
+	finish(private);
+}
+
+static void finish_soon(serve_t *serve, uint32_t outcome, reason_t reason)
+{
+	serve->result.outcome = outcome;
+	serve->result.reason = reason;
+	tevent_schedule_immediate(serve->soon, serve->daemon->ev, on_soon,
+				  serve);
+}
+
+static admission_result_t admission_result_of(const serve_t *serve,
+					      const http_result_t *result)
+{
+	if (serve->shed_by_upstream || serve->status == 503)
+		return ADMISSION_SHED_BY_UPSTREAM;
+	if (result->error == HTTP_EEXPIRED)
+		return ADMISSION_CANCELLED;
+	return result->error ? ADMISSION_FAILED : ADMISSION_OK;
+}
+
+static void set_failure(serve_t *serve, const http_result_t *result)
+{
+	serve->result.outcome = result->sent ? ATTEMPT_UNKNOWN
+					     : ATTEMPT_NOT_RUN;
+	if (result->error == HTTP_EEXPIRED || result->error == HTTP_ETIMEOUT)
+		serve->result.reason = REASON_DEADLINE;
+	else if (!result->sent)
+		serve->result.reason = REASON_NO_UPSTREAM;
+	else
+		serve->result.reason = REASON_UPSTREAM_FAILED;
+}
+
+static void on_done(void *private, const http_result_t *result)
+{
+	serve_t *serve = private;
+	admission_ticket_t *ticket = serve->ticket;
+	admission_result_t verdict = admission_result_of(serve, result);
+
+	serve->call = NULL;
+	serve->ticket = NULL;
+	if (serve->shed_by_upstream) {
+		serve->result.outcome = ATTEMPT_NOT_RUN;
+		serve->result.reason = REASON_SHED;
+	} else if (result->error) {
+		set_failure(serve, result);
+	}
+	admission_finish(serve->daemon->admission, ticket, verdict);
+	finish(serve);
+}
+
+/* The request ran, but what came back answers another one. */
+static void discard(serve_t *serve)
+{
+	admission_ticket_t *ticket = serve->ticket;
+
+	http_call_cancel(serve->call);
+	serve->call = NULL;
+	serve->ticket = NULL;
+	admission_finish(serve->daemon->admission, ticket, ADMISSION_FAILED);
+	finish_soon(serve, ATTEMPT_UNKNOWN, REASON_CROSSED);
+}
+
+static bool is_crossed(const serve_t *serve, const http_headers_t *headers)
+{
+	cas_str_t id =
+		http_headers_value(headers, CAS_STR("Cassia-Request-Id"));
+	char own[ATTEMPT_ID_TEXT_BYTES];
+
+	if (!id.len)
+		return false;
+	attempt_print_id(serve->context.root, own);
+	return !cas_str_equal(id, cas_str_from(own));
+}
+
+static void on_head(void *private, const http_reply_t *reply)
+{
+	serve_t *serve = private;
+	cas_str_t outcome =
+		http_headers_value(reply->headers, CAS_STR("Cassia-Outcome"));
+	attempt_outcome report;
+
+	serve->status = reply->status;
+	if (is_crossed(serve, reply->headers)) {
+		discard(serve);
+		return;
+	}
+	if (reply->status == 503 &&
+	    http_name_equal(outcome, CAS_STR("not-run"))) {
+		serve->shed_by_upstream = true;
+		return;
+	}
+	serve->head_given = true;
+	serve_report(serve->daemon, &serve->context, serve->live,
+		     ATTEMPT_SERVED, REASON_NONE, reply->status, &report);
+	/* What was reported as unspent cannot be spent here any more. */
+	serve->live->budget.left = 0;
+	serve->ops->head(serve->private, reply, &report);
+}
+
+static const http_call_ops_t upstream_ops = {
+	.head = on_head,
+	.done = on_done,
+};
+
+static bool in_time(void *private)
+{
+	serve_t *serve = private;
+
+	return cas_clock_now(serve->daemon->clock) < serve->context.deadline;
+}
+
+static int add_own_fields(serve_t *serve, http_headers_t *headers)
+{
+	int64_t left_us =
+		serve->context.deadline - cas_clock_now(serve->daemon->clock);
+	char text[ATTEMPT_ID_TEXT_BYTES];
+	int error;
+
+	attempt_print_id(serve->context.root, text);
+	error = http_headers_add_copy(headers, serve, "Cassia-Request-Id",
+				      cas_str_from(text));
+	attempt_print_id(serve->live->handle, text);
+	if (!error)
+		error = http_headers_add_copy(headers, serve, "Cassia-Handle",
+					      cas_str_from(text));
+	if (!error)
+		error = http_headers_add_int(headers, serve,
+					     "Cassia-Deadline-Ms",
+					     left_us / CAS_USEC_PER_MSEC);
+	return error;
+}
+
+static int call_upstream(serve_t *serve)
+{
+	cassiad_t *daemon = serve->daemon;
+	http_headers_t *headers = http_headers_create(serve);
+	const http_call_spec_t spec = {
+		.address = daemon->settings->upstream.address,
+		.port = daemon->settings->upstream.port,
+		.method = serve->spec.method,
+		.target = serve->spec.target,
+		.headers = headers,
+		.body = serve->spec.body,
+		.content_length = serve->spec.content_length,
+		.timeout_us = serve->context.deadline -
+			      cas_clock_now(daemon->clock),
+		.connect_timeout_us = CAS_USEC_PER_SEC,
+		.may_send = in_time,
+	};
+
+	if (!headers || http_headers_forward(headers, serve->spec.headers) ||
+	    add_own_fields(serve, headers))
+		return HTTP_ENOMEM;
+	serve->call =
+		http_call_start(daemon->upstream, &spec, &upstream_ops, serve);
+	talloc_free(headers);
+	return serve->call ? 0 : HTTP_ENOMEM;
+}
+
+/* Ends an admitted request that is not sent. */
+static void give_up(serve_t *serve, reason_t reason)
+{
+	admission_ticket_t *ticket = serve->ticket;
+
+	serve->ticket = NULL;
+	finish_soon(serve, ATTEMPT_NOT_RUN, reason);
+	admission_finish(serve->daemon->admission, ticket, ADMISSION_CANCELLED);
+}
+
+static void run(serve_t *serve)
+{
+	cassiad_t *daemon = serve->daemon;
+
+	if (!in_time(serve)) {
+		give_up(serve, REASON_DEADLINE);
+		return;
+	}
+	serve->live = attempt_live_add(daemon->live, &serve->context);
+	if (!serve->live) {
+		give_up(serve, REASON_OVERLOADED);
+		return;
+	}
+	daemon->serving++;
+	if (call_upstream(serve))
+		give_up(serve, REASON_OVERLOADED);
+}
+
+void serve_on_run(void *private, admission_ticket_t *ticket,
+		  void *request_private)
+{
+	serve_t *serve = request_private;
+
+	(void)private;
+	serve->ticket = ticket;
+	run(serve);
+}
+
+static reason_t reason_of_admission(admission_reason_t reason)
+{
+	switch (reason) {
+	case ADMISSION_REASON_DEADLINE:
+		return REASON_DEADLINE;
+	case ADMISSION_REASON_STOPPED:
+		return REASON_DRAINING;
+	case ADMISSION_REASON_MEMORY:
+		return REASON_OVERLOADED;
+	default:
+		return REASON_SHED;
+	}
+}
+
+void serve_on_drop(void *private, void *request_private,
+		   admission_reason_t reason)
+{
+	serve_t *serve = request_private;
+
+	(void)private;
+	serve->ticket = NULL;
+	finish_soon(serve, ATTEMPT_NOT_RUN, reason_of_admission(reason));
+}
+
+static void offer(serve_t *serve)
+{
+	const attempt_context *context = &serve->context;
+	const admission_request_t request = {
+		.importance = (int32_t)context->importance,
+		.draw = context->draw,
+		.customer = context->customer,
+		.weight = (int32_t)context->weight,
+		.deadline_us = context->deadline,
+		.private = serve,
+	};
+	admission_reason_t reason = ADMISSION_REASON_NONE;
+
+	switch (admission_offer(serve->daemon->admission, &request,
+				&serve->ticket, &reason)) {
+	case ADMISSION_RUN:
+		run(serve);
+		break;
+	case ADMISSION_QUEUED:
+		break;
+	case ADMISSION_REJECTED:
+		serve->ticket = NULL;
+		finish_soon(serve, ATTEMPT_NOT_RUN,
+			    reason_of_admission(reason));
+		break;
+	}
+}
+
+serve_t *serve_start(cassiad_t *daemon, const leg_spec_t *spec,
+		     const leg_ops_t *ops, void *private)
+{
+	serve_t *serve = talloc_zero(daemon, serve_t);
+	const attempt_context *context = spec->context;
+
+	if (!serve)
+		return NULL;
+	serve->daemon = daemon;
+	serve->ops = ops;
+	serve->private = private;
+	serve->context = *context;
+	serve->spec = *spec;
+	serve->spec.context = &serve->context;
+	serve->soon = tevent_create_immediate(serve);
+	if (!serve->soon) {
+		talloc_free(serve);
+		return NULL;
+	}
+	for (u_int i = 0; i < context->early.early_len; i++) {
+		const attempt_early *early = &context->early.early_val[i];
+
+		admission_note_early(daemon->admission,
+				     (int32_t)early->importance,
+				     early->customer, early->count);
+	}
+	serve->context.early.early_len = 0;
+	serve->context.early.early_val = NULL;
+	if (drain_accepts_upstream_work(daemon->drain))
+		offer(serve);
+	else
+		finish_soon(serve, ATTEMPT_NOT_RUN, REASON_DRAINING);
+	return serve;
+}
+
+bool serve_cancel(serve_t *serve)
+{
+	bool sent = false;
+
+	if (serve->call)
+		sent = http_call_cancel(serve->call);
+	if (serve->ticket)
+		admission_cancel(serve->daemon->admission, serve->ticket);
+	leave(serve, true);
+	talloc_free(serve);
+	return sent;
+}
--- /dev/null
+++ b/programs/cassiad/serve_peer.c
@@ -0,0 +1,236 @@
+/* The server of other daemons: signed attempts for this host's upstream. */
+#include "cassia/http_error.h"
+#include "cassia/http_problem.h"
+#include "fetch.h"
+#include "serve.h"
+#include "stats.h"
+
+/* Streamed above this size; smaller bodies are read whole first. */
+#define BODY_KEPT_BYTES (64 * 1024)
+/* The entry daemon has checked the route's limit already. */
+#define BODY_MAX_BYTES (INT64_C(1) << 30)
+
+typedef struct peer_request {
+	cassiad_t *daemon;
+	http_exchange_t *exchange;
+	attempt_received_t received;
+	serve_t *serve;
+	bool answered;
+	bool started;
+} peer_request_t;
+
+static int add_outcome(peer_request_t *request, http_headers_t *headers,
+		       const attempt_outcome *report)
+{
+	cas_str_t text = attempt_sign_outcome(
+		headers, &request->daemon->secrets, report);
+
+	if (!text.ptr)
+		return ATTEMPT_ENOMEM;
+	return http_headers_add(headers, CAS_STR("Cassia-Outcome"), text);
+}
+
+static void refuse(peer_request_t *request, const attempt_outcome *report)
+{
+	reason_t reason = reason_of(report->reason);
+	const http_problem_t problem = {
+		.status = (int)report->status,
+		.outcome = stats_outcome_name(report->outcome),
+		.reason = reason_name(reason),
+	};
+	http_headers_t *headers = http_headers_create(request);
+	cas_str_t text = http_problem_text(request, &problem);
+
+	request->answered = true;
+	if (!headers || !text.ptr || http_problem_add_type(headers) ||
+	    add_outcome(request, headers, report)) {
+		http_exchange_abort(request->exchange);
+		return;
+	}
+	http_exchange_reply_text(request->exchange, problem.status, headers,
+				 text);
+}
+
+static void refuse_for(peer_request_t *request, uint32_t outcome,
+		       reason_t reason)
+{
+	attempt_outcome report;
+
+	serve_report(request->daemon, &request->received.context, NULL, outcome,
+		     reason, reason_status(reason), &report);
+	refuse(request, &report);
+}
+
+/* Anything unsigned is refused without an outcome. */
+static void refuse_unsigned(http_exchange_t *exchange)
+{
+	const http_problem_t problem = { .status = 403,
+					 .outcome = "not-run",
+					 .reason = "not-signed" };
+
+	http_problem_reply(exchange, &problem);
+}
+
+static int read_context(peer_request_t *request)
+{
+	cas_str_t text =
+		http_headers_value(http_exchange_headers(request->exchange),
+				   CAS_STR("Cassia-Context"));
+	const attempt_context *context = &request->received.context;
+	int error = attempt_read_context(&request->daemon->secrets, text,
+					 &request->received);
+
+	if (error)
+		return error;
+	if (context->receiver != request->daemon->settings->host_id)
+		return ATTEMPT_ERECEIVER;
+	if (context->importance >= ADMISSION_IMPORTANCES || !context->weight)
+		return ATTEMPT_EFORMAT;
+	return 0;
+}
+
+/* Attempts of an earlier incarnation may have run there, and their
+ * identifiers are forgotten. */
+static void begin(peer_request_t *request)
+{
+	const attempt_context *context = &request->received.context;
+	int error;
+
+	if (context->incarnation != request->daemon->incarnation) {
+		refuse_for(request, ATTEMPT_NOT_RUN, REASON_REBIND);
+		return;
+	}
+	error = attempt_table_begin(request->daemon->attempts, context->attempt,
+				    context->deadline);
+	switch (error) {
+	case 0:
+		http_exchange_read_body(request->exchange, BODY_MAX_BYTES);
+		break;
+	case ATTEMPT_EDUPLICATE:
+		refuse_for(request, ATTEMPT_UNKNOWN, REASON_DUPLICATE);
+		break;
+	case ATTEMPT_EEXPIRED:
+		refuse_for(request, ATTEMPT_NOT_RUN, REASON_DEADLINE);
+		break;
+	default:
+		refuse_for(request, ATTEMPT_NOT_RUN, REASON_OVERLOADED);
+		break;
+	}
+}
+
+static void on_request(void *private, http_exchange_t *exchange)
+{
+	cassiad_t *daemon = private;
+	peer_request_t *request;
+
+	if (fetch_answer(daemon, exchange))
+		return;
+	request = talloc_zero(exchange, peer_request_t);
+	if (!request) {
+		http_exchange_abort(exchange);
+		return;
+	}
+	request->daemon = daemon;
+	request->exchange = exchange;
+	http_exchange_set_private(exchange, request);
+	if (read_context(request)) {
+		request->answered = true;
+		refuse_unsigned(exchange);
+		return;
+	}
+	begin(request);
+}
+
+static void on_head(void *private, const http_reply_t *reply,
+		    const attempt_outcome *report)
+{
+	peer_request_t *request = private;
+	http_headers_t *headers = http_headers_create(request->exchange);
+	http_reply_t own = *reply;
+
+	request->answered = true;
+	if (!headers || http_headers_forward(headers, reply->headers) ||
+	    add_outcome(request, headers, report)) {
+		http_exchange_abort(request->exchange);
+		return;
+	}
+	talloc_steal(headers, reply->headers);
+	own.headers = headers;
+	http_exchange_reply(request->exchange, &own);
+}
+
+static void on_done(void *private, const leg_result_t *result)
+{
+	peer_request_t *request = private;
+
+	request->serve = NULL;
+	if (!request->answered)
+		refuse(request, &result->report);
+}
+
+static const leg_ops_t serve_ops = { .head = on_head, .done = on_done };
+
+static bool wants_body(cas_str_t method, int64_t length)
+{
+	return length != 0 || http_name_equal(method, CAS_STR("POST")) ||
+	       http_name_equal(method, CAS_STR("PUT")) ||
+	       http_name_equal(method, CAS_STR("PATCH"));
+}
+
+static void start(peer_request_t *request)
+{
+	http_exchange_t *exchange = request->exchange;
+	int64_t length = http_exchange_content_length(exchange);
+	cas_str_t method = http_exchange_method(exchange);
+	const leg_spec_t spec = {
+		.context = &request->received.context,
+		.host = request->daemon->settings->host_id,
+		.method = method,
+		.target = http_exchange_target(exchange),
+		.headers = http_exchange_headers(exchange),
+		.body = wants_body(method, length)
+				? http_exchange_body(exchange)
+				: NULL,
+		.content_length = length,
+	};
+
+	request->started = true;
+	request->serve =
+		serve_start(request->daemon, &spec, &serve_ops, request);
+	if (!request->serve)
+		refuse_for(request, ATTEMPT_NOT_RUN, REASON_OVERLOADED);
+}
+
+static void on_body(void *private, http_exchange_t *exchange)
+{
+	peer_request_t *request = http_exchange_private(exchange);
+	http_pipe_t *body = http_exchange_body(exchange);
+
+	(void)private;
+	if (!request || request->started || request->answered ||
+	    http_pipe_error(body))
+		return;
+	if (!http_pipe_is_closed(body) &&
+	    http_pipe_peek(body).len < BODY_KEPT_BYTES)
+		return;
+	if (!http_pipe_is_closed(body))
+		http_exchange_set_body_sent(exchange);
+	start(request);
+}
+
+static void on_closed(void *private, http_exchange_t *exchange, bool whole)
+{
+	peer_request_t *request = http_exchange_private(exchange);
+
+	(void)private;
+	(void)whole;
+	if (request && request->serve)
+		serve_cancel(request->serve);
+	http_exchange_set_private(exchange, NULL);
+}
+
+const http_front_ops_t serve_peer_ops = {
+	.request = on_request,
+	.body = on_body,
+	.closed = on_closed,
+};
