Test readers, revision store, start rule and diff

Cause: the readers decide what comes into force everywhere. Change: tests for each kind of fault with its position, for every cut of a table, for the revision order and for the rule at the start.

--- a/packages/config/tests/sample_internal.h
+++ b/packages/config/tests/sample_internal.h
@@ -3,8 +3,11 @@
 #define CASSIA_SAMPLE_INTERNAL_H
 
 #include <stdio.h>
+#include <string.h>
 #include <talloc.h>
 
+#include "cassia/fault.h"
+
 #define SAMPLE_HASH_A                                                          \
 	"02020202020202020202020202020202"                                     \
 	"02020202020202020202020202020202"
@@ -80,6 +83,42 @@
 
 #define SAMPLE_HOSTS "revision = 3\n" SAMPLE_HOST_ROWS "[end]\n"
 
+/* Returns text with the first former replaced by present. */
+static inline char *sample_replace(TALLOC_CTX *ctx, const char *text,
+				   const char *former, const char *present)
+{
+	const char *at = strstr(text, former);
+
+	assert_non_null(at);
+	return talloc_asprintf(ctx, "%.*s%s%s", (int)(at - text), text, present,
+			       at + strlen(former));
+}
+
+static inline void sample_print(const config_faults_t *faults)
+{
+	for (size_t i = 0; i < faults->count; i++)
+		print_message("%s\n",
+			      config_fault_print(NULL, "t", &faults->items[i]));
+}
+
+/* Fails unless a fault's printed form contains wanted. */
+static inline void sample_expect(const config_faults_t *faults,
+				 const char *wanted)
+{
+	bool found = false;
+
+	for (size_t i = 0; i < faults->count; i++) {
+		char *text = config_fault_print(NULL, "t", &faults->items[i]);
+
+		found |= strstr(text, wanted) != NULL;
+		talloc_free(text);
+	}
+	if (found)
+		return;
+	sample_print(faults);
+	fail_msg("no fault contains: %s", wanted);
+}
+
 static inline int sample_setup(void **state)
 {
 	*state = talloc_new(NULL);
--- /dev/null
+++ b/packages/config/tests/test_settings.c
@@ -0,0 +1,142 @@
+/* Tests of the settings reader. */
+#include "cassia/test.h"
+
+#include "cassia/settings.h"
+#include "sample_internal.h"
+
+#define SETTINGS                                                               \
+	"host = \"a1\"\n"                                                      \
+	"data_centre = \"m1\"\n"                                               \
+	"service = \"booking\"\n"                                              \
+	"[front]\n"                                                            \
+	"address = \"127.0.0.1\"\n"                                            \
+	"port = 8080\n"                                                        \
+	"[local]\n"                                                            \
+	"port = 0\n"                                                           \
+	"[peer]\n"                                                             \
+	"address = \"127.0.0.3\"\n"                                            \
+	"http_port = 7001\n"                                                   \
+	"control_port = 7002\n"                                                \
+	"[operators]\n"                                                        \
+	"port = 7003\n"                                                        \
+	"[upstream]\n"                                                         \
+	"port = 9000\n"                                                        \
+	"[source]\n"                                                           \
+	"kind = \"http\"\n"                                                    \
+	"url = \"http://127.0.0.1:9/v1/\"\n"                                   \
+	"[[secret]]\n"                                                         \
+	"id = 4\n"                                                             \
+	"secret = \"000102030405060708090a0b0c0d0e0f\"\n"                      \
+	"[[secret]]\n"                                                         \
+	"id = 3\n"                                                             \
+	"secret = \"100102030405060708090a0b0c0d0e0f10\"\n"
+
+static void test_reads_every_value(void **state)
+{
+	config_faults_t *faults = config_faults_create(*state);
+	settings_t *settings = NULL;
+	int rc = settings_read(*state,
+			       CAS_STR(SETTINGS "[log]\nlevel="
+						"\"debug\"\n"),
+			       faults, &settings);
+
+	sample_print(faults);
+	assert_int_equal(rc, 0);
+	assert_true(settings->host_id == cas_id_of(CAS_STR("a1")));
+	assert_int_equal(settings->front.port, 8080);
+	assert_int_equal(settings->local.port, 0);
+	assert_int_equal(ntohl(settings->local.address.s_addr), 0x7f000001);
+	assert_int_equal(ntohl(settings->control.address.s_addr), 0x7f000003);
+	assert_int_equal(settings->control.port, 7002);
+	assert_int_equal(ntohl(settings->operators.address.s_addr), 0x7f000001);
+	assert_true(cas_str_equal(settings->source_url,
+				  CAS_STR("http://127.0.0.1:9/v1")));
+	assert_int_equal(settings->secret_count, 2);
+	assert_int_equal(settings->secrets[0].id, 4);
+	assert_int_equal(settings->secrets[1].len, 17);
+	assert_int_equal(settings->secrets[1].bytes[0], 0x10);
+	assert_int_equal(settings->log_level, CAS_LOG_DEBUG);
+	assert_int_equal(settings->drain_timeout_ms, 30000);
+}
+
+typedef struct variant {
+	const char *former;
+	const char *present;
+	const char *fault;
+} variant_t;
+
+static const variant_t variants[] = {
+	{ "host = ", "hots = ",
+	  "t:1:1: unknown key \"hots\"; the nearest known "
+	  "key is \"host\"" },
+	{ "host = \"a1\"", "", "key \"host\" is missing" },
+	{ "http_port", "htpp_port", "the nearest known key is \"http_port\"" },
+	{ "port = 8080", "port = 65536", "t:6:8: front: port must be" },
+	{ "port = 9000", "port = 0", "upstream: port must be" },
+	{ "port = 9000", "port = 9000\naddress = \"10.0.0.1\"",
+	  "the upstream address must be a loopback address" },
+	{ "port = 0", "port = 0\naddress = \"0.0.0.0\"",
+	  "the local address must be a loopback address" },
+	{ "\"http\"", "\"file\"", "url does not belong to this kind" },
+	{ "\"http\"", "\"file\"", "key \"table\" is missing" },
+	{ "\"http\"", "\"ftp\"", "kind must be \"file\" or \"http\"" },
+	{ "http://127.0.0.1:9/v1/", "ftp://a", "url must begin with http://" },
+	{ "http://127.0.0.1:9/v1/", "////", "url must begin with http://" },
+	{ "\"000102", "\"", "secret must be 16 to 64 bytes" },
+	{ "\"000102", "\"zz0102", "secret must be 16 to 64 bytes" },
+	{ "id = 3", "id = 4", "the id is already used" },
+	{ "[[secret]]\nid = 4",
+	  "[[secret]]\nid = 1\nsecret = \"0\"\n[[secret]]",
+	  "there must be 1 or 2 secrets" },
+	{ "[front]", "[[front]]", "\"front\" must be a section" },
+	{ "[source]", "[log]\nlevel = \"loud\"\n[source]", "level must be" },
+	{ "[source]", "[limits]\nheader_bytes = 5\n[source]", "header_bytes" },
+};
+
+/* Guards against settings that start a daemon in a state nobody meant. */
+static void test_faults(void **state)
+{
+	for (size_t i = 0; i < sizeof(variants) / sizeof(variants[0]); i++) {
+		const variant_t *v = &variants[i];
+		char *text =
+			sample_replace(*state, SETTINGS, v->former, v->present);
+		config_faults_t *faults = config_faults_create(*state);
+		settings_t *settings = NULL;
+
+		assert_int_equal(settings_read(*state, cas_str_from(text),
+					       faults, &settings),
+				 CONFIG_EFAULTS);
+		assert_null(settings);
+		sample_expect(faults, v->fault);
+	}
+}
+
+/* Guards against a source that lacks the host list of a single file. */
+static void test_hosts_path_defaults_to_the_table(void **state)
+{
+	char *text = sample_replace(*state, SETTINGS,
+				    "kind = \"http\"\nurl = "
+				    "\"http://127.0.0.1:9/v1/\"",
+				    "kind = \"file\"\ntable = \"/etc/t\"");
+	config_faults_t *faults = config_faults_create(*state);
+	settings_t *settings = NULL;
+
+	assert_int_equal(
+		settings_read(*state, cas_str_from(text), faults, &settings),
+		0);
+	assert_true(cas_str_equal(settings->hosts_path, CAS_STR("/etc/t")));
+}
+
+#define TEST(name)                                                             \
+	cmocka_unit_test_setup_teardown(name, sample_setup, sample_teardown)
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		TEST(test_reads_every_value),
+		TEST(test_faults),
+		TEST(test_hosts_path_defaults_to_the_table),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/packages/config/tests/test_store.c
@@ -0,0 +1,302 @@
+/* Tests of the revision order, the rule at the start, and differences. */
+#include "cassia/test.h"
+
+#include "cassia/config_boot.h"
+#include "cassia/diff.h"
+#include "sample_internal.h"
+
+typedef struct fixture {
+	config_store_t *store;
+	cas_clock_t *clock;
+	config_boot_t *boot;
+	int tables;
+	int hosts;
+	int refusals;
+	int last_error;
+	int asked;
+	cas_id_t fetched_from;
+	int64_t fetched_revision;
+	int fetches;
+} fixture_t;
+
+static void on_table(void *private, const table_t *table)
+{
+	fixture_t *f = private;
+
+	assert_ptr_equal(config_store_table(f->store), table);
+	f->tables++;
+}
+
+static void on_hosts(void *private, const roster_t *roster)
+{
+	fixture_t *f = private;
+
+	(void)roster;
+	f->hosts++;
+}
+
+static void on_refused(void *private, config_document_t document, int error,
+		       const config_faults_t *faults)
+{
+	fixture_t *f = private;
+
+	(void)document;
+	assert_true(faults->count > 0);
+	f->refusals++;
+	f->last_error = error;
+}
+
+static void on_ask(void *private, cas_id_t peer)
+{
+	fixture_t *f = private;
+
+	(void)peer;
+	f->asked++;
+}
+
+static void on_fetch(void *private, cas_id_t peer, config_document_t document,
+		     int64_t revision)
+{
+	fixture_t *f = private;
+
+	(void)document;
+	f->fetched_from = peer;
+	f->fetched_revision = revision;
+	f->fetches++;
+}
+
+static const config_store_ops_t store_ops = { on_table, on_hosts, on_refused };
+static const config_boot_ops_t boot_ops = { on_ask, on_fetch };
+
+static int setup(void **state)
+{
+	fixture_t *f = talloc_zero(NULL, fixture_t);
+
+	f->store = config_store_create(f, &store_ops, f);
+	f->clock = cas_clock_create_manual(f, 1000);
+	f->boot = config_boot_create(f, f->clock, f->store, &boot_ops, f);
+	*state = f;
+	return 0;
+}
+
+static int offer_table(fixture_t *f, int revision)
+{
+	char *text = talloc_asprintf(f, "revision = %d\n%s", revision,
+				     strchr(SAMPLE_TABLE, '\n') + 1);
+
+	return config_store_offer(f->store, CONFIG_TABLE, cas_str_from(text));
+}
+
+static int offer_text(fixture_t *f, const char *former, const char *present)
+{
+	char *text = sample_replace(f, SAMPLE_TABLE, former, present);
+
+	return config_store_offer(f->store, CONFIG_TABLE, cas_str_from(text));
+}
+
+/* Guards against an accepted table that is replaced by an older one. */
+static void test_older_is_ignored(void **state)
+{
+	fixture_t *f = *state;
+
+	assert_int_equal(offer_table(f, 5), 0);
+	assert_int_equal(offer_table(f, 4), CONFIG_ESTALE);
+	assert_int_equal(offer_table(f, 5), CONFIG_ESTALE);
+	assert_int_equal(offer_table(f, 6), 0);
+	assert_int_equal(offer_table(f, 5), CONFIG_ESTALE);
+	assert_int_equal(config_store_revision(f->store, CONFIG_TABLE), 6);
+	assert_int_equal(f->tables, 2);
+	assert_int_equal(f->refusals, 0);
+}
+
+/* Guards against two edits that were given the same revision. */
+static void test_same_revision_with_other_content(void **state)
+{
+	fixture_t *f = *state;
+
+	assert_int_equal(offer_table(f, 7), 0);
+	assert_int_equal(offer_text(f, "weight = 3", "weight = 4"),
+			 CONFIG_ECONFLICT);
+	assert_int_equal(offer_text(f, "weight = 3", "weight = 3 # same"),
+			 CONFIG_ESTALE);
+	assert_int_equal(f->last_error, CONFIG_ECONFLICT);
+	assert_non_null(config_store_faults(f->store, CONFIG_TABLE));
+	assert_int_equal(config_store_table(f->store)->revision, 7);
+	assert_int_equal(offer_table(f, 8), 0);
+	assert_null(config_store_faults(f->store, CONFIG_TABLE));
+}
+
+/* Guards against a broken table that takes the former one out of force, and
+ * against a report for each read of the same broken text. */
+static void test_broken_is_refused_whole(void **state)
+{
+	fixture_t *f = *state;
+
+	offer_table(f, 7);
+	for (int i = 0; i < 3; i++)
+		assert_int_equal(offer_text(f, "[end]", ""), CONFIG_EFAULTS);
+	assert_int_equal(f->refusals, 1);
+	assert_int_equal(offer_text(f, "weight", "weigth"), CONFIG_EFAULTS);
+	assert_int_equal(f->refusals, 2);
+	assert_int_equal(f->tables, 1);
+	assert_int_equal(config_store_table(f->store)->customer_count, 2);
+}
+
+/* Guards against a single file whose halves cannot change separately. */
+static void test_embedded_hosts_have_their_own_order(void **state)
+{
+	fixture_t *f = *state;
+	const char *text =
+		"hosts_revision = 5\n" SAMPLE_HEAD SAMPLE_ROWS SAMPLE_HOST_ROWS
+		"[end]\n";
+	char *newer = sample_replace(f, text, "= 5", "= 6");
+	char *conflict = sample_replace(f, newer, "7001", "7009");
+
+	assert_int_equal(
+		config_store_offer(f->store, CONFIG_TABLE, cas_str_from(text)),
+		0);
+	assert_int_equal(
+		config_store_offer(f->store, CONFIG_TABLE, cas_str_from(newer)),
+		0);
+	assert_int_equal(f->tables, 1);
+	assert_int_equal(f->hosts, 2);
+	assert_int_equal(config_store_offer(f->store, CONFIG_TABLE,
+					    cas_str_from(conflict)),
+			 CONFIG_ECONFLICT);
+	assert_int_equal(config_store_revision(f->store, CONFIG_HOSTS), 6);
+}
+
+/* Offers the sample host list (a1, a2) and starts the rule as host a1. */
+static cas_id_t start_boot(fixture_t *f)
+{
+	config_store_offer(f->store, CONFIG_HOSTS, CAS_STR(SAMPLE_HOSTS));
+	config_boot_set_roster(f->boot, config_store_roster(f->store),
+			       cas_id_of(CAS_STR("a1")));
+	config_boot_tick(f->boot);
+	return cas_id_of(CAS_STR("a2"));
+}
+
+/* Guards against a restarted daemon that serves by a stale platform's table
+ * while its peers hold a newer one. */
+static void test_start_waits_for_the_newest(void **state)
+{
+	fixture_t *f = *state;
+	cas_id_t peer = start_boot(f);
+
+	offer_table(f, 4);
+	assert_int_equal(f->asked, 1);
+	assert_false(config_boot_ready(f->boot));
+	config_boot_answer(f->boot, peer, 6, 3);
+	config_boot_tick(f->boot);
+	config_boot_tick(f->boot);
+	assert_int_equal(f->fetches, 1);
+	assert_true(f->fetched_from == peer);
+	assert_int_equal(f->fetched_revision, 6);
+	assert_false(config_boot_ready(f->boot));
+	offer_table(f, 6);
+	assert_true(config_boot_ready(f->boot));
+	assert_int_equal(config_boot_next_due(f->boot), INT64_MAX);
+}
+
+/* Guards against a daemon that waits for dead peers for ever, or serves
+ * without a table. */
+static void test_start_ends_after_two_seconds(void **state)
+{
+	fixture_t *f = *state;
+
+	start_boot(f);
+	for (int i = 0; i < 10; i++) {
+		assert_false(config_boot_ready(f->boot));
+		cas_clock_advance(f->clock, CONFIG_BOOT_RESEND_US);
+		config_boot_tick(f->boot);
+	}
+	assert_int_equal(f->asked, 11);
+	assert_false(config_boot_ready(f->boot));
+	offer_table(f, 4);
+	assert_true(config_boot_ready(f->boot));
+}
+
+/* Guards against a lost fetch that is never repeated. */
+static void test_start_repeats_a_fetch(void **state)
+{
+	fixture_t *f = *state;
+	cas_id_t peer = start_boot(f);
+
+	offer_table(f, 4);
+	config_boot_answer(f->boot, peer, 6, 0);
+	config_boot_tick(f->boot);
+	cas_clock_advance(f->clock, CONFIG_BOOT_RESEND_US);
+	config_boot_tick(f->boot);
+	assert_int_equal(f->fetches, 2);
+	assert_int_equal(f->asked, 1);
+}
+
+static table_t *read_table(TALLOC_CTX *ctx, const char *former,
+			   const char *present)
+{
+	char *text = sample_replace(ctx, SAMPLE_TABLE, former, present);
+	table_t *table = NULL;
+
+	table_read(ctx, cas_str_from(text), config_faults_create(ctx), &table);
+	assert_non_null(table);
+	return table;
+}
+
+/* Guards against changes that the operators are not shown. */
+static void test_diff_names_each_change(void **state)
+{
+	table_t *from = read_table(*state, "weight = 3", "weight = 3");
+	table_t *to = read_table(*state, "rate = 2.5", "rate = 0.25");
+	config_diff_t *diff = table_diff(*state, from, to);
+
+	assert_int_equal(diff->change_count, 1);
+	assert_string_equal(diff->changes[0].row.ptr, "customer \"acme\"");
+	assert_string_equal(diff->changes[0].key.ptr, "rate");
+	assert_string_equal(diff->changes[0].before.ptr, "2.5");
+	assert_string_equal(diff->changes[0].after.ptr, "0.25");
+	/* The content changed but not the revision. */
+	assert_int_equal(diff->warning_count, 1);
+	to = read_table(*state, "customers = [\"acme\"]", "");
+	diff = table_diff(*state, from, to);
+	assert_int_equal(diff->change_count, 1);
+	assert_string_equal(diff->changes[0].before.ptr, "acme");
+	assert_string_equal(diff->changes[0].after.ptr, "every");
+}
+
+/* Guards against a step in which old and new shares add up to more than the
+ * whole while the table spreads. */
+static void test_diff_warns_of_moving_shares(void **state)
+{
+	table_t *from = read_table(*state, "revision = 7", "revision = 6");
+	table_t *both = read_table(*state, "name = \"m1\"",
+				   "name = \"m1\"\nshare = 600");
+	table_t *shrunk = read_table(*state, "name = \"m1\"",
+				     "name = \"m1\"\nshare = 500");
+	config_diff_t *diff = table_diff(*state, from, both);
+
+	assert_int_equal(diff->warning_count, 1);
+	assert_non_null(strstr(diff->warnings[0].ptr,
+			       "\"m1\" grows in the same step as that of "
+			       "\"m2\" shrinks"));
+	diff = table_diff(*state, from, shrunk);
+	assert_int_equal(diff->warning_count, 0);
+}
+
+#define TEST(name) cmocka_unit_test_setup_teardown(name, setup, sample_teardown)
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		TEST(test_older_is_ignored),
+		TEST(test_same_revision_with_other_content),
+		TEST(test_broken_is_refused_whole),
+		TEST(test_embedded_hosts_have_their_own_order),
+		TEST(test_start_waits_for_the_newest),
+		TEST(test_start_ends_after_two_seconds),
+		TEST(test_start_repeats_a_fetch),
+		TEST(test_diff_names_each_change),
+		TEST(test_diff_warns_of_moving_shares),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/packages/config/tests/test_table.c
+++ b/packages/config/tests/test_table.c
@@ -10,13 +10,25 @@
 	table_t *table = NULL;
 	int rc = table_read(ctx, cas_str_from(text), faults, &table);
 
-	for (size_t i = 0; i < faults->count; i++)
-		print_message("%s\n",
-			      config_fault_print(ctx, "t", &faults->items[i]));
+	sample_print(faults);
 	assert_int_equal(rc, 0);
 	return table;
 }
 
+/* Checks that text is refused with a fault that has this printed form. */
+static void expect_fault(TALLOC_CTX *ctx, cas_str_t text, bool hosts,
+			 const char *wanted)
+{
+	config_faults_t *faults = config_faults_create(ctx);
+	roster_t *roster = NULL;
+	int rc = hosts ? roster_read(ctx, text, faults, &roster)
+		       : table_check(text, faults);
+
+	assert_int_equal(rc, CONFIG_EFAULTS);
+	assert_null(roster);
+	sample_expect(faults, wanted);
+}
+
 /* Guards against values that are lost or scaled wrongly on the way in. */
 static void test_reads_every_value(void **state)
 {
@@ -26,23 +38,263 @@
 	const table_route_t *route = &table->routes[0];
 
 	assert_int_equal(table->revision, 7);
+	assert_int_equal(table->salt[15], 15);
 	assert_int_equal(table->data_centre_count, 2);
 	assert_int_equal(table->data_centres[0].share_permille, 500);
 	assert_int_equal(customer->rate_micro, 2500000);
 	assert_int_equal(customer->burst_micro, 10000000);
 	assert_int_equal(customer->weight, 3);
+	assert_int_equal(customer->importance, TABLE_IMPORTANCE_MAX);
 	assert_int_equal(route->importance, 9);
+	assert_int_equal(route->retries, 2);
 	assert_int_equal(route->customer_count, 1);
 	assert_true(route->customers[0] == customer->id);
 	assert_int_equal(table->key_count, 2);
 	assert_int_equal(table->keys[0].hash[0], 0x01);
+	assert_null(table->hosts);
+}
+
+static void test_reads_hosts(void **state)
+{
+	config_faults_t *faults = config_faults_create(*state);
+	const roster_host_t *host;
+	roster_t *roster = NULL;
+
+	assert_int_equal(
+		roster_read(*state, CAS_STR(SAMPLE_HOSTS), faults, &roster), 0);
+	assert_int_equal(roster->revision, 3);
+	assert_int_equal(roster->host_count, 2);
+	host = roster_find(roster, cas_id_of(CAS_STR("a2")));
+	assert_true(host->leaving);
+	assert_int_equal(ntohl(host->address.s_addr), 0x7f000002);
+	assert_int_equal(host->control_port, 7002);
+	assert_null(roster_find(roster, 1));
+}
+
+/* Guards against a small site's single file that yields only one half. */
+static void test_reads_embedded_hosts(void **state)
+{
+	const char *text =
+		"hosts_revision = 5\n" SAMPLE_HEAD SAMPLE_ROWS SAMPLE_HOST_ROWS
+		"[end]\nrows = 11\n";
+	config_faults_t *faults = config_faults_create(*state);
+	table_t *table = read_table(*state, text);
+	roster_t *roster = NULL;
+
+	assert_int_equal(table->hosts->revision, 5);
+	assert_int_equal(
+		roster_read(*state, cas_str_from(text), faults, &roster), 0);
+	assert_int_equal(roster->revision, 5);
+	assert_int_equal(roster->host_count, 2);
+}
+
+/* Guards against a route that also takes other routes' paths or methods. */
+static void test_route_match(void **state)
+{
+	table_t *table = read_table(*state, SAMPLE_TABLE);
+	const table_route_t *post = &table->routes[0];
+	const table_route_t *any = &table->routes[1];
+	cas_str_t get = CAS_STR("GET");
+
+	assert_ptr_equal(
+		table_match_route(table, CAS_STR("POST"), CAS_STR("/book/1")),
+		post);
+	assert_ptr_equal(table_match_route(table, get, CAS_STR("/book")), any);
+	assert_ptr_equal(table_match_route(table, get, CAS_STR("/book?a")),
+			 any);
+	assert_null(table_match_route(table, get, CAS_STR("/bookings")));
+	assert_null(table_match_route(table, get, CAS_STR("/")));
+}
+
+/* Guards against half a table, cut anywhere, that passes as a whole one. */
+static void test_every_cut_is_refused(void **state)
+{
+	const char *text = SAMPLE_TABLE;
+	size_t whole = strlen(text) - strlen("\nrows = 9\n");
+
+	(void)state;
+	for (size_t len = 0; len < whole; len++) {
+		config_faults_t *faults = config_faults_create(NULL);
+		int rc = table_check((cas_str_t){ text, len }, faults);
+
+		if (rc != CONFIG_EFAULTS)
+			fail_msg("%zu of %zu bytes gave %d", len, whole, rc);
+		talloc_free(faults);
+	}
+}
+
+/* Guards against rows that come behind the mark of the end. */
+static void test_end_must_be_last(void **state)
+{
+	expect_fault(*state, CAS_STR(SAMPLE_HEAD "[end]\n" SAMPLE_ROWS), false,
+		     "t:3:1: end: [end] must come after everything else");
+	expect_fault(*state, CAS_STR(SAMPLE_HEAD SAMPLE_ROWS "[end]\nrows=8"),
+		     false, "8 rows are stated but there are 9");
 }
 
+typedef struct variant {
+	const char *former; /* part of the sample */
+	const char *present;
+	const char *fault;
+} variant_t;
+
+static const variant_t variants[] = {
+	{ "weight = 3", "wieght = 3",
+	  "t:27:1: customer \"acme\": unknown key \"wieght\"; the nearest "
+	  "known key is \"weight\"" },
+	{ "[[service]]", "[[servise]]",
+	  "the nearest known key is \"service\"" },
+	{ "weight = 3", "weight = 0", "t:27:10: customer \"acme\": weight" },
+	{ "rate = 2.5", "rate = 0",
+	  "customer \"acme\": rate must be a number" },
+	{ "rate = 2.5", "rate = nan", "rate must be a number" },
+	{ "rate = 2.5", "rate = 1e300", "rate must be a number" },
+	{ "rate = 2.5", "rate = -1", "rate must be a number" },
+	{ "rate = 2.5", "rate = \"2\"", "rate must be a number" },
+	{ "rate = 2.5", "", "customer \"acme\": key \"rate\" is missing" },
+	{ "burst = 10", "burst = 0.9", "burst must be a number from 1" },
+	{ "importance = 9", "importance = 16", "integer from 0 to 15" },
+	{ "importance = 9", "importance = 99999999999999999999", "t:17:" },
+	{ "name = \"small\"", "name = \"acme\"",
+	  "the name is already used in" },
+	{ "name = \"small\"", "name = \"a b\"",
+	  "name must be 1 to 64 letters" },
+	{ "name = \"small\"", "name = \"\"", "name must be 1 to 64 letters" },
+	{ "name = \"m2\"", "name = \"m1\"", "the name is already used" },
+	{ "name = \"m2\"", "name = \"m2\"\nshare = 1001", "from 0 to 1000" },
+	{ "name = \"m2\"", "name = \"m2\"\nshare = 1000", "leave nothing" },
+	{ "customers = [\"acme\"]", "customers = [\"other\"]",
+	  "item 1 of customers names no customer" },
+	{ "customers = [\"acme\"]", "customers = []", "customers must be a" },
+	{ "customers = [\"acme\"]", "customers = [\"acme\", \"acme\"]",
+	  "the customer is already used" },
+	{ "customers = [\"acme\"]", "customers = [\"acme\"]\nopen = true",
+	  "an open route cannot be limited" },
+	{ "method = \"POST\"", "", "the path and method is already used" },
+	{ "method = \"POST\"", "method = \"post\"", "in capital letters" },
+	{ "path = \"/book\"", "path = \"book\"", "path must begin with" },
+	{ "path = \"/book\"", "path = \"/a?b\"", "path must begin with" },
+	{ "service = \"booking\"", "service = \"other\"",
+	  "no service \"other\"" },
+	{ "customer = \"small\"", "customer = \"other\"", "no customer" },
+	{ "hash = \"01", "hash = \"0", "hash must be 64 hexadecimal digits" },
+	{ "hash = \"01", "hash = \"0g", "hash must be 64 hexadecimal digits" },
+	{ "hash = \"" SAMPLE_HASH_B, "hash = \"" SAMPLE_HASH_A,
+	  "the hash is already used" },
+	{ "revision = 7", "revision = 0", "t:1:12: revision must be" },
+	{ "revision = 7", "revision = 7\nrevision = 8", "t:2:" },
+	{ "revision = 7", "revision = 7\nhosts_revision = 1",
+	  "need each other" },
+	{ "salt = \"00", "salt = \"", "salt must be 32 hexadecimal digits" },
+	{ "[[customer]]\nname = \"acme\"", "[customer]\nname = \"acme\"",
+	  "t:30:" },
+	{ "[[key]]", "a.b.c.d.e.f.g.h.i.j = 1\n[[key]]", "nested more than" },
+	{ "[end]", "[end]\ncount = 1", "end: unknown key \"count\"" },
+};
+
+/* Guards against each kind of fault that could take a table into force, and
+ * against faults without their place. */
+static void test_table_faults(void **state)
+{
+	for (size_t i = 0; i < sizeof(variants) / sizeof(variants[0]); i++) {
+		const variant_t *v = &variants[i];
+		char *text = sample_replace(*state, SAMPLE_TABLE, v->former,
+					    v->present);
+
+		expect_fault(*state, cas_str_from(text), false, v->fault);
+	}
+}
+
+/* Guards against shares that hand out more than the whole rate. */
+static void test_shares_above_the_whole(void **state)
+{
+	char *text = sample_replace(*state, SAMPLE_TABLE, "name = \"m1\"",
+				    "name = \"m1\"\nshare = 600");
+
+	text = sample_replace(*state, text, "name = \"m2\"",
+			      "name = \"m2\"\nshare = 401");
+	expect_fault(*state, cas_str_from(text), false,
+		     "the shares add up to 1001, above 1000");
+}
+
+static const variant_t host_variants[] = {
+	{ "127.0.0.2", "127.0.0.1", "host \"a2\": the address and peer_port" },
+	{ "127.0.0.2", "localhost", "address must be an IPv4 address" },
+	{ "name = \"a2\"", "name = \"a1\"", "the name is already used" },
+	{ "peer_port = 7001", "peer_port = 0", "from 1 to 65535" },
+	{ "peer_port = 7001", "peer_port = 65536", "from 1 to 65535" },
+	{ "leaving = true", "leaving = 1", "leaving must be true or false" },
+	{ "[end]", "", "the text is cut off" },
+};
+
+static void test_host_faults(void **state)
+{
+	size_t count = sizeof(host_variants) / sizeof(host_variants[0]);
+
+	for (size_t i = 0; i < count; i++) {
+		const variant_t *v = &host_variants[i];
+		char *text = sample_replace(*state, SAMPLE_HOSTS, v->former,
+					    v->present);
+
+		expect_fault(*state, cas_str_from(text), true, v->fault);
+	}
+	expect_fault(*state, CAS_STR("revision = 1\nhost = []\n[end]\n"), true,
+		     "there must be at least one [[host]]");
+}
+
+/* Guards against a check that stops at the first fault. */
+static void test_every_fault_is_reported(void **state)
+{
+	config_faults_t *faults = config_faults_create(*state);
+	char *text = sample_replace(*state, SAMPLE_TABLE, "weight = 3",
+				    "weight = 0");
+
+	text = sample_replace(*state, text, "importance = 9",
+			      "importance = 99");
+	text = sample_replace(*state, text, "burst = 10", "bursts = 10");
+	table_check(cas_str_from(text), faults);
+	assert_int_equal(faults->count, 4);
+	assert_int_equal(faults->items[0].line, 17);
+	assert_true(
+		cas_str_equal(faults->items[0].row, CAS_STR("route \"book\"")));
+	assert_true(cas_str_equal(faults->items[0].key, CAS_STR("importance")));
+}
+
+/* Guards against stack overflow and unbounded work on hostile texts. */
+static void test_hostile_texts(void **state)
+{
+	size_t len = CONFIG_DOCUMENT_MAX;
+	char *text = talloc_array(*state, char, len + 1);
+
+	memset(text, '[', len);
+	expect_fault(*state, (cas_str_t){ text, len }, false, "nested more");
+	for (size_t i = 0; i < len; i++)
+		text[i] = i % 2 ? '.' : 'a';
+	expect_fault(*state, (cas_str_t){ text, len }, false, "nested more");
+	memset(text, '\n', len + 1);
+	expect_fault(*state, (cas_str_t){ text, len + 1 }, false,
+		     "1048577 bytes are more than the limit");
+	memcpy(text, "a = \"\0\"\n", 8);
+	expect_fault(*state, (cas_str_t){ text, 8 }, false, "t:1:");
+}
+
+#define TEST(name)                                                             \
+	cmocka_unit_test_setup_teardown(name, sample_setup, sample_teardown)
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
-		cmocka_unit_test_setup_teardown(test_reads_every_value,
-						sample_setup, sample_teardown),
+		TEST(test_reads_every_value),
+		TEST(test_reads_hosts),
+		TEST(test_reads_embedded_hosts),
+		TEST(test_route_match),
+		TEST(test_every_cut_is_refused),
+		TEST(test_end_must_be_last),
+		TEST(test_table_faults),
+		TEST(test_shares_above_the_whole),
+		TEST(test_host_faults),
+		TEST(test_every_fault_is_reported),
+		TEST(test_hostile_texts),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
