--- a/packages/config/source_http.c
+++ b/packages/config/source_http.c
@@ -19,12 +19,13 @@
 	curl_transfer_t transfer;
 	bool in_flight;
 	bool again; /* read once more when the current read ends */
+	bool too_large; /* the body was cut off */
 	bool long_poll; /* the read in flight waits for a change */
 	char *body;
 	size_t body_len;
 	mono_timer_t *timer;
 	unsigned int failures; /* in a row */
-	char last_reason[CURL_ERROR_SIZE + 32];
+	char last_reason[CURL_ERROR_SIZE];
 	char curl_error[CURL_ERROR_SIZE];
 } http_read_t;
 
@@ -121,17 +122,30 @@
 		read_failed(read, "the document was refused");
 }
 
+static void transfer_failed(http_read_t *read, CURLcode code)
+{
+	char reason[80];
+
+	if (read->too_large) {
+		snprintf(reason, sizeof(reason),
+			 "the document is larger than %d bytes",
+			 CONFIG_DOCUMENT_MAX);
+		read_failed(read, reason);
+	} else if (read->curl_error[0]) {
+		read_failed(read, read->curl_error);
+	} else {
+		read_failed(read, curl_easy_strerror(code));
+	}
+}
+
 static void take_reply(http_read_t *read, CURLcode code)
 {
-	char reason[CURL_ERROR_SIZE + 32];
+	char reason[32];
 	long status = 0;
 
 	curl_easy_getinfo(read->transfer.easy, CURLINFO_RESPONSE_CODE, &status);
 	if (code != CURLE_OK) {
-		snprintf(reason, sizeof(reason), "%s",
-			 read->curl_error[0] ? read->curl_error
-					     : curl_easy_strerror(code));
-		read_failed(read, reason);
+		transfer_failed(read, code);
 	} else if (status == HTTP_NOT_MODIFIED) {
 		read_succeeded(read, false);
 	} else if (status == HTTP_OK) {
@@ -163,9 +177,7 @@
 	char *body;
 
 	if (read->body_len + len > CONFIG_DOCUMENT_MAX) {
-		snprintf(read->curl_error, sizeof(read->curl_error),
-			 "the document is larger than %d bytes",
-			 CONFIG_DOCUMENT_MAX);
+		read->too_large = true;
 		return 0;
 	}
 	body = talloc_realloc(read->source, read->body, char,
@@ -202,6 +214,7 @@
 	mono_timer_disarm(read->timer);
 	read->long_poll = read->source->watching;
 	read->curl_error[0] = '\0';
+	read->too_large = false;
 	set_url(read);
 	if (curl_loop_start(read->source->loop, &read->transfer))
 		read_failed(read, "the read could not be started");
