--- a/packages/membership/messages/membership.x
+++ b/packages/membership/messages/membership.x
@@ -17,8 +17,9 @@
 const MEMBERSHIP_KIND_REMOTE = 3;
 const MEMBERSHIP_KIND_MASK = 3;
 /* Further flags of a beat. */
-const MEMBERSHIP_DRAINING = 4;
-const MEMBERSHIP_CONFIRMING = 8;
+const MEMBERSHIP_FLAG_DRAINING = 4;
+const MEMBERSHIP_FLAG_CONFIRMING = 8;
+const MEMBERSHIP_FLAG_ECHO = 16; /* echo_ms is set */
 
 /*
  * Two bytes for each host from index first on, in the list of the sender's
