--- a/packages/http/front.c
+++ b/packages/http/front.c
@@ -323,6 +323,11 @@
 	return front->exchange_count;
 }
 
+void http_front_close_connections(http_front_t *front)
+{
+	front->closing = true;
+}
+
 void http_front_drain(http_front_t *front)
 {
 	MHD_socket listen_fd;
@@ -332,6 +337,7 @@
 	/* Connections that the kernel has already accepted are served. */
 	MHD_run(front->daemon);
 	front->draining = true;
+	front->closing = true;
 	listen_fd = MHD_quiesce_daemon(front->daemon);
 	if (listen_fd != MHD_INVALID_SOCKET)
 		close(listen_fd);
--- a/packages/http/front_internal.h
+++ b/packages/http/front_internal.h
@@ -67,7 +67,8 @@
 	struct tevent_immediate *run_soon;
 	struct tevent_timer *sweep_timer;
 	bool run_pending;
-	bool draining;
+	bool draining; /* no longer listening */
+	bool closing; /* connections end behind a response */
 	int watch_fd; /* epoll descriptor that reports callers that left */
 	struct tevent_fd *watch_fde;
 	http_conn_t *conns;
--- a/packages/http/front_mhd.c
+++ b/packages/http/front_mhd.c
@@ -10,11 +10,11 @@
 #include "cassia/http_target.h"
 
 /*
- * Memory of one connection: a 16 KB header with its parsed fields. libmicrohttpd
- * clears all of it between requests, so it stays resident on idle connections;
- * 10,000 of them must stay below 256 MB.
+ * Memory of one connection beyond the largest header, for its parsed fields and
+ * the body. libmicrohttpd clears all of it between requests, so it stays
+ * resident on idle connections; 10,000 of them must stay below 256 MB.
  */
-#define CONN_MEMORY_BYTES ((size_t)22 * 1024)
+#define CONN_MEMORY_BYTES ((size_t)6 * 1024)
 #define CONN_MEMORY_STEP_BYTES ((size_t)2 * 1024)
 /* Block of a streamed response body. */
 #define BLOCK_BYTES ((size_t)16 * 1024)
@@ -198,7 +198,7 @@
 	if (!response)
 		return MHD_NO;
 	add_fields(response, exchange->reply.headers, exchange);
-	if (exchange->front->draining)
+	if (exchange->front->closing)
 		MHD_add_response_header(response, "Connection", "close");
 	exchange->phase = PHASE_SENDING;
 	result = MHD_queue_response(
@@ -254,7 +254,7 @@
 	cas_str_t coding = http_headers_value(exchange->headers,
 					      CAS_STR("Transfer-Encoding"));
 
-	if (info && info->header_size > HTTP_HEADER_MAX_BYTES)
+	if (info && info->header_size > exchange->front->settings.header_max_bytes)
 		return MHD_HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE;
 	if (http_target_check(cas_str_from(exchange->target),
 			      &exchange->origin))
@@ -397,7 +397,8 @@
 		MHD_OPTION_EXTERNAL_LOGGER, on_log, NULL,
 		MHD_OPTION_LISTEN_SOCKET, listen_fd,
 		MHD_OPTION_CONNECTION_LIMIT, front->settings.connections_max,
-		MHD_OPTION_CONNECTION_MEMORY_LIMIT, CONN_MEMORY_BYTES,
+		MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+		front->settings.header_max_bytes + CONN_MEMORY_BYTES,
 		MHD_OPTION_CONNECTION_MEMORY_INCREMENT, CONN_MEMORY_STEP_BYTES,
 		MHD_OPTION_CONNECTION_TIMEOUT, front->settings.idle_timeout_s,
 		MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_URI_LOG_CALLBACK,
--- a/packages/http/include/cassia/http_front.h
+++ b/packages/http/include/cassia/http_front.h
@@ -19,13 +19,11 @@
 typedef struct http_front http_front_t;
 typedef struct http_exchange http_exchange_t;
 
-/* Headers over this size in bytes get 431. */
-#define HTTP_HEADER_MAX_BYTES (16 * 1024)
-
 typedef struct http_front_settings {
 	struct in_addr address;
 	uint16_t port; /* 0: chosen by the kernel */
 	unsigned int connections_max;
+	size_t header_max_bytes; /* larger headers get 431 */
 	int64_t read_timeout_us; /* for a whole header, and for a whole body */
 	unsigned int idle_timeout_s; /* of a connection without request */
 } http_front_settings_t;
@@ -67,6 +65,9 @@
 /* Returns how many exchanges are running. */
 unsigned int http_front_exchanges(const http_front_t *front);
 
+/* Closes each connection behind its next response from now on. */
+void http_front_close_connections(http_front_t *front);
+
 /* Stops listening. Open connections finish their request and are closed
  * behind the response. */
 void http_front_drain(http_front_t *front);
--- /dev/null
+++ b/programs/cassiad/config.c
@@ -0,0 +1,198 @@
+/* Settings, tables and host lists, and what changes with them. */
+#include "cassia/log.h"
+#include "control.h"
+#include "daemon.h"
+
+static void log_faults(const char *event, const char *file,
+		       const config_faults_t *faults)
+{
+	TALLOC_CTX *ctx = talloc_new(NULL);
+
+	for (size_t i = 0; faults && i < faults->count; i++)
+		cas_log(CAS_LOG_ERROR, event,
+			CAS_LOG_Z("fault", config_fault_print(
+						   ctx, file,
+						   &faults->items[i])));
+	talloc_free(ctx);
+}
+
+settings_t *config_read_settings(TALLOC_CTX *ctx, const char *path)
+{
+	TALLOC_CTX *temp = talloc_new(NULL);
+	config_faults_t *faults = config_faults_create(temp);
+	settings_t *settings = NULL;
+	cas_str_t text;
+	int error = config_read_file(temp, path, &text);
+
+	if (error) {
+		cas_log(CAS_LOG_ERROR, "settings_unreadable",
+			CAS_LOG_Z("path", path));
+	} else if (settings_read(ctx, text, faults, &settings)) {
+		log_faults("settings_refused", path, faults);
+		settings = NULL;
+	}
+	talloc_free(temp);
+	return settings;
+}
+
+static bool is_draining(const cassiad_t *daemon, cas_id_t host)
+{
+	if (host == daemon->settings->host_id)
+		return drain_state(daemon->drain) != DRAIN_SERVING;
+	return control_is_draining(daemon, host);
+}
+
+/* Hosts that say that they drain count as leaving before the host list says
+ * so. */
+static void route_around_draining(cassiad_t *daemon)
+{
+	roster_t patched = *daemon->roster;
+	const settings_t *settings = daemon->settings;
+
+	patched.hosts = talloc_memdup(daemon, patched.hosts,
+				      patched.host_count *
+					      sizeof(*patched.hosts));
+	if (!patched.hosts)
+		return;
+	for (size_t i = 0; i < patched.host_count; i++) {
+		if (is_draining(daemon, patched.hosts[i].id))
+			patched.hosts[i].leaving = true;
+	}
+	routing_set_view(daemon->routing, daemon->table, &patched,
+			 settings->host_id, settings->data_centre_id);
+	talloc_free(patched.hosts);
+}
+
+void config_apply(cassiad_t *daemon)
+{
+	if (daemon->table)
+		keys_set_table(daemon->keys, daemon->table);
+	control_apply(daemon);
+	if (daemon->table && daemon->roster)
+		route_around_draining(daemon);
+	entry_recheck_keys(daemon);
+}
+
+void config_tick(cassiad_t *daemon)
+{
+	uint64_t digest = 0;
+	bool watching = control_is_watcher(daemon);
+
+	if (watching != daemon->watching && daemon->source) {
+		daemon->watching = watching;
+		source_set_watching(daemon->source, watching);
+	}
+	if (!daemon->roster || !daemon->table)
+		return;
+	for (size_t i = 0; i < daemon->roster->host_count; i++) {
+		cas_id_t id = daemon->roster->hosts[i].id;
+
+		if (is_draining(daemon, id))
+			digest = (digest ^ id) * UINT64_C(0x100000001b3);
+	}
+	if (digest == daemon->draining_hosts)
+		return;
+	daemon->draining_hosts = digest;
+	route_around_draining(daemon);
+}
+
+static void on_table(void *private, const table_t *table)
+{
+	cassiad_t *daemon = private;
+
+	daemon->table = table;
+	config_apply(daemon);
+	cas_log(CAS_LOG_INFO, "table_accepted",
+		CAS_LOG_INT("revision", table->revision));
+}
+
+/* The host list says whether this host's upstream leaves. */
+static void follow_host_list(cassiad_t *daemon)
+{
+	const roster_host_t *own =
+		roster_find(daemon->roster, daemon->settings->host_id);
+
+	if (!own)
+		return;
+	if (own->leaving && !daemon->listed_leaving) {
+		daemon_drain(daemon, DRAIN_GOAL_UPSTREAM);
+	} else if (!own->leaving && daemon->listed_leaving) {
+		drain_cancel(daemon->drain);
+		control_set_draining(daemon, drain_state(daemon->drain) !=
+						     DRAIN_SERVING);
+	}
+	daemon->listed_leaving = own->leaving;
+}
+
+static void on_hosts(void *private, const roster_t *roster)
+{
+	cassiad_t *daemon = private;
+
+	daemon->roster = roster;
+	follow_host_list(daemon);
+	config_apply(daemon);
+	cas_log(CAS_LOG_INFO, "hosts_accepted",
+		CAS_LOG_INT("revision", roster->revision),
+		CAS_LOG_INT("hosts", (int64_t)roster->host_count));
+}
+
+static void on_refused(void *private, config_document_t document, int error,
+		       const config_faults_t *faults)
+{
+	(void)private;
+	(void)error;
+	log_faults("document_refused",
+		   document == CONFIG_TABLE ? "table" : "hosts", faults);
+}
+
+static const config_store_ops_t store_ops = {
+	.table_changed = on_table,
+	.hosts_changed = on_hosts,
+	.refused = on_refused,
+};
+
+int config_start(cassiad_t *daemon)
+{
+	daemon->store = config_store_create(daemon, &store_ops, daemon);
+	return daemon->store ? 0 : CONFIG_ENOMEM;
+}
+
+int config_open_source(cassiad_t *daemon)
+{
+	daemon->source = source_create(daemon, daemon->ev, daemon->rng,
+				       daemon->settings, &source_store_sink,
+				       daemon->store);
+	return daemon->source ? 0 : CONFIG_ENOMEM;
+}
+
+void config_set_secrets(cassiad_t *daemon)
+{
+	const settings_t *settings = daemon->settings;
+
+	daemon->secrets.count = 0;
+	for (size_t i = 0; i < settings->secret_count; i++)
+		attempt_secrets_add(&daemon->secrets,
+				    settings->secrets[i].bytes,
+				    settings->secrets[i].len);
+}
+
+/* Addresses and ports of a running daemon stay as they are. */
+void config_reload(cassiad_t *daemon)
+{
+	settings_t *settings =
+		config_read_settings(daemon, daemon->settings_path);
+
+	if (settings) {
+		daemon->settings->log_level = settings->log_level;
+		memcpy(daemon->settings->secrets, settings->secrets,
+		       sizeof(settings->secrets));
+		daemon->settings->secret_count = settings->secret_count;
+		daemon->settings->drain_timeout_ms = settings->drain_timeout_ms;
+		talloc_free(settings);
+		cas_log_set_level(daemon->settings->log_level);
+		config_set_secrets(daemon);
+		control_set_secrets(daemon);
+		cas_log(CAS_LOG_INFO, "settings_read");
+	}
+	source_check_now(daemon->source);
+}
--- /dev/null
+++ b/programs/cassiad/control.c
@@ -0,0 +1,395 @@
+/* Control between daemons: RPC, heartbeats, the fence, tokens, the start. */
+#include "control.h"
+
+#include "cassia/config_boot.h"
+#include "cassia/log.h"
+#include "cassia/membership.h"
+#include "cassia/peer.h"
+#include "cassia/quota.h"
+#include "cassia/wire.h"
+#include "fetch.h"
+
+struct control {
+	cassiad_t *daemon;
+	peer_t *peer;
+	membership_t *membership;
+	quota_t *quota;
+	config_boot_t *boot;
+};
+
+struct control_wait {
+	control_done_t done;
+	void *private;
+	quota_pending_t *pending;
+};
+
+static void send_beat(cas_id_t to, const membership_beat *beat, void *private)
+{
+	control_t *control = private;
+
+	peer_send(control->peer, to, CASSIA_PROC_BEAT, beat);
+}
+
+static void send_notice(cas_id_t to, const membership_notice *notice,
+			void *private)
+{
+	control_t *control = private;
+
+	peer_send(control->peer, to, CASSIA_PROC_NOTICE, notice);
+}
+
+static void on_newer_table(int64_t revision, cas_id_t host, void *private)
+{
+	control_t *control = private;
+
+	(void)revision;
+	fetch_start(control->daemon, host, CONFIG_TABLE);
+}
+
+static void on_newer_roster(int64_t revision, cas_id_t host, void *private)
+{
+	control_t *control = private;
+
+	(void)revision;
+	fetch_start(control->daemon, host, CONFIG_HOSTS);
+}
+
+static const membership_ops_t membership_ops = {
+	.send_beat = send_beat,
+	.send_notice = send_notice,
+	.on_newer_table = on_newer_table,
+	.on_newer_roster = on_newer_roster,
+};
+
+static void send_ask(void *private, cas_id_t to, const quota_ask *ask)
+{
+	control_t *control = private;
+
+	peer_send(control->peer, to, CASSIA_PROC_QUOTA_ASK, ask);
+}
+
+static bool fence_held(void *private, int64_t revision)
+{
+	control_t *control = private;
+
+	return membership_fence_held(control->membership, revision);
+}
+
+static bool fence_settled(void *private, int64_t revision)
+{
+	control_t *control = private;
+
+	return membership_fence_settled(control->membership, revision);
+}
+
+static const quota_ops_t quota_ops = {
+	.send_ask = send_ask,
+	.fence_held = fence_held,
+	.fence_settled = fence_settled,
+};
+
+static int on_beat(cas_id_t from, uint64_t incarnation, void *args, void *reply,
+		   void *private)
+{
+	control_t *control = private;
+
+	return membership_on_beat(control->membership, from, incarnation, args,
+				  reply);
+}
+
+static void on_beat_reply(cas_id_t from, uint64_t incarnation, void *reply,
+			  void *private)
+{
+	control_t *control = private;
+
+	membership_on_reply(control->membership, from, incarnation, reply);
+}
+
+static int on_notice(cas_id_t from, uint64_t incarnation, void *args,
+		     void *reply, void *private)
+{
+	control_t *control = private;
+
+	return membership_on_notice(control->membership, from, incarnation,
+				    args, reply);
+}
+
+static void on_notice_reply(cas_id_t from, uint64_t incarnation, void *reply,
+			    void *private)
+{
+	control_t *control = private;
+	const membership_notice_reply *notice = reply;
+
+	membership_on_notice_reply(control->membership, from, incarnation,
+				   notice);
+	config_boot_answer(control->boot, from, notice->table_revision,
+			   notice->roster_revision);
+}
+
+static int on_ask(cas_id_t from, uint64_t incarnation, void *args, void *reply,
+		  void *private)
+{
+	control_t *control = private;
+
+	quota_on_ask(control->quota, from, incarnation, args, reply);
+	return 0;
+}
+
+static void on_ask_reply(cas_id_t from, uint64_t incarnation, void *reply,
+			 void *private)
+{
+	control_t *control = private;
+
+	quota_on_reply(control->quota, from, incarnation, reply);
+}
+
+static void register_procedures(control_t *control)
+{
+	const peer_proc_t beat = {
+		.args_xdr = (xdrproc_t)xdr_membership_beat,
+		.args_size = sizeof(membership_beat),
+		.reply_xdr = (xdrproc_t)xdr_membership_reply,
+		.reply_size = sizeof(membership_reply),
+		.on_call = on_beat,
+		.on_reply = on_beat_reply,
+		.private_data = control,
+	};
+	const peer_proc_t notice = {
+		.args_xdr = (xdrproc_t)xdr_membership_notice,
+		.args_size = sizeof(membership_notice),
+		.reply_xdr = (xdrproc_t)xdr_membership_notice_reply,
+		.reply_size = sizeof(membership_notice_reply),
+		.on_call = on_notice,
+		.on_reply = on_notice_reply,
+		.private_data = control,
+	};
+	const peer_proc_t ask = {
+		.args_xdr = (xdrproc_t)xdr_quota_ask,
+		.args_size = sizeof(quota_ask),
+		.reply_xdr = (xdrproc_t)xdr_quota_reply,
+		.reply_size = sizeof(quota_reply),
+		.on_call = on_ask,
+		.on_reply = on_ask_reply,
+		.private_data = control,
+	};
+
+	peer_register(control->peer, CASSIA_PROC_BEAT, &beat);
+	peer_register(control->peer, CASSIA_PROC_NOTICE, &notice);
+	peer_register(control->peer, CASSIA_PROC_QUOTA_ASK, &ask);
+}
+
+static void boot_ask(void *private, cas_id_t host)
+{
+	control_t *control = private;
+	const membership_notice held = {
+		.roster_revision = config_store_revision(control->daemon->store,
+							 CONFIG_HOSTS),
+		.table_revision = config_store_revision(control->daemon->store,
+							CONFIG_TABLE),
+	};
+
+	peer_send(control->peer, host, CASSIA_PROC_NOTICE, &held);
+}
+
+static void boot_fetch(void *private, cas_id_t host, config_document_t document,
+		       int64_t revision)
+{
+	control_t *control = private;
+
+	(void)revision;
+	fetch_start(control->daemon, host, document);
+}
+
+static const config_boot_ops_t boot_ops = {
+	.ask = boot_ask,
+	.fetch = boot_fetch,
+};
+
+static void make_secrets(const settings_t *settings, fleet_secrets_t *secrets)
+{
+	memset(secrets, 0, sizeof(*secrets));
+	for (size_t i = 0; i < settings->secret_count; i++) {
+		const settings_secret_t *secret = &settings->secrets[i];
+
+		fleet_secret_set(&secrets->entries[i], (uint32_t)secret->id,
+				 (cas_str_t){ (const char *)secret->bytes,
+					      secret->len });
+	}
+}
+
+void control_set_secrets(cassiad_t *daemon)
+{
+	fleet_secrets_t secrets;
+
+	make_secrets(daemon->settings, &secrets);
+	peer_set_secrets(daemon->control->peer, &secrets);
+}
+
+static int open_port(control_t *control)
+{
+	cassiad_t *daemon = control->daemon;
+	peer_settings_t settings = {
+		.self = daemon->settings->host_id,
+		.incarnation = daemon->incarnation,
+		.bind_address = daemon->settings->control.address,
+		.port = daemon->settings->control.port,
+	};
+	int error = 0;
+
+	make_secrets(daemon->settings, &settings.secrets);
+	control->peer = peer_create(control, daemon->ev, daemon->clock,
+				    &settings, &error);
+	return error;
+}
+
+int control_start(cassiad_t *daemon)
+{
+	control_t *control = talloc_zero(daemon, control_t);
+	const settings_t *settings = daemon->settings;
+	int error;
+
+	if (!control)
+		return PEER_ENOMEM;
+	control->daemon = daemon;
+	daemon->control = control;
+	error = open_port(control);
+	if (error)
+		return error;
+	control->membership = membership_create(
+		control, daemon->clock, daemon->rng, &membership_ops, control,
+		settings->host_id, daemon->incarnation,
+		settings->data_centre_id);
+	control->quota = quota_create(control, daemon->clock, daemon->rng,
+				      &quota_ops, control, settings->host_id,
+				      daemon->incarnation);
+	control->boot = config_boot_create(control, daemon->clock,
+					   daemon->store, &boot_ops, control);
+	if (!control->membership || !control->quota || !control->boot)
+		return PEER_ENOMEM;
+	register_procedures(control);
+	return 0;
+}
+
+void control_apply(cassiad_t *daemon)
+{
+	control_t *control = daemon->control;
+
+	if (daemon->roster) {
+		peer_set_roster(control->peer, daemon->roster);
+		membership_set_roster(control->membership, daemon->roster);
+		config_boot_set_roster(control->boot, daemon->roster,
+				       daemon->settings->host_id);
+	}
+	if (daemon->table)
+		membership_set_table_revision(control->membership,
+					      daemon->table->revision);
+	if (daemon->table && daemon->roster)
+		quota_set_view(control->quota, daemon->table, daemon->roster);
+}
+
+void control_tick(cassiad_t *daemon)
+{
+	control_t *control = daemon->control;
+	int64_t now = cas_clock_now(daemon->clock);
+
+	if (membership_next_due(control->membership) <= now)
+		membership_tick(control->membership);
+	if (quota_next_due(control->quota) <= now)
+		quota_tick(control->quota);
+	if (daemon->ready)
+		return;
+	config_boot_tick(control->boot);
+	daemon->ready = config_boot_ready(control->boot);
+	if (daemon->ready)
+		cas_log(CAS_LOG_INFO, "ready",
+			CAS_LOG_INT("table_revision", daemon->table->revision),
+			CAS_LOG_INT("hosts_revision",
+				    daemon->roster->revision));
+}
+
+static void on_token(void *private, quota_verdict_t verdict,
+		     int64_t retry_after_us)
+{
+	control_wait_t *waiting = private;
+	control_done_t done = waiting->done;
+	void *user = waiting->private;
+
+	talloc_free(waiting);
+	done(user, verdict == QUOTA_GRANTED, retry_after_us);
+}
+
+control_verdict_t control_take(cassiad_t *daemon, cas_id_t customer,
+			       int64_t deadline_us, control_done_t done,
+			       void *private, control_wait_t **waiting,
+			       int64_t *retry_after_us)
+{
+	control_t *control = daemon->control;
+	control_wait_t *wait = talloc(control, control_wait_t);
+	int verdict;
+
+	if (!wait)
+		return CONTROL_REFUSED;
+	wait->done = done;
+	wait->private = private;
+	verdict = quota_acquire(control->quota, customer, deadline_us, on_token,
+				wait, &wait->pending, retry_after_us);
+	if (verdict == QUOTA_PENDING) {
+		*waiting = wait;
+		return CONTROL_WAITING;
+	}
+	talloc_free(wait);
+	return verdict == QUOTA_GRANTED ? CONTROL_GRANTED : CONTROL_REFUSED;
+}
+
+void control_forget(control_wait_t *waiting)
+{
+	quota_cancel(waiting->pending);
+	talloc_free(waiting);
+}
+
+void control_set_draining(cassiad_t *daemon, bool draining)
+{
+	membership_set_draining(daemon->control->membership, draining);
+}
+
+bool control_fence_held(const cassiad_t *daemon)
+{
+	return daemon->roster &&
+	       membership_fence_held(daemon->control->membership,
+				     daemon->roster->revision);
+}
+
+bool control_is_draining(const cassiad_t *daemon, cas_id_t host)
+{
+	return membership_state_of(daemon->control->membership, host) ==
+	       MEMBERSHIP_DRAINING;
+}
+
+bool control_is_watcher(const cassiad_t *daemon)
+{
+	return membership_is_watcher(daemon->control->membership);
+}
+
+static void set_gauge(cassiad_t *daemon, const char *name, int64_t value)
+{
+	cas_counter_t *gauge = cas_metrics_counter(daemon->metrics, name, "");
+
+	if (gauge)
+		gauge->value = value;
+}
+
+void control_set_metrics(cassiad_t *daemon)
+{
+	const peer_counters_t *peer = peer_counters(daemon->control->peer);
+	const quota_stats_t *quota = quota_stats(daemon->control->quota);
+
+	set_gauge(daemon, "cassia_control_sent_bytes", peer->sent_bytes);
+	set_gauge(daemon, "cassia_control_received_bytes",
+		  peer->received_bytes);
+	set_gauge(daemon, "cassia_control_dropped_mac", peer->dropped_mac);
+	set_gauge(daemon, "cassia_quota_granted", quota->granted);
+	set_gauge(daemon, "cassia_quota_refused", quota->refused);
+	set_gauge(daemon, "cassia_quota_asks_sent", quota->asks_sent);
+	set_gauge(daemon, "cassia_quota_lapses", quota->lapses);
+	set_gauge(daemon, "cassia_fence_held", control_fence_held(daemon));
+}
--- a/programs/cassiad/control.h
+++ b/programs/cassiad/control.h
@@ -24,6 +24,9 @@
 /* Takes over the current fleet secrets. */
 void control_set_secrets(cassiad_t *daemon);
 
+/* Writes the figures of peer and quota into the metrics. */
+void control_set_metrics(cassiad_t *daemon);
+
 /* Does what is due; called every 10 ms. */
 void control_tick(cassiad_t *daemon);
 
@@ -37,6 +40,9 @@
 /* Tells the peers that this daemon drains. */
 void control_set_draining(cassiad_t *daemon, bool draining);
 
+/* True when this daemon is to watch the platform. */
+bool control_is_watcher(const cassiad_t *daemon);
+
 bool control_fence_held(const cassiad_t *daemon);
 
 /* True when a host is known to drain, though the host list has it as live. */
--- a/programs/cassiad/daemon.h
+++ b/programs/cassiad/daemon.h
@@ -11,6 +11,7 @@
 #include "cassia/config_store.h"
 #include "cassia/counter.h"
 #include "cassia/drain.h"
+#include "cassia/error.h"
 #include "cassia/http_back.h"
 #include "cassia/http_front.h"
 #include "cassia/keys.h"
@@ -44,7 +45,12 @@
 	uint64_t incarnation;
 	int64_t started_us;
 	bool ready; /* holds a configuration that may be served from */
+	bool stopping; /* the drain ends the process */
 	bool stopped;
+	uint64_t ticks;
+	bool watching;
+	bool listed_leaving; /* by the host list in use */
+	uint64_t draining_hosts; /* digest of the hosts known to drain */
 
 	config_store_t *store;
 	source_t *source;
@@ -93,11 +99,23 @@
 
 /* config.c */
 int config_start(cassiad_t *daemon);
+int config_open_source(cassiad_t *daemon);
+void config_set_secrets(cassiad_t *daemon);
+
+/* Reads log level, secrets, drain timeout and sources again. */
 void config_reload(cassiad_t *daemon);
 
 /* Gives the current table and host list to all parts. */
 void config_apply(cassiad_t *daemon);
 
+/* Follows changes of draining hosts and of the watcher's role; called every
+ * 100 ms. */
+void config_tick(cassiad_t *daemon);
+
+/* Reads the settings file. Returns the settings (new reference), or NULL with
+ * the faults logged. */
+settings_t *config_read_settings(TALLOC_CTX *ctx, const char *path);
+
 /* entry.c: the server of callers and of child calls. */
 extern const http_front_ops_t entry_front_ops;
 extern const http_front_ops_t entry_local_ops;
--- /dev/null
+++ b/programs/cassiad/ops.c
@@ -0,0 +1,195 @@
+/* The server of the operators, on loopback. */
+#include <jansson.h>
+#include <stdlib.h>
+
+#include "cassia/http_problem.h"
+#include "cassia/http_target.h"
+#include "control.h"
+#include "stats.h"
+
+typedef struct page {
+	const char *method;
+	const char *path;
+	void (*show)(cassiad_t *daemon, http_exchange_t *exchange);
+} page_t;
+
+static void reply_json(http_exchange_t *exchange, int status, json_t *json)
+{
+	http_headers_t *headers = http_headers_create(exchange);
+	char *text = json ? json_dumps(json, JSON_COMPACT) : NULL;
+
+	json_decref(json);
+	if (!headers || !text ||
+	    http_headers_add(headers, CAS_STR("Content-Type"),
+			     CAS_STR("application/json"))) {
+		http_exchange_abort(exchange);
+	} else {
+		char *line = talloc_asprintf(exchange, "%s\n", text);
+
+		http_exchange_reply_text(exchange, status, headers,
+					 cas_str_from(line));
+	}
+	free(text);
+}
+
+static void show_healthz(cassiad_t *daemon, http_exchange_t *exchange)
+{
+	(void)daemon;
+	http_exchange_reply_text(exchange, 200, NULL, CAS_STR("ok\n"));
+}
+
+static void show_readyz(cassiad_t *daemon, http_exchange_t *exchange)
+{
+	bool ready = daemon->ready &&
+		     drain_state(daemon->drain) == DRAIN_SERVING;
+	cas_str_t text = cas_str_from(daemon_state(daemon));
+
+	http_exchange_reply_text(exchange, ready ? 200 : 503, NULL, text);
+}
+
+static void set_gauge(cassiad_t *daemon, const char *name, int64_t value)
+{
+	cas_counter_t *gauge = cas_metrics_counter(daemon->metrics, name, "");
+
+	if (gauge)
+		gauge->value = value;
+}
+
+static void show_metrics(cassiad_t *daemon, http_exchange_t *exchange)
+{
+	http_headers_t *headers = http_headers_create(exchange);
+
+	set_gauge(daemon, "cassia_connections",
+		  http_front_connections(daemon->front));
+	set_gauge(daemon, "cassia_upstream_running", daemon->serving);
+	set_gauge(daemon, "cassia_concurrency_limit",
+		  admission_limit(daemon->admission));
+	set_gauge(daemon, "cassia_queued", admission_queued(daemon->admission));
+	set_gauge(daemon, "cassia_attempts_remembered",
+		  (int64_t)attempt_table_count(daemon->attempts));
+	control_set_metrics(daemon);
+	if (headers)
+		http_headers_add(headers, CAS_STR("Content-Type"),
+				 CAS_STR("text/plain; version=0.0.4"));
+	http_exchange_reply_text(exchange, 200, headers,
+				 cas_metrics_print(daemon->metrics, exchange));
+}
+
+static void add_faults(const cassiad_t *daemon, config_document_t document,
+		       json_t *list)
+{
+	const config_faults_t *faults =
+		config_store_faults(daemon->store, document);
+	TALLOC_CTX *ctx = talloc_new(NULL);
+
+	for (size_t i = 0; faults && i < faults->count; i++)
+		json_array_append_new(
+			list,
+			json_string(config_fault_print(
+				ctx,
+				document == CONFIG_TABLE ? "table" : "hosts",
+				&faults->items[i])));
+	talloc_free(ctx);
+}
+
+static void show_status(cassiad_t *daemon, http_exchange_t *exchange)
+{
+	cas_str_t host = daemon->settings->host;
+	json_t *faults = json_array();
+	int64_t uptime_us = cas_clock_now(daemon->clock) - daemon->started_us;
+
+	add_faults(daemon, CONFIG_TABLE, faults);
+	add_faults(daemon, CONFIG_HOSTS, faults);
+	reply_json(exchange, 200,
+		   json_pack("{s:s%, s:I, s:s, s:I, s:I, s:b, s:I, s:o}",
+			     "host", host.ptr, host.len, "incarnation",
+			     (json_int_t)daemon->incarnation, "state",
+			     daemon_state(daemon), "table_revision",
+			     (json_int_t)config_store_revision(daemon->store,
+							       CONFIG_TABLE),
+			     "hosts_revision",
+			     (json_int_t)config_store_revision(daemon->store,
+							       CONFIG_HOSTS),
+			     "fence_held", control_fence_held(daemon),
+			     "uptime_s",
+			     (json_int_t)(uptime_us / CAS_USEC_PER_SEC),
+			     "faults", faults));
+}
+
+static void show_top(cassiad_t *daemon, http_exchange_t *exchange)
+{
+	reply_json(exchange, 200,
+		   json_pack("{s:o}", "customers", stats_top(daemon)));
+}
+
+static void show_explain(cassiad_t *daemon, http_exchange_t *exchange)
+{
+	cas_str_t query = http_target_query(http_exchange_target(exchange));
+	json_t *found =
+		stats_explain(daemon, http_query_value(query, CAS_STR("id")));
+
+	if (found)
+		reply_json(exchange, 200, found);
+	else
+		http_exchange_reply_text(exchange, 404, NULL,
+					 CAS_STR("not found\n"));
+}
+
+static void do_drain(cassiad_t *daemon, http_exchange_t *exchange)
+{
+	cas_str_t query = http_target_query(http_exchange_target(exchange));
+	cas_str_t goal = http_query_value(query, CAS_STR("goal"));
+	int error = daemon_drain(daemon, cas_str_equal(goal, CAS_STR("stop"))
+						 ? DRAIN_GOAL_STOP
+						 : DRAIN_GOAL_UPSTREAM);
+
+	reply_json(exchange, error ? 409 : 202,
+		   json_pack("{s:s}", "state", daemon_state(daemon)));
+}
+
+static const page_t pages[] = {
+	{ "GET", "/healthz", show_healthz }, { "GET", "/readyz", show_readyz },
+	{ "GET", "/metrics", show_metrics }, { "GET", "/status", show_status },
+	{ "GET", "/top", show_top },	     { "GET", "/explain", show_explain },
+	{ "POST", "/drain", do_drain },
+};
+
+static void on_request(void *private, http_exchange_t *exchange)
+{
+	(void)private;
+	http_exchange_read_body(exchange, 4096);
+}
+
+static void on_body(void *private, http_exchange_t *exchange)
+{
+	cas_str_t path = http_target_path(http_exchange_target(exchange));
+	cas_str_t method = http_exchange_method(exchange);
+	const http_problem_t problem = { .status = 404,
+					 .outcome = "not-run",
+					 .reason = "no-page" };
+
+	if (!http_pipe_is_closed(http_exchange_body(exchange)) ||
+	    http_exchange_has_reply(exchange))
+		return;
+	for (size_t i = 0; i < sizeof(pages) / sizeof(*pages); i++) {
+		if (cas_str_equal(path, cas_str_from(pages[i].path)) &&
+		    cas_str_equal(method, cas_str_from(pages[i].method))) {
+			pages[i].show(private, exchange);
+			return;
+		}
+	}
+	http_problem_reply(exchange, &problem);
+}
+
+static void on_closed(void *private, http_exchange_t *exchange, bool whole)
+{
+	(void)private;
+	(void)exchange;
+	(void)whole;
+}
+
+const http_front_ops_t operators_ops = {
+	.request = on_request,
+	.body = on_body,
+	.closed = on_closed,
+};
--- /dev/null
+++ b/standins/keyhash.c
@@ -0,0 +1,20 @@
+/* Prints the hash of a key under a table's salt: keyhash SALT_HEX KEY. */
+#include <sodium.h>
+#include <stdio.h>
+
+#include "cassia/keys.h"
+
+int main(int argc, char **argv)
+{
+	uint8_t salt[TABLE_SALT_BYTES];
+	uint8_t hash[TABLE_KEY_HASH_BYTES];
+	char text[2 * TABLE_KEY_HASH_BYTES + 1];
+
+	if (argc != 3 || sodium_init() < 0 ||
+	    sodium_hex2bin(salt, sizeof(salt), argv[1], strlen(argv[1]), NULL,
+			   NULL, NULL) ||
+	    keys_hash(salt, cas_str_from(argv[2]), hash))
+		return 1;
+	puts(sodium_bin2hex(text, sizeof(text), hash, sizeof(hash)));
+	return 0;
+}
--- /dev/null
+++ b/tools/demo.sh
@@ -0,0 +1,183 @@
+#!/bin/sh
+# Runs a small site on loopback: two data centres, two services, one calling
+# the other. Sends real calls and fails when an outcome is not the expected
+# one. Usage: sh tools/demo.sh BUILD
+set -u
+BUILD=${1:-build}
+NET=127.71.0
+FAILED=0
+. "$(dirname "$0")/site.sh"
+trap site_stop EXIT
+trap 'exit 1' INT TERM
+
+# expect WHAT STATUS [REASON]: compares the last outcome and prints it.
+expect() {
+	verdict=ok
+	[ "$STATUS" = "$2" ] || verdict=WRONG
+	[ "$(reason)" = "${3:-}" ] || verdict=WRONG
+	[ "$verdict" = ok ] || FAILED=1
+	printf '%-34s status=%s reason=%s outcome=%s %s\n' "$1" "$STATUS" \
+		"$(reason)" "$(outcome)" "$verdict"
+}
+
+cat > "$SITE/table.rows" <<END
+[[data_centre]]
+name = "m1"
+region = "marmara"
+[[data_centre]]
+name = "m2"
+region = "marmara"
+[[service]]
+name = "booking"
+connections = 100
+[[service]]
+name = "pricing"
+connections = 100
+[[route]]
+name = "book"
+path = "/book"
+service = "booking"
+importance = 12
+timeout_ms = 5000
+[[route]]
+name = "search"
+path = "/search"
+service = "booking"
+importance = 3
+idempotent = true
+timeout_ms = 5000
+[[route]]
+name = "price"
+path = "/price"
+service = "pricing"
+importance = 12
+idempotent = true
+timeout_ms = 5000
+[[route]]
+name = "gate"
+path = "/gate"
+service = "booking"
+importance = 9
+open = true
+idempotent = true
+[[customer]]
+name = "acme"
+rate = 500
+burst = 500
+[[customer]]
+name = "small"
+rate = 1
+burst = 2
+END
+{
+	key_row acme
+	key_row small
+	key_row acme acme-old
+} >> "$SITE/table.rows"
+{
+	host_row b1 booking m1 11
+	host_row b2 booking m2 12
+	host_row p1 pricing m1 13
+	host_row p2 pricing m2 14
+} > "$SITE/hosts.rows"
+write_table 1
+write_hosts 1
+for row in b1:booking:m1:11 b2:booking:m2:12 p1:pricing:m1:13 \
+	p2:pricing:m2:14; do
+	old_ifs=$IFS
+	IFS=:
+	# shellcheck disable=SC2086 # split at the colons
+	set -- $row
+	IFS=$old_ifs
+	write_settings "$1" "$2" "$3" "$4"
+	start_upstream "$1" "$4" --delay-us 2000 --slots 8
+	start_daemon "$1"
+done
+wait_ready 11 12 13 14 || exit 1
+wait_fence 11 12 13 14 || { echo "no fence"; exit 1; }
+echo "site: 4 hosts, 2 data centres, 2 services are up; tokens in 9 s"
+sleep 9
+
+call 11 acme /book -X POST -d 'seat=1'
+expect "served" 200
+case $BODY in
+*csk_*|*Authorization*) echo "a key reached the upstream"; FAILED=1 ;;
+esac
+call 13 acme /book -X POST -d 'seat=2'
+expect "served through another host" 200
+call 11 acme /book -X POST -d 'seat=3' -H 'X-Child: /price/3'
+expect "served with a child call" 200
+case $BODY in
+*'"child_status":200'*) ;;
+*) echo "child call failed: $BODY"; FAILED=1 ;;
+esac
+STATUS=$(curl -s -o "$SITE/body" -w '%{http_code}' \
+	"http://$NET.12:$FRONT/gate")
+BODY=$(cat "$SITE/body")
+expect "served on an open route" 200
+
+call 11 nobody /book
+expect "unknown key" 401 unknown-key
+STATUS=$(curl -s -o "$SITE/body" -w '%{http_code}' "http://$NET.11:$FRONT/book")
+BODY=$(cat "$SITE/body")
+expect "no key" 401 no-key
+call 11 acme /nowhere
+expect "no such route" 404 no-route
+
+for i in 1 2 3 4 5 6; do
+	call 11 small /search
+	[ "$STATUS" = 429 ] && break
+done
+expect "over the rate" 429 over-rate
+
+# 8 slots a host: a burst of slow searches fills them.
+for i in $(seq 1 120); do
+	curl -s --max-time 10 -o /dev/null -w '%{http_code}\n' \
+		-H "Authorization: Bearer $(key acme)" \
+		-H 'X-Delay-Ms: 400' "http://$NET.11:$FRONT/search?$i" \
+		>> "$SITE/search.codes" &
+	LOAD="${LOAD:-} $!"
+done
+sleep 0.5
+BOOKED=0
+for i in 1 2 3 4 5 6 7 8; do
+	call 11 acme /book
+	[ "$STATUS" = 200 ] && BOOKED=$((BOOKED + 1))
+done
+# shellcheck disable=SC2086 # one argument for each process
+wait $LOAD
+SHED=$(grep -c 503 "$SITE/search.codes")
+echo "overload: important served $BOOKED of 8, others shed $SHED of 120"
+[ "$BOOKED" -eq 8 ] && [ "$SHED" -gt 0 ] || FAILED=1
+
+sed '/label = "acme-old"/d' "$SITE/table.rows" > "$SITE/table.cut"
+call 11 acme-old /book
+expect "key that will be withdrawn" 200
+awk -v RS='\\[\\[' 'NR > 1 && !/acme-old/ { printf "[[%s", $0 }' \
+	"$SITE/table.rows" > "$SITE/table.cut"
+mv "$SITE/table.cut" "$SITE/table.rows"
+write_table 2
+sleep 2
+call 12 acme-old /book
+expect "withdrawn key" 401 unknown-key
+call 12 acme /book
+expect "other key of the customer" 200
+
+curl -s -o /dev/null -X POST "http://$NET.11:$OPERATORS/drain"
+sleep 3.5
+call 11 acme /book
+expect "served by another upstream" 200
+case $BODY in
+*'"upstream":"b2"'*) echo "drained upstream b1 gets no new work ok" ;;
+*) echo "drained upstream was used: $BODY"; FAILED=1 ;;
+esac
+PID=$(cat "$SITE/b1.pid")
+kill -TERM "$PID"
+wait "$PID"
+CODE=$?
+forget "$PID"
+echo "graceful stop of b1: exit status $CODE"
+[ "$CODE" -eq 0 ] || FAILED=1
+
+[ "$FAILED" -eq 0 ] && echo "demo: every outcome is as expected"
+exit "$FAILED"
--- /dev/null
+++ b/tools/site.sh
@@ -0,0 +1,187 @@
+# Functions that run a small site on loopback, for the demo and the tests.
+# The caller sets BUILD and NET (the first three bytes of the addresses).
+# Every process is ended by its own id.
+# shellcheck shell=sh
+
+SITE=$(mktemp -d)
+SALT=000102030405060708090a0b0c0d0e0f
+FRONT=18080
+PEER=18081
+CONTROL=18082
+OPERATORS=18083
+LOCAL=18084
+UPSTREAM=18085
+PIDS=""
+
+# site_stop: ends all processes and removes the files.
+site_stop() {
+	for pid in $PIDS; do
+		kill -KILL "$pid" 2>/dev/null
+	done
+	for pid in $PIDS; do
+		wait "$pid" 2>/dev/null
+	done
+	PIDS=""
+	[ -n "${SITE_KEEP:-}" ] || rm -rf "$SITE"
+}
+
+# forget PID: takes a process that has ended out of the list.
+forget() {
+	kept=""
+	for pid in $PIDS; do
+		[ "$pid" = "$1" ] || kept="$kept $pid"
+	done
+	PIDS=$kept
+}
+
+# key NAME: prints the key of a customer.
+key() {
+	printf 'csk_%064d' "$(printf %s "$1" | cksum | cut -d' ' -f1)"
+}
+
+# key_row CUSTOMER [NAME]: prints the table row of a customer's key.
+key_row() {
+	printf '[[key]]\ncustomer = "%s"\nhash = "%s"\nlabel = "%s"\n' "$1" \
+		"$("$BUILD/standins/keyhash" $SALT "$(key "${2:-$1}")")" \
+		"${2:-$1}"
+}
+
+# host_row NAME SERVICE DC NUMBER [EXTRA]: prints a row of the host list.
+host_row() {
+	printf '[[host]]\nname = "%s"\nservice = "%s"\ndata_centre = "%s"\n' \
+		"$1" "$2" "$3"
+	printf 'address = "%s.%s"\npeer_port = %s\ncontrol_port = %s\n%s\n' \
+		"$NET" "$4" $PEER $CONTROL "${5:-}"
+}
+
+# write_hosts REVISION: installs $SITE/hosts.rows as the host list.
+write_hosts() {
+	{
+		echo "revision = $1"
+		cat "$SITE/hosts.rows"
+		echo "[end]"
+	} > "$SITE/hosts.new"
+	mv "$SITE/hosts.new" "$SITE/hosts.toml"
+}
+
+# write_table REVISION: installs $SITE/table.rows as the table.
+write_table() {
+	{
+		echo "revision = $1"
+		echo "salt = \"$SALT\""
+		cat "$SITE/table.rows"
+		echo "[end]"
+	} > "$SITE/table.new"
+	mv "$SITE/table.new" "$SITE/table.toml"
+}
+
+# write_settings NAME SERVICE DC NUMBER [LOG_LEVEL]
+write_settings() {
+	cat > "$SITE/$1.toml" <<-END
+	host = "$1"
+	service = "$2"
+	data_centre = "$3"
+	[front]
+	address = "$NET.$4"
+	port = $FRONT
+	[local]
+	address = "$NET.$4"
+	port = $LOCAL
+	[peer]
+	address = "$NET.$4"
+	http_port = $PEER
+	control_port = $CONTROL
+	[operators]
+	address = "$NET.$4"
+	port = $OPERATORS
+	[upstream]
+	address = "$NET.$4"
+	port = $UPSTREAM
+	[source]
+	kind = "file"
+	table = "$SITE/table.toml"
+	hosts = "$SITE/hosts.toml"
+	[[secret]]
+	id = 1
+	secret = "00112233445566778899aabbccddeeff"
+	[log]
+	level = "${5:-info}"
+	[drain]
+	timeout_ms = 15000
+	[limits]
+	connections = 20000
+	END
+}
+
+# start_daemon NAME: sets PID.
+start_daemon() {
+	"$BUILD/cassiad" --settings "$SITE/$1.toml" 2>> "$SITE/$1.log" &
+	PID=$!
+	PIDS="$PIDS $PID"
+	echo "$PID" > "$SITE/$1.pid"
+}
+
+# start_upstream NAME NUMBER OPTIONS...: sets PID.
+start_upstream() {
+	up_name=$1
+	up_number=$2
+	shift 2
+	"$BUILD/standins/upstream" --name "$up_name" \
+		--address "$NET.$up_number" --port $UPSTREAM \
+		--local-port $LOCAL "$@" > "$SITE/$up_name.up.log" 2>&1 &
+	PID=$!
+	PIDS="$PIDS $PID"
+	echo "$PID" > "$SITE/$up_name.up.pid"
+}
+
+# wait_ready NUMBER...: waits until the daemons serve, at most 15 s each.
+wait_ready() {
+	for number in "$@"; do
+		tries=0
+		until curl -sf -o /dev/null --max-time 1 \
+			"http://$NET.$number:$OPERATORS/readyz"; do
+			tries=$((tries + 1))
+			if [ $tries -gt 150 ]; then
+				echo "daemon $number is not ready"
+				return 1
+			fi
+			sleep 0.1
+		done
+	done
+}
+
+# wait_fence NUMBER...: waits until tokens are granted, at most 20 s.
+wait_fence() {
+	for number in "$@"; do
+		tries=0
+		until curl -s --max-time 1 \
+			"http://$NET.$number:$OPERATORS/status" |
+			grep -q '"fence_held":true'; do
+			tries=$((tries + 1))
+			[ $tries -gt 200 ] && return 1
+			sleep 0.1
+		done
+	done
+}
+
+# call NUMBER CUSTOMER TARGET CURL_OPTIONS...: sets STATUS and BODY.
+call() {
+	call_number=$1
+	call_customer=$2
+	call_target=$3
+	shift 3
+	STATUS=$(curl -s --max-time 15 -o "$SITE/body" -w '%{http_code}' \
+		-H "Authorization: Bearer $(key "$call_customer")" "$@" \
+		"http://$NET.$call_number:$FRONT$call_target")
+	BODY=$(cat "$SITE/body" 2>/dev/null)
+}
+
+# reason: prints the reason of the last refusal.
+reason() {
+	printf %s "$BODY" | sed -n 's/.*"reason":"\([^"]*\)".*/\1/p'
+}
+
+# outcome: prints the outcome of the last refusal.
+outcome() {
+	printf %s "$BODY" | sed -n 's/.*"outcome":"\([^"]*\)".*/\1/p'
+}
