Demo: show shedding at a steady service time

Cause: a sudden change of the service time hid the effect of importance. Change: searches as fast as answers come, bookings beside them.

--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -62,8 +62,8 @@
 idempotent = true
 [[customer]]
 name = "acme"
-rate = 500
-burst = 500
+rate = 4000
+burst = 4000
 [[customer]]
 name = "small"
 rate = 1
@@ -90,7 +90,7 @@
 	set -- $row
 	IFS=$old_ifs
 	write_settings "$1" "$2" "$3" "$4"
-	start_upstream "$1" "$4" --delay-us 2000 --slots 8
+	start_upstream "$1" "$4" --delay-us 40000 --slots 8
 	start_daemon "$1"
 done
 wait_ready 11 12 13 14 || exit 1
@@ -130,27 +130,29 @@
 done
 expect "over the rate" 429 over-rate
 
-# 8 slots a host: a burst of slow searches fills them.
-for i in $(seq 1 120); do
-	curl -s --max-time 10 -o /dev/null -w '%{http_code}\n' \
-		-H "Authorization: Bearer $(key acme)" \
-		-H 'X-Delay-Ms: 400' "http://$NET.11:$FRONT/search?$i" \
-		>> "$SITE/search.codes" &
-	LOAD="${LOAD:-} $!"
-done
-sleep 0.5
+# Two upstreams with 8 slots of 40 ms serve 400 calls/s together. Searches of
+# importance 3 are sent as fast as answers come; bookings have importance 12.
+curl -s -Z --parallel-immediate --parallel-max 60 --max-time 20 \
+	-o /dev/null -w '%{http_code}\n' \
+	-H "Authorization: Bearer $(key acme)" \
+	"http://$NET.11:$FRONT/search?[1-6000]" > "$SITE/search.codes" &
+LOAD=$!
+PIDS="$PIDS $LOAD"
+sleep 2
 BOOKED=0
-for i in 1 2 3 4 5 6 7 8; do
+for i in $(seq 1 40); do
 	call 11 acme /book
 	[ "$STATUS" = 200 ] && BOOKED=$((BOOKED + 1))
 done
-# shellcheck disable=SC2086 # one argument for each process
-wait $LOAD
+wait "$LOAD"
+forget "$LOAD"
 SHED=$(grep -c 503 "$SITE/search.codes")
-echo "overload: important served $BOOKED of 8, others shed $SHED of 120"
-[ "$BOOKED" -eq 8 ] && [ "$SHED" -gt 0 ] || FAILED=1
+SERVED=$(grep -c 200 "$SITE/search.codes")
+echo "overload: important served $BOOKED of 40;" \
+	"others served $SERVED, shed $SHED of 6000"
+[ "$BOOKED" -ge 39 ] && [ "$SHED" -gt 0 ] || FAILED=1
+sleep 1
 
-sed '/label = "acme-old"/d' "$SITE/table.rows" > "$SITE/table.cut"
 call 11 acme-old /book
 expect "key that will be withdrawn" 200
 awk -v RS='\\[\\[' 'NR > 1 && !/acme-old/ { printf "[[%s", $0 }' \
