Satisfy the linter in config and keys

Cause: clang-tidy reported macro arguments and unterminated copies. Change: parenthesised offsets in the settings keys, copies that include the terminator.

--- a/packages/config/settings.c
+++ b/packages/config/settings.c
@@ -58,23 +58,30 @@
 	SECTION("limits", false, limits),
 };
 
-#define ENDPOINT(member, address_required, least_port)                         \
+#define ENDPOINT(base, address_required, least_port)                           \
 	{                                                                      \
 		{ "address",                                                   \
 		  FIELD_ADDRESS,                                               \
 		  address_required,                                            \
-		  offsetof(settings_t, member.address),                        \
+		  (base) + offsetof(settings_endpoint_t, address),             \
 		  0,                                                           \
 		  0 },                                                         \
-			{ "port",     FIELD_PORT,                              \
-			  true,	      offsetof(settings_t, member.port),       \
-			  least_port, UINT16_MAX },                            \
+			{ "port",                                              \
+			  FIELD_PORT,                                          \
+			  true,                                                \
+			  (base) + offsetof(settings_endpoint_t, port),        \
+			  least_port,                                          \
+			  UINT16_MAX },                                        \
 	}
 
-static const field_t front_fields[] = ENDPOINT(front, true, 0);
-static const field_t local_fields[] = ENDPOINT(local, false, 0);
-static const field_t operators_fields[] = ENDPOINT(operators, false, 0);
-static const field_t upstream_fields[] = ENDPOINT(upstream, false, 1);
+static const field_t front_fields[] =
+	ENDPOINT(offsetof(settings_t, front), true, 0);
+static const field_t local_fields[] =
+	ENDPOINT(offsetof(settings_t, local), false, 0);
+static const field_t operators_fields[] =
+	ENDPOINT(offsetof(settings_t, operators), false, 0);
+static const field_t upstream_fields[] =
+	ENDPOINT(offsetof(settings_t, upstream), false, 1);
 
 static const field_t peer_fields[] = {
 	{ "address", FIELD_ADDRESS, true, offsetof(settings_t, peer.address), 0,
--- a/packages/config/tests/test_table.c
+++ b/packages/config/tests/test_table.c
@@ -264,6 +264,7 @@
 static void test_hostile_texts(void **state)
 {
 	size_t len = CONFIG_DOCUMENT_MAX;
+	char nul[] = "a = 'x'\n";
 	char *text = talloc_array(*state, char, len + 1);
 
 	memset(text, '[', len);
@@ -274,8 +275,9 @@
 	memset(text, '\n', len + 1);
 	expect_fault(*state, (cas_str_t){ text, len + 1 }, false,
 		     "1048577 bytes are more than the limit");
-	memcpy(text, "a = \"\0\"\n", 8);
-	expect_fault(*state, (cas_str_t){ text, 8 }, false, "t:1:");
+	nul[5] = '\0';
+	expect_fault(*state, (cas_str_t){ nul, sizeof(nul) - 1 }, false,
+		     "t:1:");
 }
 
 #define TEST(name)                                                             \
--- a/packages/keys/token.c
+++ b/packages/keys/token.c
@@ -9,7 +9,7 @@
 	size_t prefix = strlen(KEYS_PREFIX);
 
 	randombytes_buf(random, sizeof(random));
-	memcpy(text, KEYS_PREFIX, prefix);
+	memcpy(text, KEYS_PREFIX, sizeof(KEYS_PREFIX));
 	sodium_bin2hex(text + prefix, KEYS_TEXT_BYTES - prefix, random,
 		       sizeof(random));
 	sodium_memzero(random, sizeof(random));
