--- /dev/null
+++ b/programs/cassiactl/command_check.c
@@ -0,0 +1,117 @@
+/* cassiactl check: every fault of a document with its place. */
+#include "ctl_internal.h"
+
+#define MICRO_PER_TOKEN 1000000
+
+static const ctl_usage_t usage = {
+	"check FILE...",
+	"Checks settings, tables and host lists as a daemon does. Prints "
+	"file:line:column: row: reason for each fault.",
+	1,
+	1000,
+};
+
+/* A part below one token is no fault, since holders lend, but it is slow. */
+static void warn_small_bursts(ctl_t *ctl, const char *path,
+			      const table_t *table)
+{
+	int32_t least = TABLE_SHARE_WHOLE;
+
+	for (size_t i = 0; i < table->data_centre_count; i++)
+		if (table->data_centres[i].share_permille &&
+		    table->data_centres[i].share_permille < least)
+			least = table->data_centres[i].share_permille;
+	for (size_t i = 0; i < table->customer_count; i++) {
+		const table_customer_t *customer = &table->customers[i];
+		double part = (double)customer->burst_micro * least /
+			      TABLE_SHARE_WHOLE / MICRO_PER_TOKEN;
+
+		if (part < 1)
+			fprintf(ctl->err,
+				"%s: warning: customer \"%.*s\": the smallest "
+				"data centre's part of the burst is %.3g "
+				"tokens, so each request there needs borrowed "
+				"tokens\n",
+				path, CAS_STR_ARG(customer->name), part);
+	}
+}
+
+static void print_summary(ctl_t *ctl, const char *path, const config_any_t *any)
+{
+	const table_t *table = any->table;
+	const roster_t *hosts = table ? table->hosts : any->roster;
+
+	fprintf(ctl->out, "%s: good %s", path, config_kind_name(any->kind));
+	if (table)
+		fprintf(ctl->out,
+			", revision %lld, %zu data centres, %zu services, "
+			"%zu routes, %zu customers, %zu keys",
+			(long long)table->revision, table->data_centre_count,
+			table->service_count, table->route_count,
+			table->customer_count, table->key_count);
+	if (hosts)
+		fprintf(ctl->out, ", host list revision %lld, %zu hosts",
+			(long long)hosts->revision, hosts->host_count);
+	fputc('\n', ctl->out);
+}
+
+static json_t *make_report(const char *path, const config_any_t *any,
+			   const config_faults_t *faults)
+{
+	json_t *list = json_array();
+
+	for (size_t i = 0; i < faults->count; i++) {
+		const config_fault_t *fault = &faults->items[i];
+
+		json_array_append_new(
+			list, json_pack("{s:i, s:i, s:o, s:o, s:o}", "line",
+					(int)fault->line, "column",
+					(int)fault->column, "row",
+					ctl_json_text(fault->row), "key",
+					ctl_json_text(fault->key), "reason",
+					ctl_json_text(fault->reason)));
+	}
+	return json_pack("{s:s, s:s, s:o, s:I}", "file", path, "kind",
+			 config_kind_name(any->kind), "faults", list,
+			 "left_out", (json_int_t)faults->left_out);
+}
+
+static int check_file(ctl_t *ctl, const char *path, json_t *reports)
+{
+	config_any_t any = { 0 };
+	config_faults_t *faults;
+	int exit_code = ctl_read_any(ctl, path, &any, &faults);
+
+	if (exit_code == CTL_FAILED)
+		return exit_code;
+	if (ctl->json)
+		json_array_append_new(reports, make_report(path, &any, faults));
+	else if (exit_code)
+		ctl_print_faults(ctl->out, ctl->ctx, path, faults);
+	else
+		print_summary(ctl, path, &any);
+	if (any.table)
+		warn_small_bursts(ctl, path, any.table);
+	return exit_code;
+}
+
+int ctl_check(ctl_t *ctl, int argc, char **argv)
+{
+	json_t *reports = json_array();
+	int worst = CTL_OK;
+
+	if (!ctl_parse(ctl, &usage, NULL, &argc, &argv)) {
+		json_decref(reports);
+		return ctl->exit_code;
+	}
+	for (int i = 1; i < argc; i++) {
+		int exit_code = check_file(ctl, argv[i], reports);
+
+		worst = exit_code > worst ? exit_code : worst;
+	}
+	if (ctl->json)
+		ctl_print_json(ctl->out, reports);
+	else
+		json_decref(reports);
+	return worst;
+}
