--- a/packages/quota/borrow.c
+++ b/packages/quota/borrow.c
@@ -115,7 +115,7 @@
 		if (covered >= bucket->out_lent + amount)
 			return loans[i].expires_us;
 	}
-	return INT64_MIN;
+	return 0;
 }
 
 bool quota_borrow_possible(const quota_bucket_t *bucket, int64_t now)
--- /dev/null
+++ b/soak/fleet.c
@@ -0,0 +1,218 @@
+/* Hosts: start, stop, pause, clocks and ticks. */
+#include "fleet.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "fleet_internal.h"
+
+#define TICK_PERIOD (10 * CAS_USEC_PER_MSEC)
+
+cas_id_t fleet_dc_id(size_t dc)
+{
+	char name[32];
+
+	snprintf(name, sizeof(name), "dc-%zu", dc);
+	return cas_id_of(cas_str_from(name));
+}
+
+static cas_id_t host_id(size_t index)
+{
+	char name[32];
+
+	snprintf(name, sizeof(name), "host-%zu", index);
+	return cas_id_of(cas_str_from(name));
+}
+
+static int compare_hosts(const void *a, const void *b)
+{
+	const fleet_host_t *x = *(fleet_host_t *const *)a;
+	const fleet_host_t *y = *(fleet_host_t *const *)b;
+
+	return (x->id > y->id) - (x->id < y->id);
+}
+
+static void create_hosts(fleet_t *fleet)
+{
+	const fleet_config_t *config = &fleet->config;
+
+	fleet->host_count = config->dcs * config->hosts;
+	fleet->hosts =
+		talloc_zero_array(fleet, fleet_host_t, fleet->host_count);
+	fleet->isolated = talloc_zero_array(fleet, bool, fleet->host_count);
+	fleet->cut = talloc_zero_array(fleet, bool, config->dcs * config->dcs);
+	fleet->by_id =
+		talloc_zero_array(fleet, fleet_host_t *, fleet->host_count);
+	if (!fleet->hosts || !fleet->isolated || !fleet->cut || !fleet->by_id)
+		abort();
+	for (size_t i = 0; i < fleet->host_count; i++) {
+		fleet_host_t *host = &fleet->hosts[i];
+		double error = cas_rng_double(sim_rng(fleet->sim)) * 2 - 1;
+
+		host->fleet = fleet;
+		host->index = i;
+		host->dc = i % config->dcs;
+		host->id = host_id(i);
+		host->drift = error * config->drift;
+		fleet->by_id[i] = host;
+	}
+	qsort(fleet->by_id, fleet->host_count, sizeof(fleet->by_id[0]),
+	      compare_hosts);
+}
+
+fleet_t *fleet_create(TALLOC_CTX *ctx, sim_t *sim, const fleet_config_t *config)
+{
+	fleet_t *fleet = talloc_zero(ctx, fleet_t);
+
+	if (!fleet)
+		abort();
+	fleet->sim = sim;
+	fleet->config = *config;
+	create_hosts(fleet);
+	return fleet;
+}
+
+size_t fleet_add_part(fleet_t *fleet, const fleet_part_t *part)
+{
+	if (fleet->part_count == FLEET_PARTS_MAX)
+		abort();
+	fleet->parts[fleet->part_count] = part;
+	return fleet->part_count++;
+}
+
+bool fleet_host_enter(fleet_host_t *host)
+{
+	int64_t elapsed = 0;
+	int64_t local = 0;
+
+	if (!host->running || host->paused)
+		return false;
+	elapsed = sim_now(host->fleet->sim) - host->true_base_us;
+	local = host->clock_base_us +
+		(int64_t)((double)elapsed * (1 + host->drift));
+	if (local > cas_clock_now(host->clock))
+		cas_clock_advance(host->clock,
+				  local - cas_clock_now(host->clock));
+	return true;
+}
+
+typedef struct tick_data {
+	uint64_t incarnation;
+	uint64_t pause_count;
+} tick_data_t;
+
+static void plan_tick(fleet_host_t *host, int64_t delay_us);
+
+static void on_tick(void *owner, void *data)
+{
+	fleet_host_t *host = owner;
+	tick_data_t *tick = data;
+
+	if (tick->incarnation != host->incarnation ||
+	    tick->pause_count != host->pause_count || !fleet_host_enter(host))
+		return;
+	for (size_t i = 0; i < host->fleet->part_count; i++) {
+		if (host->fleet->parts[i]->tick)
+			host->fleet->parts[i]->tick(host);
+	}
+	plan_tick(host, TICK_PERIOD);
+}
+
+static void plan_tick(fleet_host_t *host, int64_t delay_us)
+{
+	tick_data_t *tick = talloc(NULL, tick_data_t);
+
+	if (!tick)
+		abort();
+	tick->incarnation = host->incarnation;
+	tick->pause_count = host->pause_count;
+	sim_after(host->fleet->sim, delay_us, on_tick, host, tick);
+}
+
+void fleet_start_host(fleet_host_t *host, const table_t *table,
+		      const roster_t *roster)
+{
+	fleet_t *fleet = host->fleet;
+	cas_rng_t *rng = sim_rng(fleet->sim);
+
+	host->process = talloc_new(fleet);
+	host->running = true;
+	host->paused = false;
+	host->incarnation = cas_rng_u64(rng);
+	host->clock_base_us = 1 + cas_rng_below(rng, 1000000000);
+	host->true_base_us = sim_now(fleet->sim);
+	host->clock =
+		cas_clock_create_manual(host->process, host->clock_base_us);
+	host->started_us = host->clock_base_us;
+	for (size_t i = 0; i < fleet->part_count; i++) {
+		host->parts[i] = NULL;
+		if (fleet->parts[i]->start)
+			host->parts[i] =
+				fleet->parts[i]->start(host->process, host);
+	}
+	host->table = NULL;
+	host->roster = NULL;
+	fleet_set_view(host, table, roster);
+	plan_tick(host, cas_rng_below(rng, TICK_PERIOD));
+}
+
+void fleet_stop_host(fleet_host_t *host)
+{
+	host->running = false;
+	host->held_count = 0;
+	TALLOC_FREE(host->held);
+	TALLOC_FREE(host->process);
+}
+
+void fleet_pause_host(fleet_host_t *host)
+{
+	host->paused = true;
+	host->pause_count++;
+}
+
+void fleet_resume_host(fleet_host_t *host)
+{
+	cas_rng_t *rng = sim_rng(host->fleet->sim);
+
+	host->paused = false;
+	if (!fleet_host_enter(host))
+		return;
+	/* The first thing after a pause may be a message or the timer. */
+	if (cas_rng_below(rng, 2))
+		fleet_deliver_held(host);
+	plan_tick(host, 0);
+	sim_after(host->fleet->sim, 1, fleet_deliver_later, host, NULL);
+}
+
+void fleet_set_view(fleet_host_t *host, const table_t *table,
+		    const roster_t *roster)
+{
+	if (!fleet_host_enter(host))
+		return;
+	if (!host->table || table->revision > host->table->revision)
+		host->table = table;
+	if (!host->roster || roster->revision > host->roster->revision)
+		host->roster = roster;
+	for (size_t i = 0; i < host->fleet->part_count; i++) {
+		if (host->fleet->parts[i]->set_view)
+			host->fleet->parts[i]->set_view(host);
+	}
+}
+
+fleet_host_t *fleet_find(fleet_t *fleet, cas_id_t id)
+{
+	size_t low = 0;
+	size_t high = fleet->host_count;
+
+	while (low < high) {
+		size_t middle = low + (high - low) / 2;
+
+		if (fleet->by_id[middle]->id == id)
+			return fleet->by_id[middle];
+		if (fleet->by_id[middle]->id < id)
+			low = middle + 1;
+		else
+			high = middle;
+	}
+	return NULL;
+}
--- /dev/null
+++ b/soak/part_quota.c
@@ -0,0 +1,233 @@
+/* Wires the quota module to the simulated network and fence. */
+#include "part_quota.h"
+
+#include <stdlib.h>
+
+#include "fake_fence.h"
+
+/* RPC and authentication of a call and a reply, UDP and IP headers. */
+#define WIRE_CALL (84 + 28)
+#define WIRE_REPLY (72 + 28)
+#define ASK_BYTES 52
+#define REPLY_BYTES 36
+#define DEADLINE CAS_USEC_PER_SEC
+
+enum kind { KIND_ASK, KIND_REPLY };
+
+typedef struct ideal {
+	double level;
+	int64_t filled_us;
+} ideal_t;
+
+typedef struct shared {
+	fake_customer_t *customers;
+	size_t count;
+	check_windows_t *windows;
+	part_quota_totals_t *totals;
+	ideal_t *ideals;
+} shared_t;
+
+typedef struct request {
+	fleet_host_t *host;
+	size_t customer;
+	bool ideal;
+	int64_t sent_us;
+	bool done;
+} request_t;
+
+static size_t part_index;
+
+static shared_t *shared_of(fleet_t *fleet)
+{
+	return fleet->shared[part_index];
+}
+
+quota_t *part_quota_of(fleet_host_t *host)
+{
+	return host->parts[part_index];
+}
+
+static void send_ask(void *private_data, cas_id_t to, const quota_ask *ask)
+{
+	fleet_send(private_data, to, part_index, KIND_ASK, ask, sizeof(*ask),
+		   WIRE_CALL + ASK_BYTES);
+}
+
+static bool fence_held(void *private_data, int64_t revision)
+{
+	return fake_fence_held(private_data, revision);
+}
+
+static bool fence_settled(void *private_data, int64_t revision)
+{
+	return fake_fence_settled(private_data, revision);
+}
+
+static const quota_ops_t quota_ops = {
+	.send_ask = send_ask,
+	.fence_held = fence_held,
+	.fence_settled = fence_settled,
+};
+
+static void *start(TALLOC_CTX *ctx, fleet_host_t *host)
+{
+	quota_t *quota =
+		quota_create(ctx, host->clock, sim_rng(host->fleet->sim),
+			     &quota_ops, host, host->id, host->incarnation);
+
+	if (!quota)
+		abort();
+	return quota;
+}
+
+static void tick(fleet_host_t *host)
+{
+	quota_tick(part_quota_of(host));
+}
+
+static void set_view(fleet_host_t *host)
+{
+	quota_set_view(part_quota_of(host), host->table, host->roster);
+}
+
+static void message(fleet_host_t *host, const fleet_host_t *from,
+		    uint64_t incarnation, int kind, const void *bytes)
+{
+	quota_reply reply;
+
+	if (kind == KIND_REPLY) {
+		quota_on_reply(part_quota_of(host), from->id, incarnation,
+			       bytes);
+		return;
+	}
+	quota_on_ask(part_quota_of(host), from->id, incarnation, bytes, &reply);
+	fleet_send(host, from->id, part_index, KIND_REPLY, &reply,
+		   sizeof(reply), WIRE_REPLY + REPLY_BYTES);
+}
+
+static const fleet_part_t quota_part = {
+	.name = "quota",
+	.start = start,
+	.tick = tick,
+	.set_view = set_view,
+	.message = message,
+};
+
+size_t part_quota_add(fleet_t *fleet, fake_customer_t *customers, size_t count,
+		      check_windows_t *windows)
+{
+	shared_t *shared = talloc_zero(fleet, shared_t);
+
+	if (!shared)
+		abort();
+	part_index = fleet_add_part(fleet, &quota_part);
+	fleet->shared[part_index] = shared;
+	shared->customers = customers;
+	shared->count = count;
+	shared->windows = windows;
+	shared->totals = talloc_zero_array(shared, part_quota_totals_t, count);
+	shared->ideals = talloc_zero_array(shared, ideal_t, count);
+	if (!shared->totals || !shared->ideals)
+		abort();
+	return part_index;
+}
+
+static bool ideal_admits(fleet_t *fleet, size_t customer)
+{
+	shared_t *shared = shared_of(fleet);
+	ideal_t *ideal = &shared->ideals[customer];
+	const fake_customer_t *limit = &shared->customers[customer];
+	int64_t now = sim_now(fleet->sim);
+
+	ideal->level += (double)limit->rate * (double)(now - ideal->filled_us) /
+			CAS_USEC_PER_SEC;
+	if (ideal->level > (double)limit->burst)
+		ideal->level = (double)limit->burst;
+	ideal->filled_us = now;
+	if (ideal->level < 1)
+		return false;
+	ideal->level -= 1;
+	return true;
+}
+
+static void finish(request_t *request, bool admitted)
+{
+	shared_t *shared = shared_of(request->host->fleet);
+	part_quota_totals_t *totals = &shared->totals[request->customer];
+
+	request->done = true;
+	if (admitted) {
+		totals->admitted++;
+		totals->waited_us +=
+			(uint64_t)(sim_now(request->host->fleet->sim) -
+				   request->sent_us);
+		if (shared->windows)
+			check_windows_admit(shared->windows, request->customer);
+		return;
+	}
+	totals->refused++;
+	totals->wrongful += request->ideal;
+}
+
+static void on_done(void *private_data, quota_verdict_t verdict,
+		    int64_t retry_after_us)
+{
+	(void)retry_after_us;
+	finish(private_data, verdict == QUOTA_GRANTED);
+	talloc_free(private_data);
+}
+
+static int on_end(request_t *request)
+{
+	shared_t *shared = shared_of(request->host->fleet);
+
+	if (!request->done)
+		shared->totals[request->customer].ended++;
+	return 0;
+}
+
+void part_quota_request(fleet_host_t *host, size_t customer)
+{
+	shared_t *shared = shared_of(host->fleet);
+	quota_pending_t *pending = NULL;
+	int64_t retry_after_us = 0;
+	request_t *request = NULL;
+	int verdict = 0;
+
+	if (!fleet_host_enter(host))
+		return;
+	request = talloc_zero(host->process, request_t);
+	if (!request)
+		abort();
+	talloc_set_destructor(request, on_end);
+	request->host = host;
+	request->customer = customer;
+	request->sent_us = sim_now(host->fleet->sim);
+	request->ideal = ideal_admits(host->fleet, customer);
+	shared->totals[customer].sent++;
+	shared->totals[customer].ideal_admitted += request->ideal;
+	verdict = quota_acquire(part_quota_of(host),
+				shared->customers[customer].id,
+				cas_clock_now(host->clock) + DEADLINE, on_done,
+				request, &pending, &retry_after_us);
+	if (verdict == QUOTA_PENDING)
+		return;
+	finish(request, verdict == QUOTA_GRANTED);
+	talloc_free(request);
+}
+
+void part_quota_reset(fleet_t *fleet)
+{
+	shared_t *shared = shared_of(fleet);
+
+	for (size_t i = 0; i < shared->count; i++) {
+		shared->totals[i] = (part_quota_totals_t){ 0 };
+		shared->ideals[i].level = (double)shared->customers[i].burst;
+		shared->ideals[i].filled_us = sim_now(fleet->sim);
+	}
+}
+
+part_quota_totals_t *part_quota_totals(fleet_t *fleet, size_t customer)
+{
+	return &shared_of(fleet)->totals[customer];
+}
--- /dev/null
+++ b/soak/soak.c
@@ -0,0 +1,140 @@
+/*
+ * Randomised run: many daemons' modules in one process on manual clocks, with
+ * faults in combination, and every invariant checked. The same seed gives the
+ * same run. Prints one line with counts; exits with 1 on a violation.
+ */
+#include <glib.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "fake_fence.h"
+#include "faults.h"
+#include "load.h"
+
+#define STEP (10 * CAS_USEC_PER_MSEC)
+#define DRIFT 0.001
+
+static const fleet_config_t config = {
+	.regions = 3,
+	.dcs = 6,
+	.hosts = 6,
+	.drift = DRIFT,
+	.region_delay_us = 500,
+	.far_delay_us = 8000,
+};
+
+static fake_customer_t customers[] = {
+	{ .name = "small", .rate = 5, .burst = 5 },
+	{ .name = "medium", .rate = 120, .burst = 60 },
+	{ .name = "large", .rate = 600, .burst = 900 },
+	{ .name = "flood", .rate = 40, .burst = 40 },
+};
+
+#define CUSTOMERS (sizeof(customers) / sizeof(customers[0]))
+
+static const double load_factor[CUSTOMERS] = { 1.5, 1.2, 0.9, 8 };
+
+static int seed = 1;
+static int steps = 12000;
+
+static const GOptionEntry options[] = {
+	{ "seed", 0, 0, G_OPTION_ARG_INT, &seed, "Seed of the run", "N" },
+	{ "steps", 0, 0, G_OPTION_ARG_INT, &steps, "Steps of 10 ms", "N" },
+	{ 0 },
+};
+
+static void start_loads(TALLOC_CTX *ctx, fleet_t *fleet, load_t **loads)
+{
+	for (size_t i = 0; i < CUSTOMERS; i++) {
+		loads[i] =
+			load_start(ctx, fleet, i,
+				   load_factor[i] * (double)customers[i].rate,
+				   LOAD_MOVING);
+		loads[i]->period_us = (int64_t)(i + 1) * CAS_USEC_PER_SEC;
+	}
+}
+
+static uint64_t lent_tokens(fleet_t *fleet)
+{
+	int64_t lent = 0;
+
+	for (size_t i = 0; i < fleet->host_count; i++) {
+		if (fleet->hosts[i].running)
+			lent += quota_stats(part_quota_of(&fleet->hosts[i]))
+					->lent_micro;
+	}
+	return (uint64_t)(lent / QUOTA_TOKEN);
+}
+
+static void print_result(fleet_t *fleet, const faults_t *faults,
+			 const check_windows_t *windows)
+{
+	uint64_t sent = 0;
+
+	for (size_t i = 0; i < CUSTOMERS; i++)
+		sent += part_quota_totals(fleet, i)->sent;
+	printf("soak seed=%d steps=%d faults=%llu requests=%llu admitted=%llu "
+	       "messages=%llu lost=%llu repeated=%llu delayed=%llu "
+	       "held=%llu lent_tokens=%llu violations=%llu excess=%.6f "
+	       "digest=%016llx\n",
+	       seed, steps, (unsigned long long)faults_count(faults),
+	       (unsigned long long)sent,
+	       (unsigned long long)check_windows_admissions(windows),
+	       (unsigned long long)fleet->messages,
+	       (unsigned long long)fleet->lost,
+	       (unsigned long long)fleet->repeated,
+	       (unsigned long long)fleet->delayed,
+	       (unsigned long long)fleet->held,
+	       (unsigned long long)lent_tokens(fleet),
+	       (unsigned long long)check_windows_violations(windows),
+	       check_windows_excess(windows),
+	       (unsigned long long)check_windows_digest(windows));
+}
+
+static int run(void)
+{
+	TALLOC_CTX *ctx = talloc_new(NULL);
+	sim_t *sim = sim_create(ctx, (uint32_t)seed);
+	fleet_t *fleet = fleet_create(ctx, sim, &config);
+	check_windows_t *windows =
+		check_windows_create(ctx, sim, CUSTOMERS, DRIFT);
+	faults_t *faults = NULL;
+	load_t *loads[CUSTOMERS];
+	int status = 0;
+
+	fake_platform_add(fleet, customers, CUSTOMERS);
+	fake_fence_add(fleet);
+	part_quota_add(fleet, customers, CUSTOMERS, windows);
+	for (size_t i = 0; i < CUSTOMERS; i++)
+		check_windows_limit(windows, i, customers[i].rate,
+				    customers[i].burst);
+	for (size_t i = 0; i < fleet->host_count; i++)
+		fake_platform_start(&fleet->hosts[i]);
+	start_loads(ctx, fleet, loads);
+	faults =
+		faults_create(ctx, fleet, customers, CUSTOMERS, windows, loads);
+	for (int i = 0; i < steps; i++) {
+		sim_run(sim, sim_now(sim) + STEP);
+		faults_step(faults);
+	}
+	print_result(fleet, faults, windows);
+	status = check_windows_violations(windows) > 0;
+	talloc_free(ctx);
+	return status;
+}
+
+int main(int argc, char **argv)
+{
+	GOptionContext *context = g_option_context_new(NULL);
+	GError *error = NULL;
+
+	g_option_context_add_main_entries(context, options, NULL);
+	if (!g_option_context_parse(context, &argc, &argv, &error)) {
+		fprintf(stderr, "soak: %s\n", error->message);
+		g_error_free(error);
+		g_option_context_free(context);
+		return 2;
+	}
+	g_option_context_free(context);
+	return run();
+}
