Delegate the shares of low-rate customers to one holder

Cause: a bucket of 5 tokens over 6 data centres refused 6 to 9% wrongly: full lenders do not add while the asked holder is empty. Change: holders of customers up to 50/s delegate their whole share, rate included, to a main holder for terms of a grant's life.

--- a/bench/bench_quota.c
+++ b/bench/bench_quota.c
@@ -161,12 +161,14 @@
 int main(void)
 {
 	fake_customer_t small = { .name = "small", .rate = 5, .burst = 5 };
+	fake_customer_t medium = { .name = "medium", .rate = 50, .burst = 25 };
 	fake_customer_t large = { .name = "large",
 				  .rate = 1000,
 				  .burst = 1000 };
 
 	for (int pattern = LOAD_EVEN; pattern <= LOAD_MOVING; pattern++) {
 		bench_wrongful(&small, (load_pattern_t)pattern, 600);
+		bench_wrongful(&medium, (load_pattern_t)pattern, 120);
 		bench_wrongful(&large, (load_pattern_t)pattern, 30);
 	}
 	return 0;
--- a/packages/quota/borrow.c
+++ b/packages/quota/borrow.c
@@ -223,8 +223,12 @@
 	quota_link_t *picked[LENDERS_AT_ONCE];
 	size_t count = 0;
 
+	if (bucket->main) {
+		quota_delegate_tick(quota, bucket);
+		return;
+	}
 	if (need <= 0 || now < bucket->next_round_us || round_open(bucket) ||
-	    bucket->state == QUOTA_RETIRED)
+	    bucket->state == QUOTA_RETIRED || now < bucket->delegated_until_us)
 		return;
 	count = pick_lenders(bucket, now, picked);
 	if (count == 0)
@@ -250,13 +254,18 @@
 		    !quota_link_accept(quota, link, from, incarnation, reply,
 				       &granted))
 			continue;
-		bucket->lent_total += granted;
-		bucket->lent_level += granted;
-		quota->stats.borrowed_micro += granted;
+		if (link->message.ahead != 0) {
+			quota_delegate_reply(quota, bucket, link, reply);
+		} else {
+			bucket->lent_total += granted;
+			bucket->lent_level += granted;
+		}
+		quota->stats.borrowed_micro +=
+			quota_min(granted, reply->filled);
 		break;
 	}
 	quota_bucket_check(bucket);
-	if (!round_open(bucket))
+	if (!bucket->main && !round_open(bucket))
 		quota_borrow(quota, bucket);
 }
 
@@ -281,7 +290,7 @@
 {
 	if (link->in_flight && !quota_link_resend(quota, link, ROUND_GIVE_UP))
 		link->wait_until_us = now + SILENT_LENDER_WAIT;
-	if (now >= quota_link_report_at(link))
+	if (!bucket->main && now >= quota_link_report_at(link))
 		report(quota, bucket, link);
 }
 
@@ -289,7 +298,8 @@
 {
 	int64_t now = cas_clock_now(quota->clock);
 
-	release_slack(bucket);
+	if (!bucket->main)
+		release_slack(bucket);
 	for (size_t i = 0; i < bucket->lender_count; i++)
 		tick_link(quota, bucket, &bucket->lenders[i], now);
 	quota_borrow(quota, bucket);
--- a/packages/quota/bucket.c
+++ b/packages/quota/bucket.c
@@ -32,6 +32,12 @@
 	bucket->level = quota_min(bucket->level, room);
 }
 
+/* While the share is delegated, its receiver adds the tokens. */
+static int64_t growth_start(const quota_bucket_t *bucket)
+{
+	return quota_max(bucket->touched_us, bucket->delegated_until_us);
+}
+
 static void grow_level(quota_bucket_t *bucket, int64_t elapsed_us)
 {
 	__int128 grown =
@@ -39,6 +45,8 @@
 	int64_t room = bucket->burst - bucket->out_own - bucket->level;
 	int64_t whole = (int64_t)(grown / CAS_USEC_PER_SEC);
 
+	if (elapsed_us <= 0)
+		return;
 	bucket->remainder = (int64_t)(grown % CAS_USEC_PER_SEC);
 	if (whole >= room) {
 		whole = quota_max(room, 0);
@@ -87,7 +95,7 @@
 			lapse(quota, bucket);
 		} else if (fence_held(quota, bucket)) {
 			if (bucket->state == QUOTA_ADDING)
-				grow_level(bucket, now - bucket->touched_us);
+				grow_level(bucket, now - growth_start(bucket));
 			bucket->state = QUOTA_ADDING;
 			bucket->held_us = now;
 		} else {
@@ -153,6 +161,7 @@
 		step_state(quota, bucket, now);
 		step_share(quota, bucket, now);
 	}
+	quota_delegate_grow(bucket, now);
 	bucket->touched_us = now;
 	expire_accounts(quota, bucket, now);
 	quota_borrow_expire(quota, bucket, now);
@@ -201,8 +210,8 @@
 	return bucket;
 }
 
-static int place_slot(quota_t *quota, quota_customer_t *customer, uint32_t slot,
-		      bool table_changed)
+static int place_slot(quota_t *quota, quota_customer_t *customer, size_t first,
+		      uint32_t slot, bool table_changed)
 {
 	const quota_dc_t *dc = &quota->view->dcs[quota->view->self_dc];
 	int64_t count = customer->slots[quota->view->self_dc];
@@ -218,6 +227,7 @@
 		return QUOTA_ENOMEM;
 	if (bucket->state == QUOTA_RETIRED)
 		bucket->state = QUOTA_WAITING;
+	bucket->main = customer->central && customer->main == first + slot;
 	set_share(quota, bucket, quota_share_of(rate, slot, 1, count),
 		  quota_share_of(burst, slot, 1, count), table_changed);
 	return quota_borrow_place(quota, bucket);
@@ -228,6 +238,7 @@
 	if (bucket->state == QUOTA_RETIRED)
 		return;
 	bucket->state = QUOTA_RETIRED;
+	bucket->main = false;
 	bucket->retired_us = cas_clock_now(quota->clock);
 	bucket->level = 0;
 	bucket->rate = 0;
@@ -255,7 +266,7 @@
 	}
 	for (uint32_t slot = 0; slot < count && !error; slot++) {
 		if (customer->holders[first + slot] == quota->self)
-			error = place_slot(quota, customer, slot,
+			error = place_slot(quota, customer, first, slot,
 					   table_changed);
 	}
 	return error;
--- a/packages/quota/client.c
+++ b/packages/quota/client.c
@@ -46,6 +46,12 @@
 
 	quota_link_abandon(&customer->link);
 	customer->home_at_us = now + HOME_RETRY;
+	if (customer->target != customer->local &&
+	    customer->holders[customer->local] != customer->link.to &&
+	    customer->holders[customer->local] != 0) {
+		set_target(quota, customer, customer->local);
+		return;
+	}
 	for (size_t i = 0; i < count; i++) {
 		size_t index = (start + i) % count;
 
--- a/packages/quota/grant.c
+++ b/packages/quota/grant.c
@@ -123,9 +123,29 @@
 	quota_lots_add(&account->lots,
 		       (quota_lot_t){ .amount = own, .expires_us = expires });
 	reply->granted = own + lent;
+	reply->filled = own + lent;
 	reply->life = (uint32_t)(expires - now - QUOTA_DRIFT_MARGIN);
 }
 
+/* The part of a grant that is taken from lent tokens. Plain loans expire first
+ * and go first; delegated shares and the own one are kept equally full, so
+ * that all of them have room to grow. */
+static int64_t split(const quota_bucket_t *bucket, int64_t amount, int64_t own,
+		     int64_t lent)
+{
+	int64_t part = amount;
+
+	if (bucket->main && bucket->lent_total > 0) {
+		double whole = (double)(bucket->burst + bucket->lent_total);
+		double rest = (double)(own + lent - amount);
+
+		part = lent -
+		       (int64_t)(rest * (double)bucket->lent_total / whole);
+	}
+	return quota_clamp(part, quota_max(amount - own, 0),
+			   quota_min(amount, lent));
+}
+
 static void grant_daemon(quota_t *quota, quota_bucket_t *bucket,
 			 quota_account_t *account, const quota_ask *ask,
 			 quota_reply *reply)
@@ -134,10 +154,11 @@
 	int64_t own = own_usable(bucket);
 	int64_t lent = lent_usable(bucket, now);
 	int64_t need = quota_min(ask->need, whole_tokens(own + lent));
-	int64_t from_lent = quota_min(need, lent);
+	int64_t from_lent = split(bucket, need, own, lent);
 	int64_t from_own = need - from_lent;
 	int64_t ahead = quota_min(ask->ahead, (own - from_own) / 2);
 
+	bucket->asked_us = now;
 	note_need(bucket, ask->need + ahead, now);
 	if (ahead > 0)
 		from_own += whole_tokens(ahead);
@@ -165,6 +186,10 @@
 	int64_t amount = 0;
 
 	note_need(bucket, 0, now);
+	if (ask->ahead != 0) {
+		quota_delegate(quota, bucket, account, reply);
+		return;
+	}
 	if (!yields_to(quota, bucket, account->host, unmet))
 		keep = unmet + whole_tokens((int64_t)(bucket->need_rate *
 						      (double)KEEP_WINDOW /
@@ -200,8 +225,13 @@
 	int64_t rate = quota_max(bucket->rate, 1);
 	int64_t tolerance = quota_report_tolerance(bucket->customer);
 
-	if (bucket->state != QUOTA_ADDING)
+	if (bucket->main) {
+		room += bucket->lent_total - bucket->lent_level -
+			bucket->out_lent;
+		rate = quota_max(bucket->customer->rate, 1);
+	} else if (bucket->state != QUOTA_ADDING) {
 		return tolerance;
+	}
 	return quota_clamp(
 		(int64_t)((double)room * CAS_USEC_PER_SEC / (double)rate),
 		tolerance, QUOTA_GRANT_LIFE / 2);
--- a/packages/quota/link.c
+++ b/packages/quota/link.c
@@ -102,6 +102,9 @@
 	    quota_lots_full(&link->lots))
 		return true;
 	*granted = reply->granted;
+	/* A delegated share replaces its earlier term. */
+	if (link->from_slot != QUOTA_FROM_DAEMON && link->message.ahead != 0)
+		return true;
 	quota_lots_add(&link->lots,
 		       (quota_lot_t){ .amount = reply->granted,
 				      .expires_us = expires,
--- a/packages/quota/messages/quota.x
+++ b/packages/quota/messages/quota.x
@@ -20,7 +20,8 @@
 	unsigned int sequence;
 	unsigned int received;	/* latest sequence whose reply was accepted */
 	hyper need;		/* for requests that wait */
-	hyper ahead;		/* for the forecast */
+	hyper ahead;		/* for the forecast; in an ask of a holder,
+				 * not 0: delegate the whole share */
 	hyper left;		/* granted by this bucket and not yet used */
 	hyper returned;		/* given back unused */
 };
@@ -30,6 +31,9 @@
 	unsigned int slots;
 	unsigned int sequence;
 	hyper granted;
+	hyper filled;		/* part of granted that is tokens now; the
+				 * rest may be added by the receiver */
+	hyper rate;		/* at which it may be added, a second */
 	unsigned int life;	/* of the grant, from the sending of the ask */
 	unsigned int wait;	/* no further ask before this time */
 	unsigned int report;	/* use is to be reported by this time */
--- a/packages/quota/quota_internal.h
+++ b/packages/quota/quota_internal.h
@@ -8,6 +8,9 @@
 #define QUOTA_ACCOUNTS_MAX 512
 #define QUOTA_NEVER INT64_MAX
 
+/* Rate of one slot; up to it one holder serves the whole fleet. */
+#define QUOTA_CENTRAL_RATE (50 * QUOTA_TOKEN)
+
 /* A holder that regains the fence within this time kept its bucket without a
  * lapse: a successor adds tokens no sooner than 2.1 s after it was lost. */
 #define QUOTA_KEEP_TIME (2 * CAS_USEC_PER_SEC)
@@ -43,6 +46,8 @@
 	int64_t last_sent_us;
 	int64_t wait_until_us;
 	int64_t report_due_us;
+	int64_t rate; /* delegated by the target, micro-tokens a second */
+	int64_t renew_at_us;
 	int64_t counted; /* outstanding at the target, by its last reply */
 	uint64_t incarnation; /* of the last replier */
 	uint32_t distance; /* 0 same data centre, 1 same region, 2 other */
@@ -105,6 +110,9 @@
 	quota_link_t *lenders;
 	size_t lender_count;
 	int64_t next_round_us;
+	bool main; /* the other shares of the customer are delegated here */
+	int64_t delegated_until_us; /* the own share is delegated */
+	int64_t asked_us; /* by a daemon, last time */
 
 	double need_rate; /* micro-tokens a second wanted by daemons */
 	int64_t need_seen_us;
@@ -122,6 +130,9 @@
 	uint32_t *slots; /* count for each data centre of the view */
 	cas_id_t *holders; /* data centre by data centre; 0: none */
 	size_t holder_count;
+	bool central; /* all shares are delegated to one holder */
+	size_t main; /* index of its bucket */
+	size_t local; /* index of the bucket in this data centre */
 	size_t home; /* index into holders of the bucket asked first */
 	size_t target; /* index of the one asked now */
 	int64_t home_at_us; /* when to try the first one again */
@@ -276,6 +287,18 @@
 /* Drops expired loans. */
 void quota_borrow_expire(quota_t *quota, quota_bucket_t *bucket, int64_t now);
 
+/* delegate.c */
+/* Handles an ask for the whole share. */
+void quota_delegate(quota_t *quota, quota_bucket_t *bucket,
+		    quota_account_t *account, quota_reply *reply);
+/* Takes in a delegated share. */
+void quota_delegate_reply(quota_t *quota, quota_bucket_t *bucket,
+			  quota_link_t *link, const quota_reply *reply);
+/* Adds tokens to delegated shares up to now. */
+void quota_delegate_grow(quota_bucket_t *bucket, int64_t now);
+/* Asks for shares and renews them. */
+void quota_delegate_tick(quota_t *quota, quota_bucket_t *bucket);
+
 /* client.c */
 void quota_client_run(quota_t *quota, quota_customer_t *customer);
 void quota_client_tick(quota_t *quota, quota_customer_t *customer);
--- a/packages/quota/share.c
+++ b/packages/quota/share.c
@@ -1,7 +1,7 @@
 /* Division of a customer's rate and burst, and the times derived from them. */
 #include "quota_internal.h"
 
-#define SLOT_RATE (50 * QUOTA_TOKEN) /* a second, for each slot at least */
+#define SLOT_RATE QUOTA_CENTRAL_RATE /* for each slot at least */
 #define SLOT_HOSTS 16
 
 #define HORIZON_MIN (40 * CAS_USEC_PER_MSEC)
--- a/packages/quota/view.c
+++ b/packages/quota/view.c
@@ -83,10 +83,37 @@
 		customer->holders[customer->holder_count++] = holder;
 	}
 	if (index == view->self_dc)
-		customer->home =
+		customer->local =
 			first + dc->self_index % customer->slots[index];
 }
 
+/* A customer with a low rate has a burst of few tokens, and the share of a data
+ * centre may be less than one: one holder gets all shares delegated. */
+static void place_main(const quota_view_t *view, quota_customer_t *customer)
+{
+	uint64_t best = 0;
+	size_t first = 0;
+
+	customer->central = false;
+	customer->home = customer->local;
+	for (size_t i = 0; i < view->dc_count; i++) {
+		uint64_t weight =
+			cas_rendezvous_weight(view->dcs[i].id, customer->id);
+
+		if (view->dcs[i].live_count > 0 &&
+		    (!customer->central || weight > best)) {
+			customer->central = true;
+			customer->main = first;
+			best = weight;
+		}
+		first += customer->slots[i];
+	}
+	if (customer->rate > QUOTA_CENTRAL_RATE || view->dc_count < 2)
+		customer->central = false;
+	if (customer->central)
+		customer->home = customer->main;
+}
+
 int quota_customer_place(const quota_view_t *view, quota_customer_t *customer)
 {
 	size_t total = 0;
@@ -94,7 +121,7 @@
 	talloc_free(customer->slots);
 	talloc_free(customer->holders);
 	customer->holder_count = 0;
-	customer->home = 0;
+	customer->local = 0;
 	customer->slots =
 		talloc_zero_array(customer, uint32_t, view->dc_count + 1);
 	if (!customer->slots)
@@ -113,5 +140,6 @@
 		return QUOTA_ENOMEM;
 	for (size_t i = 0; i < view->dc_count; i++)
 		place_slots(view, customer, i);
+	place_main(view, customer);
 	return QUOTA_OK;
 }
--- a/soak/fake_network.c
+++ b/soak/fake_network.c
@@ -37,8 +37,8 @@
 	if (to->held_count == HELD_MAX)
 		return;
 	/* The simulation frees the datagram after this event. */
-	to->held[to->held_count++] = talloc_memdup(to->held, datagram,
-						   talloc_get_size(datagram));
+	to->held[to->held_count++] =
+		talloc_memdup(to->held, datagram, talloc_get_size(datagram));
 	to->fleet->held++;
 }
 
