Vary load and fault rate in the soak run

Cause: steady overload keeps buckets empty, which hides excess. Change: quiet times and floods alternate, calm and rough phases take turns.

--- a/packages/quota/borrow.c
+++ b/packages/quota/borrow.c
@@ -269,15 +269,18 @@
 		quota_borrow(quota, bucket);
 }
 
-/* Reports released loans, and returns lent tokens that nobody waits for. */
+/* Reports released loans, and returns lent tokens that nobody waits for. Only
+ * the loan that ends first may shrink: later ones cover what was granted on. */
 static void report(quota_t *quota, quota_bucket_t *bucket, quota_link_t *link)
 {
 	int64_t now = cas_clock_now(quota->clock);
 	int64_t returned = 0;
 
-	if (wanted(bucket, now) <= 0 && bucket->lent_level > 0) {
-		returned = quota_min(bucket->lent_level, quota_link_left(link));
-		returned = quota_lots_take(&link->lots, returned, NULL);
+	if (wanted(bucket, now) <= 0 && bucket->lent_level > 0 &&
+	    earliest_loan(bucket) == link) {
+		returned = quota_min(bucket->lent_level,
+				     link->lots.items[0].amount);
+		returned = quota_link_return(link, returned);
 		bucket->lent_level -= returned;
 		bucket->lent_total -= returned;
 		quota->stats.returned_micro += returned;
--- a/packages/quota/client.c
+++ b/packages/quota/client.c
@@ -209,9 +209,8 @@
 	if (now < quota_link_report_at(link))
 		return;
 	surplus = quota_lots_total(&link->lots) - forecast(customer, now);
-	surplus = quota_min(surplus, quota_link_left(link));
 	if (surplus > 0 && customer->pending_count == 0)
-		returned = quota_lots_take(&link->lots, surplus, NULL);
+		returned = quota_link_return(link, surplus);
 	quota->stats.returned_micro += returned;
 	quota_link_send(quota, customer, link, 0, 0, returned);
 }
--- a/packages/quota/grant.c
+++ b/packages/quota/grant.c
@@ -57,7 +57,8 @@
 	int64_t used = 0;
 	int64_t amount = 0;
 
-	if (account->reply.granted > 0 &&
+	/* An earlier term of a delegated share may still run at the asker. */
+	if (account->reply.granted > 0 && account->reply.rate == 0 &&
 	    (int32_t)(ask->received - account->sequence) < 0) {
 		amount = quota_lots_take_latest(&account->lots,
 						account->reply.granted, &lent);
--- a/packages/quota/link.c
+++ b/packages/quota/link.c
@@ -113,6 +113,26 @@
 	return true;
 }
 
+int64_t quota_link_return(quota_link_t *link, int64_t amount)
+{
+	quota_lots_t rest = { 0 };
+	int64_t returned = 0;
+
+	for (size_t i = 0; i < link->lots.count; i++) {
+		quota_lot_t lot = link->lots.items[i];
+		int64_t part = quota_min(lot.amount, amount - returned);
+
+		if (lot.host == link->to &&
+		    lot.incarnation == link->incarnation) {
+			lot.amount -= part;
+			returned += part;
+		}
+		quota_lots_add(&rest, lot);
+	}
+	link->lots = rest;
+	return returned;
+}
+
 void quota_link_abandon(quota_link_t *link)
 {
 	link->in_flight = false;
--- a/packages/quota/quota_internal.h
+++ b/packages/quota/quota_internal.h
@@ -238,6 +238,9 @@
 bool quota_link_accept(quota_t *quota, quota_link_t *link, cas_id_t from,
 		       uint64_t incarnation, const quota_reply *reply,
 		       int64_t *granted);
+/* Removes up to amount tokens that can be given back to the target, earliest
+ * first; returns what was removed. */
+int64_t quota_link_return(quota_link_t *link, int64_t amount);
 /* Forgets an ask that will not be answered. */
 void quota_link_abandon(quota_link_t *link);
 /* Returns when the use or the return of tokens has to be reported. */
--- a/soak/faults.c
+++ b/soak/faults.c
@@ -9,7 +9,8 @@
 #define TABLE_GAP (16 * CAS_USEC_PER_SEC)
 #define ROSTER_SPREAD (5 * CAS_USEC_PER_SEC)
 #define TABLE_SPREAD (5 * CAS_USEC_PER_SEC)
-#define FAULT_CHANCE 0.03 /* each step */
+#define PHASE_TIME (20 * CAS_USEC_PER_SEC)
+#define LOAD_CHANCE 0.02 /* each step, for one customer */
 
 struct faults {
 	fleet_t *fleet;
@@ -21,6 +22,8 @@
 	int64_t *listing_changed_us; /* by data centre */
 	int64_t table_changed_us;
 	uint64_t count;
+	double chance; /* of a fault in each step */
+	int64_t phase_ends_us;
 };
 
 static cas_rng_t *rng_of(faults_t *faults)
@@ -192,12 +195,18 @@
 	fake_platform_change_table(faults->fleet, TABLE_SPREAD);
 }
 
+/* Excess shows when buckets are full and a flood follows, so quiet times and
+ * floods alternate. */
 static void change_load(faults_t *faults)
 {
+	static const double factors[] = { 0.05, 0.05, 0.9, 3, 8 };
+	size_t count = sizeof(factors) / sizeof(factors[0]);
 	size_t index =
 		cas_rng_below(rng_of(faults), (uint32_t)faults->customer_count);
 	load_t *load = faults->loads[index];
 
+	load->rate = (double)faults->usual_rate[index] *
+		     factors[cas_rng_below(rng_of(faults), (uint32_t)count)];
 	load->pattern = (load_pattern_t)cas_rng_below(rng_of(faults), 3);
 	load->period_us = 100000 + cas_rng_below(rng_of(faults), 8000000);
 }
@@ -225,15 +234,32 @@
 	return faults;
 }
 
+/* Under constant faults the fences are rarely held and little is admitted, so
+ * calm and rough phases take turns. */
+static void change_phase(faults_t *faults)
+{
+	static const double chances[] = { 0.001, 0.005, 0.01, 0.03 };
+	uint32_t count = sizeof(chances) / sizeof(chances[0]);
+	int64_t now = sim_now(faults->fleet->sim);
+
+	if (now < faults->phase_ends_us)
+		return;
+	faults->phase_ends_us = now + PHASE_TIME;
+	faults->chance = chances[cas_rng_below(rng_of(faults), count)];
+}
+
 void faults_step(faults_t *faults)
 {
 	static void (*const kinds[])(faults_t *) = {
 		pause_host,  kill_host,	    cut_dcs,	  isolate_host,
-		bad_network, change_roster, change_table, change_load,
+		bad_network, change_roster, change_table,
 	};
 	size_t count = sizeof(kinds) / sizeof(kinds[0]);
 
-	if (!sim_chance(faults->fleet->sim, FAULT_CHANCE))
+	if (sim_chance(faults->fleet->sim, LOAD_CHANCE))
+		change_load(faults);
+	change_phase(faults);
+	if (!sim_chance(faults->fleet->sim, faults->chance))
 		return;
 	faults->count++;
 	kinds[cas_rng_below(rng_of(faults), (uint32_t)count)](faults);
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -35,7 +35,7 @@
 static const double load_factor[CUSTOMERS] = { 1.5, 1.2, 0.9, 8 };
 
 static int seed = 1;
-static int steps = 12000;
+static int steps = 90000;
 
 static const GOptionEntry options[] = {
 	{ "seed", 0, 0, G_OPTION_ARG_INT, &seed, "Seed of the run", "N" },
