--- a/packages/quota/borrow.c
+++ b/packages/quota/borrow.c
@@ -115,7 +115,7 @@
 		if (covered >= bucket->out_lent + amount)
 			return loans[i].expires_us;
 	}
-	return INT64_MIN;
+	return 0;
 }
 
 bool quota_borrow_possible(const quota_bucket_t *bucket, int64_t now)
@@ -223,8 +223,12 @@
 	quota_link_t *picked[LENDERS_AT_ONCE];
 	size_t count = 0;
 
+	if (bucket->main) {
+		quota_delegate_tick(quota, bucket);
+		return;
+	}
 	if (need <= 0 || now < bucket->next_round_us || round_open(bucket) ||
-	    bucket->state == QUOTA_RETIRED)
+	    bucket->state == QUOTA_RETIRED || now < bucket->delegated_until_us)
 		return;
 	count = pick_lenders(bucket, now, picked);
 	if (count == 0)
@@ -250,25 +254,33 @@
 		    !quota_link_accept(quota, link, from, incarnation, reply,
 				       &granted))
 			continue;
-		bucket->lent_total += granted;
-		bucket->lent_level += granted;
-		quota->stats.borrowed_micro += granted;
+		if (link->message.ahead != 0) {
+			quota_delegate_reply(quota, bucket, link, reply);
+		} else {
+			bucket->lent_total += granted;
+			bucket->lent_level += granted;
+		}
+		quota->stats.borrowed_micro +=
+			quota_min(granted, reply->filled);
 		break;
 	}
 	quota_bucket_check(bucket);
-	if (!round_open(bucket))
+	if (!bucket->main && !round_open(bucket))
 		quota_borrow(quota, bucket);
 }
 
-/* Reports released loans, and returns lent tokens that nobody waits for. */
+/* Reports released loans, and returns lent tokens that nobody waits for. Only
+ * the loan that ends first may shrink: later ones cover what was granted on. */
 static void report(quota_t *quota, quota_bucket_t *bucket, quota_link_t *link)
 {
 	int64_t now = cas_clock_now(quota->clock);
 	int64_t returned = 0;
 
-	if (wanted(bucket, now) <= 0 && bucket->lent_level > 0) {
-		returned = quota_min(bucket->lent_level, quota_link_left(link));
-		returned = quota_lots_take(&link->lots, returned, NULL);
+	if (wanted(bucket, now) <= 0 && bucket->lent_level > 0 &&
+	    earliest_loan(bucket) == link) {
+		returned = quota_min(bucket->lent_level,
+				     link->lots.items[0].amount);
+		returned = quota_link_return(link, returned);
 		bucket->lent_level -= returned;
 		bucket->lent_total -= returned;
 		quota->stats.returned_micro += returned;
@@ -281,7 +293,7 @@
 {
 	if (link->in_flight && !quota_link_resend(quota, link, ROUND_GIVE_UP))
 		link->wait_until_us = now + SILENT_LENDER_WAIT;
-	if (now >= quota_link_report_at(link))
+	if (!bucket->main && now >= quota_link_report_at(link))
 		report(quota, bucket, link);
 }
 
@@ -289,7 +301,8 @@
 {
 	int64_t now = cas_clock_now(quota->clock);
 
-	release_slack(bucket);
+	if (!bucket->main)
+		release_slack(bucket);
 	for (size_t i = 0; i < bucket->lender_count; i++)
 		tick_link(quota, bucket, &bucket->lenders[i], now);
 	quota_borrow(quota, bucket);
