--- a/packages/admission/admission.c
+++ b/packages/admission/admission.c
@@ -35,7 +35,6 @@
 	admission->ops = *ops;
 	admission->private = private;
 	admission->updated_us = cas_clock_now(clock);
-	admission->queue_changed_us = admission->updated_us;
 	limit_init(&admission->limit, admission->updated_us);
 	if (demand_init(admission)) {
 		talloc_free(admission);
@@ -44,15 +43,16 @@
 	return admission;
 }
 
-int64_t admission_typical_us(const admission_t *admission)
+int64_t admission_typical_us(admission_t *admission, cas_id_t kind)
 {
-	return (int64_t)admission->limit.typical_us;
+	return latency_typical(latency_kind(&admission->limit.latency, kind),
+			       cas_clock_now(admission->clock));
 }
 
-static bool too_late(const admission_t *admission, int64_t now_us,
+static bool too_late(const latency_kind_t *kind, int64_t now_us,
 		     int64_t deadline_us)
 {
-	return deadline_us - now_us <= admission_typical_us(admission);
+	return deadline_us - now_us <= latency_typical(kind, now_us);
 }
 
 static void start(admission_t *admission, admission_ticket_t *ticket,
@@ -70,8 +70,6 @@
 	void *private = ticket->private;
 
 	talloc_free(ticket);
-	if (reason != ADMISSION_REASON_STOPPED)
-		admission->dropped++;
 	admission->ops.drop(admission->private, private, reason);
 }
 
@@ -93,7 +91,7 @@
 		int64_t now_us = cas_clock_now(admission->clock);
 		admission_ticket_t *ticket = queue_pop(admission);
 
-		if (too_late(admission, now_us, ticket->deadline_us)) {
+		if (too_late(ticket->kind, now_us, ticket->deadline_us)) {
 			drop_popped(admission, ticket,
 				    ADMISSION_REASON_DEADLINE);
 			continue;
@@ -119,17 +117,16 @@
 	if (admission->queued < queue_length_max(admission))
 		return true;
 	victim = queue_victim(admission, class);
-	if (!victim) {
-		admission->dropped++;
+	if (!victim)
 		return false;
-	}
 	drop(admission, victim, ADMISSION_REASON_QUEUE_FULL);
 	return true;
 }
 
 static admission_ticket_t *ticket_create(admission_t *admission,
 					 const admission_request_t *request,
-					 request_class_t *class)
+					 request_class_t *class,
+					 latency_kind_t *kind)
 {
 	admission_ticket_t *ticket = talloc_zero(admission, admission_ticket_t);
 
@@ -137,6 +134,7 @@
 		return NULL;
 	ticket->admission = admission;
 	ticket->class = class;
+	ticket->kind = kind;
 	ticket->deadline_us = request->deadline_us;
 	ticket->since_us = cas_clock_now(admission->clock);
 	ticket->private = request->private;
@@ -151,7 +149,8 @@
 }
 
 static request_class_t *note_arrival(admission_t *admission,
-				     const admission_request_t *request)
+				     const admission_request_t *request,
+				     const latency_kind_t *kind)
 {
 	request_class_t *class = demand_class_add(
 		admission, request->importance, request->customer);
@@ -160,7 +159,7 @@
 		return NULL;
 	class->weight = request->weight > 0 ? request->weight : 1;
 	class->used_us = cas_clock_now(admission->clock);
-	demand_arrived(class, request->draw);
+	demand_arrived(class, request->draw, kind->held_us);
 	return class;
 }
 
@@ -170,13 +169,15 @@
 				    admission_reason_t *reason)
 {
 	int64_t now_us = cas_clock_now(admission->clock);
-	request_class_t *class = note_arrival(admission, request);
+	latency_kind_t *kind =
+		latency_kind(&admission->limit.latency, request->kind);
+	request_class_t *class = note_arrival(admission, request, kind);
 
 	*ticket = NULL;
 	*reason = ADMISSION_REASON_NONE;
 	if (!class)
 		return reject(reason, ADMISSION_REASON_MEMORY);
-	if (too_late(admission, now_us, request->deadline_us))
+	if (too_late(kind, now_us, request->deadline_us))
 		return reject(reason, ADMISSION_REASON_DEADLINE);
 	if (!draw_below(request->draw, class->fraction))
 		return reject(reason, ADMISSION_REASON_SHED);
@@ -184,7 +185,7 @@
 	if ((admission->queued || !limit_allows(&admission->limit)) &&
 	    !make_room(admission, class))
 		return reject(reason, ADMISSION_REASON_QUEUE_FULL);
-	*ticket = ticket_create(admission, request, class);
+	*ticket = ticket_create(admission, request, class, kind);
 	if (!*ticket)
 		return reject(reason, ADMISSION_REASON_MEMORY);
 	if (!admission->queued && limit_allows(&admission->limit)) {
@@ -195,22 +196,33 @@
 	return ADMISSION_QUEUED;
 }
 
+static limit_end_t limit_end_of(admission_result_t result)
+{
+	if (result == ADMISSION_OK)
+		return LIMIT_END_OK;
+	return result == ADMISSION_FAILED ? LIMIT_END_FAILED : LIMIT_END_OTHER;
+}
+
 void admission_finish(admission_t *admission, admission_ticket_t *ticket,
 		      admission_result_t result)
 {
 	int64_t now_us = cas_clock_now(admission->clock);
-	bool counted = result == ADMISSION_OK || result == ADMISSION_FAILED;
 
-	limit_finish(&admission->limit, now_us, now_us - ticket->since_us,
-		     result == ADMISSION_OK, counted);
-	if (counted)
-		admission->finished++;
+	limit_finish(&admission->limit, ticket->kind, now_us,
+		     now_us - ticket->since_us, ticket->child_us,
+		     limit_end_of(result));
 	if (result == ADMISSION_SHED_BY_UPSTREAM)
 		limit_shed(&admission->limit, now_us);
 	talloc_free(ticket);
 	dispatch(admission);
 }
 
+void admission_child_time(admission_ticket_t *ticket, int64_t child_us)
+{
+	if (child_us > 0)
+		ticket->child_us += child_us;
+}
+
 void admission_cancel(admission_t *admission, admission_ticket_t *ticket)
 {
 	if (ticket->running) {
@@ -224,7 +236,7 @@
 static int64_t queue_time_max(const admission_t *admission)
 {
 	int64_t time_us =
-		admission_typical_us(admission) * QUEUE_TIME_LATENCIES;
+		(int64_t)admission->limit.typical_us * QUEUE_TIME_LATENCIES;
 
 	return time_us > QUEUE_TIME_MIN_US ? time_us : QUEUE_TIME_MIN_US;
 }
@@ -233,7 +245,7 @@
 				  const admission_ticket_t *ticket,
 				  int64_t now_us)
 {
-	if (too_late(admission, now_us, ticket->deadline_us))
+	if (too_late(ticket->kind, now_us, ticket->deadline_us))
 		return ADMISSION_REASON_DEADLINE;
 	if (now_us - ticket->since_us > queue_time_max(admission))
 		return ADMISSION_REASON_QUEUE_TIME;
@@ -320,7 +332,7 @@
 
 	if (!class)
 		return;
-	class->early += count;
+	class->early_us += (double)count * class->held_us;
 	class->used_us = cas_clock_now(admission->clock);
 }
 
--- a/packages/admission/admission_internal.h
+++ b/packages/admission/admission_internal.h
@@ -27,12 +27,14 @@
 	int32_t deficit;
 	struct request_class *next_active; /* ring within the importance */
 	struct request_class *prev_active;
-	/* Demand since the last update and as a smoothed rate. */
-	uint64_t arrived;
-	uint64_t early;
-	uint64_t sure; /* arrived with a draw that no entry daemon rejects */
-	double demand; /* requests a second */
-	double granted; /* requests a second, by the last division */
+	/* Demand since the last update, as time that the requests would hold
+	 * the upstream, and smoothed as a number of requests in flight. */
+	double arrived_us;
+	double early_us;
+	double sure_us; /* with a draw that no entry daemon rejects */
+	double held_us; /* smoothed, of one request */
+	double demand;
+	double granted; /* by the last division */
 	double fraction;
 	double published[CLASS_PUBLISHED];
 	int published_next;
@@ -43,8 +45,10 @@
 	ticket_link_t link; /* first, so that a link is a ticket */
 	admission_t *admission;
 	request_class_t *class;
+	latency_kind_t *kind;
 	int64_t deadline_us;
 	int64_t since_us; /* queued, then started */
+	int64_t child_us; /* waiting for child calls */
 	void *private;
 	bool running;
 };
@@ -59,18 +63,12 @@
 	request_class_t *active[ADMISSION_IMPORTANCES];
 	int32_t queued_at[ADMISSION_IMPORTANCES];
 	int32_t queued;
-	int64_t queue_changed_us;
-	int64_t queue_busy_us; /* time with a queue since the last update */
 	bool dispatching;
 	/* Division of capacity. */
 	GHashTable *classes; /* request_class_t, keyed by itself */
 	request_class_t **order; /* scratch space of the division */
 	size_t order_size;
 	int64_t updated_us;
-	uint64_t finished;
-	uint64_t dropped; /* from the queue since the last update */
-	double rate; /* smoothed completions a second under load */
-	bool shedding;
 };
 
 /* Queue (queue.c). */
@@ -89,7 +87,8 @@
 			      cas_id_t customer);
 request_class_t *demand_class_add(admission_t *admission, int32_t importance,
 				  cas_id_t customer);
-void demand_arrived(request_class_t *class, uint32_t draw);
+/* Counts a request that would hold the upstream for held_us. */
+void demand_arrived(request_class_t *class, uint32_t draw, double held_us);
 void demand_update(admission_t *admission, int64_t now_us);
 
 /* Returns whether the draw lies below the fraction. */
--- a/packages/admission/demand.c
+++ b/packages/admission/demand.c
@@ -11,15 +11,16 @@
  * end of a surge shows within a second. */
 #define DEMAND_RISE 0.3
 #define DEMAND_FALL 0.5
-#define RATE_WEIGHT 0.3
+#define HELD_WEIGHT 0.05
 #define SURE_MIN 0.02
 #define CLASS_IDLE_US (60 * CAS_USEC_PER_SEC)
 /* Bounds of the correction of capacity by the length of the queue. */
 #define SLACK_LOW 0.85
 #define SLACK_HIGH 1.2
 #define SLACK_GAIN 0.2
+#define STARTUP_GROWTH 2.0
 /* Part of the limit that the queue should hold. */
-#define QUEUE_TARGET 0.25
+#define QUEUE_TARGET 0.15
 #define QUEUE_TARGET_MIN 2.0
 
 static guint class_hash(gconstpointer p)
@@ -99,11 +100,14 @@
 	return lowest > SURE_MIN ? lowest : SURE_MIN;
 }
 
-void demand_arrived(request_class_t *class, uint32_t draw)
+void demand_arrived(request_class_t *class, uint32_t draw, double held_us)
 {
-	class->arrived++;
+	if (class->held_us <= 0)
+		class->held_us = held_us;
+	class->held_us += HELD_WEIGHT * (held_us - class->held_us);
+	class->arrived_us += held_us;
 	if (draw_below(draw, sure_fraction(class)))
-		class->sure++;
+		class->sure_us += held_us;
 }
 
 /*
@@ -111,17 +115,18 @@
  * calls rejected further up the chain there is no report; since draws are
  * uniform, those below the sure fraction tell how many there were.
  */
-static void update_class_demand(request_class_t *class, double seconds)
+static void update_class_demand(request_class_t *class, double elapsed_us)
 {
-	double reported = (double)(class->arrived + class->early);
-	double inferred = (double)class->sure / sure_fraction(class);
-	double rate = (reported > inferred ? reported : inferred) / seconds;
-	double weight = rate > class->demand ? DEMAND_RISE : DEMAND_FALL;
-
-	class->demand += weight * (rate - class->demand);
-	class->arrived = 0;
-	class->early = 0;
-	class->sure = 0;
+	double reported = class->arrived_us + class->early_us;
+	double inferred = class->sure_us / sure_fraction(class);
+	double demand =
+		(reported > inferred ? reported : inferred) / elapsed_us;
+	double weight = demand > class->demand ? DEMAND_RISE : DEMAND_FALL;
+
+	class->demand += weight * (demand - class->demand);
+	class->arrived_us = 0;
+	class->early_us = 0;
+	class->sure_us = 0;
 }
 
 static int compare_classes(const void *a, const void *b)
@@ -161,22 +166,37 @@
 	return capacity > 0 ? capacity : 0;
 }
 
-/* Correction of the capacity for one importance: the queue of this and
- * higher importances should hold a small part of the limit. */
-static double slack(const admission_t *admission, int importance)
+static double clamp(double value, double low, double high)
+{
+	if (value < low)
+		return low;
+	return value > high ? high : value;
+}
+
+/* Returns 1 for an empty queue of the importance and above, 0 for one of the
+ * wanted length, and less for longer ones. */
+static double queue_room(const admission_t *admission, int importance)
 {
 	double wanted = admission->limit.limit * QUEUE_TARGET;
 	double queued = 0;
-	double factor;
 
 	if (wanted < QUEUE_TARGET_MIN)
 		wanted = QUEUE_TARGET_MIN;
 	for (int i = importance; i < ADMISSION_IMPORTANCES; i++)
 		queued += admission->queued_at[i];
-	factor = 1 + SLACK_GAIN * (1 - queued / wanted);
-	if (factor < SLACK_LOW)
-		return SLACK_LOW;
-	return factor > SLACK_HIGH ? SLACK_HIGH : factor;
+	return 1 - queued / wanted;
+}
+
+/* Capacity for one importance and those above it, as requests in flight. A
+ * limit that is still growing counts for what it becomes soon. */
+static double capacity_for(const admission_t *admission, int importance)
+{
+	const limit_t *limit = &admission->limit;
+	double room = queue_room(admission, importance);
+	double growth = limit->phase == LIMIT_STARTUP ? STARTUP_GROWTH : 1;
+
+	return limit->limit * growth *
+	       clamp(1 + SLACK_GAIN * room, SLACK_LOW, SLACK_HIGH);
 }
 
 static void publish(request_class_t *class)
@@ -194,8 +214,7 @@
 	qsort(order, count, sizeof(request_class_t *), compare_classes);
 	while (begin < count) {
 		int32_t importance = order[begin]->importance;
-		double capacity =
-			admission->rate * slack(admission, importance);
+		double capacity = capacity_for(admission, importance);
 		size_t end = begin;
 
 		while (end < count && order[end]->importance == importance)
@@ -241,40 +260,17 @@
 	return i;
 }
 
-static void update_rate(admission_t *admission, double seconds, bool loaded)
-{
-	double rate = (double)admission->finished / seconds;
-
-	if (loaded && admission->shedding)
-		admission->rate += RATE_WEIGHT * (rate - admission->rate);
-	else if (loaded)
-		admission->rate = rate;
-	else if (admission->shedding)
-		admission->rate *= 1.05;
-}
-
 void demand_update(admission_t *admission, int64_t now_us)
 {
-	double elapsed = (double)(now_us - admission->updated_us);
-	double seconds = elapsed / (double)CAS_USEC_PER_SEC;
-	bool loaded = (double)admission->queue_busy_us > elapsed * 0.3 ||
-		      admission->dropped;
+	double elapsed_us = (double)(now_us - admission->updated_us);
 	size_t count;
 
 	g_hash_table_foreach_remove(admission->classes, forget_idle, &now_us);
 	count = list_classes(admission);
 	for (size_t i = 0; i < count; i++)
-		update_class_demand(admission->order[i], seconds);
-	update_rate(admission, seconds, loaded);
-	if (loaded || admission->shedding)
-		divide_all(admission, count);
-	admission->shedding = false;
-	for (size_t i = 0; i < count; i++) {
-		admission->shedding |= admission->order[i]->fraction < 1;
+		update_class_demand(admission->order[i], elapsed_us);
+	divide_all(admission, count);
+	for (size_t i = 0; i < count; i++)
 		publish(admission->order[i]);
-	}
 	admission->updated_us = now_us;
-	admission->finished = 0;
-	admission->dropped = 0;
-	admission->queue_busy_us = 0;
 }
--- a/packages/admission/include/cassia/admission.h
+++ b/packages/admission/include/cassia/admission.h
@@ -29,6 +29,9 @@
 	cas_id_t customer;
 	int32_t weight; /* of the customer, 1 or more */
 	int64_t deadline_us; /* on the module's clock */
+	/* Requests of one kind take similar times; usually the id of the
+	 * route, with the position in the call chain if it can be told. */
+	cas_id_t kind;
 	void *private; /* of the owner, passed to the callbacks */
 } admission_request_t;
 
@@ -90,6 +93,11 @@
 				    admission_ticket_t **ticket,
 				    admission_reason_t *reason);
 
+/* Counts time that a running request spent waiting for its child calls, so
+ * that a slow service further down does not look like a full upstream. Call
+ * it when a child call ends, for time that no other child call covered. */
+void admission_child_time(admission_ticket_t *ticket, int64_t child_us);
+
 /* Ends a running request; may call run and drop for queued ones. */
 void admission_finish(admission_t *admission, admission_ticket_t *ticket,
 		      admission_result_t result);
@@ -119,7 +127,8 @@
 int32_t admission_inflight(const admission_t *admission);
 int32_t admission_queued(const admission_t *admission);
 int32_t admission_busy_permille(const admission_t *admission);
-/* Smoothed time from start to finish in microseconds, 0: not known. */
-int64_t admission_typical_us(const admission_t *admission);
+/* Smoothed time from start to finish in microseconds of successful requests
+ * of a kind, 0: not known. */
+int64_t admission_typical_us(admission_t *admission, cas_id_t kind);
 
 #endif
--- a/packages/admission/limit.c
+++ b/packages/admission/limit.c
@@ -1,10 +1,10 @@
 /*
- * The concurrency limit: highest completion rate times lowest latency. The
- * rate comes from recent periods at the limit. The latency comes from probes
- * that lower the limit until the latency stops falling with it. The limit
- * only falls on the result of a probe or when the upstream sheds load,
- * because a rate measured now times a latency measured before a slowdown
- * would lower it again and again.
+ * The concurrency limit: highest completion rate times lowest latency. By
+ * Little's law that is the number of requests in flight divided by the
+ * inflation of their latency. The lowest latency comes from probes that lower
+ * the limit for a short time. The limit falls only on the result of a probe
+ * or when the upstream sheds load, because an inflation against a latency
+ * measured before a slowdown would lower it again and again.
  */
 #include "limit_internal.h"
 
@@ -18,25 +18,28 @@
 /* Room above rate times latency, so that noise does not idle the upstream. */
 #define LIMIT_GAIN 1.2
 #define LIMIT_GROWTH 1.25
-#define LIMIT_STARTUP_GROWTH 1.5
-#define LIMIT_FALL 0.5
+#define LIMIT_FALL 0.7
 #define LIMIT_SHED_FALL 0.8
 #define LIMIT_CEILING_GROWTH 1.02
+#define STARTUP_INFLATION 1.3
+#define STARTUP_WEIGHT (1.0 / 16)
+/* A period is long enough for a mean latency that is off by a few percent. */
 #define PERIOD_MIN_US (50 * CAS_USEC_PER_MSEC)
 #define PERIOD_MAX_US CAS_USEC_PER_SEC
-#define PERIOD_LATENCIES 4
-#define PERIOD_COMPLETIONS 32
-#define PROBE_INTERVAL_US (2 * CAS_USEC_PER_SEC)
+#define PERIOD_LATENCIES 2
+#define PERIOD_COMPLETIONS 64
+#define STARTUP_COMPLETIONS 16
+#define PROBE_INTERVAL_US (3 * CAS_USEC_PER_SEC)
 #define PROBE_EARLY_US (CAS_USEC_PER_SEC / 2)
-#define PROBE_EARLY_RATIO 1.5
-#define PROBE_STEP 0.85
-/* A latency that falls by more than 6% on a step of 15% shows queueing. */
-#define PROBE_STILL_QUEUEING 0.94
-#define PROBE_MAX_STEPS 12
+#define PROBE_EARLY_INFLATION 1.5
+/* Part of the estimated knee to which a probe lowers the limit. */
+#define PROBE_STEP 0.8
+#define PROBE_DEEPEST 0.5
+#define PROBE_REQUESTS 64
+#define PROBE_MAX_US (2 * CAS_USEC_PER_SEC)
 #define TYPICAL_WEIGHT 0.05
-/* Without successes the typical latency halves in each such time, so that a
- * stale value does not keep every request out. */
-#define TYPICAL_STALE_US (CAS_USEC_PER_SEC / 2)
+/* Below this use of the limit there is no queueing in the upstream. */
+#define UNLOADED 0.6
 
 static double min_of(double a, double b)
 {
@@ -54,8 +57,8 @@
 	limit->changed_us = start_us;
 	limit->inflight_time = 0;
 	limit->bound_time = 0;
-	limit->latency_sum_us = 0;
 	limit->completions = 0;
+	latency_restart(&limit->latency);
 }
 
 void limit_init(limit_t *limit, int64_t now_us)
@@ -63,8 +66,8 @@
 	memset(limit, 0, sizeof(*limit));
 	limit->limit = LIMIT_START;
 	limit->effective = LIMIT_START;
+	limit->startup_inflation = 1;
 	limit->next_probe_us = now_us + PROBE_INTERVAL_US;
-	limit->typical_at_us = now_us;
 	start_period(limit, now_us);
 }
 
@@ -89,24 +92,14 @@
 {
 	account(limit, now_us);
 	limit->inflight++;
-}
-
-void limit_finish(limit_t *limit, int64_t now_us, int64_t latency_us, bool ok,
-		  bool counted)
-{
-	account(limit, now_us);
-	limit->inflight--;
-	if (!counted || now_us < limit->start_us)
+	if (limit->phase != LIMIT_PROBE || now_us < limit->start_us ||
+	    limit->marked >= PROBE_REQUESTS)
 		return;
-	limit->completions++;
-	limit->latency_sum_us += latency_us;
-	if (!ok)
-		return;
-	limit->typical_at_us = now_us;
-	if (limit->typical_us <= 0)
-		limit->typical_us = (double)latency_us;
-	limit->typical_us +=
-		TYPICAL_WEIGHT * ((double)latency_us - limit->typical_us);
+	limit->marked++;
+	limit->marked_to_us = now_us;
+	/* Those marked are in the upstream ahead of any that now follow. */
+	if (limit->marked == PROBE_REQUESTS)
+		limit->effective = limit->limit;
 }
 
 static void set_limit(limit_t *limit, double value)
@@ -117,175 +110,223 @@
 	limit->effective = limit->limit;
 }
 
-void limit_shed(limit_t *limit, int64_t now_us)
+/* Requests in flight beyond the knee wait in the upstream. By Little's law
+ * they are in proportion to the excess of own time over base time. */
+static double knee(double inflight, double inflation, double own_share)
 {
-	if (now_us < limit->next_shed_us)
-		return;
-	limit->next_shed_us =
-		now_us + (int64_t)limit->typical_us + 20 * CAS_USEC_PER_MSEC;
-	limit->ceiling = max_of(min_of(limit->limit, limit->inflight + 1.0) *
-					LIMIT_SHED_FALL,
-				LIMIT_MIN);
-	limit->phase = LIMIT_CRUISE;
-	set_limit(limit, limit->ceiling);
+	double excess = 1 - 1 / max_of(inflation, 1);
+
+	return inflight * (1 - own_share * excess);
 }
 
-static double highest_rate(const limit_t *limit)
+/* One more for each completion doubles the limit in one latency. */
+static void startup_finish(limit_t *limit, const latency_kind_t *kind,
+			   double total_us, double own_us, bool was_full)
 {
-	double highest = 0;
+	double inflation;
 
-	for (int i = 0; i < LIMIT_RATES; i++)
-		highest = max_of(highest, limit->rates[i]);
-	return highest;
+	if (kind->base_us <= 0)
+		return;
+	limit->startup_inflation += STARTUP_WEIGHT * (own_us / kind->base_us -
+						      limit->startup_inflation);
+	inflation = limit->startup_inflation;
+	if (inflation < STARTUP_INFLATION) {
+		if (was_full)
+			set_limit(limit, limit->limit + 1);
+		return;
+	}
+	limit->phase = LIMIT_CRUISE;
+	set_limit(limit, knee(limit->inflight, inflation, own_us / total_us) *
+				 LIMIT_GAIN);
 }
 
-static void push_rate(limit_t *limit, double rate)
+static void smooth(double *mean, double value)
 {
-	limit->rates[limit->rate_next] = rate;
-	limit->rate_next = (limit->rate_next + 1) % LIMIT_RATES;
+	if (*mean <= 0)
+		*mean = value;
+	*mean += TYPICAL_WEIGHT * (value - *mean);
 }
 
-/* Rate times latency, with the gain. */
-static double target(const limit_t *limit)
+/* Returns whether the latency of a request belongs to the period; notes its
+ * end when a probe waits for it. */
+static bool is_counted(limit_t *limit, int64_t started_us)
 {
-	return highest_rate(limit) * (double)limit->base_us /
-	       (double)CAS_USEC_PER_SEC * LIMIT_GAIN;
+	if (limit->phase != LIMIT_PROBE)
+		return true;
+	if (started_us < limit->start_us || started_us > limit->marked_to_us)
+		return false;
+	limit->marked_done++;
+	return true;
 }
 
-static void start_probe_step(limit_t *limit, int64_t now_us, double inflight,
-			     double latency_us)
+void limit_finish(limit_t *limit, latency_kind_t *kind, int64_t now_us,
+		  int64_t total_us, int64_t child_us, limit_end_t end)
 {
-	limit->effective = max_of(inflight * PROBE_STEP, LIMIT_MIN);
-	limit->probe_latency_us = latency_us;
-	limit->probe_steps++;
-	/* Requests from before the step still queue in the upstream. */
-	start_period(limit, now_us + (int64_t)(latency_us * 1.5));
+	bool was_full = !limit_allows(limit);
+	int64_t own_us = child_us < total_us ? total_us - child_us : 1;
+	bool counted;
+
+	account(limit, now_us);
+	limit->inflight--;
+	counted = is_counted(limit, now_us - total_us);
+	if (end == LIMIT_END_OTHER)
+		return;
+	latency_add(kind, now_us, total_us, end == LIMIT_END_OK);
+	if (end != LIMIT_END_OK)
+		return;
+	if (counted)
+		latency_sample(kind, total_us, own_us);
+	limit->completions++;
+	smooth(&limit->typical_us, (double)total_us);
+	smooth(&limit->own_us, (double)own_us);
+	if (limit->phase == LIMIT_STARTUP)
+		startup_finish(limit, kind, (double)total_us, (double)own_us,
+			       was_full);
 }
 
-static void start_probe(limit_t *limit, int64_t now_us, double inflight,
-			double latency_us, double rate)
+void limit_shed(limit_t *limit, int64_t now_us)
 {
-	limit->phase = LIMIT_PROBE;
-	limit->probe_steps = 0;
-	limit->probe_rate = rate;
-	start_probe_step(limit, now_us, inflight, latency_us);
+	if (now_us < limit->next_shed_us)
+		return;
+	limit->next_shed_us =
+		now_us + (int64_t)limit->typical_us + 20 * CAS_USEC_PER_MSEC;
+	limit->ceiling = max_of(min_of(limit->limit, limit->inflight + 1.0) *
+					LIMIT_SHED_FALL,
+				LIMIT_MIN);
+	limit->phase = LIMIT_CRUISE;
+	set_limit(limit, limit->ceiling);
 }
 
-static void end_probe(limit_t *limit, int64_t now_us, double latency_us,
-		      double rate)
+static void start_marking(limit_t *limit, int64_t now_us)
 {
-	double before = limit->limit;
-
-	limit->phase = LIMIT_CRUISE;
-	limit->next_probe_us = now_us + PROBE_INTERVAL_US;
-	limit->base_us = (int64_t)latency_us;
-	memset(limit->rates, 0, sizeof(limit->rates));
-	push_rate(limit, max_of(limit->probe_rate, rate));
-	set_limit(limit, min_of(max_of(target(limit), before * LIMIT_FALL),
-				before * LIMIT_GROWTH));
 	start_period(limit, now_us);
+	limit->marked = 0;
+	limit->marked_done = 0;
+	limit->marked_to_us = now_us - 1;
 }
 
-static void probe_period(limit_t *limit, int64_t now_us, double inflight,
-			 double latency_us, double rate)
+static void start_probe(limit_t *limit, int64_t now_us, double inflight,
+			const latency_period_t *period)
 {
-	bool queueing =
-		latency_us < limit->probe_latency_us * PROBE_STILL_QUEUEING;
+	double wanted = knee(inflight, period->inflation, period->own_share) *
+			PROBE_STEP;
 
-	if (queueing && limit->probe_steps < PROBE_MAX_STEPS &&
-	    limit->effective > LIMIT_MIN)
-		start_probe_step(limit, now_us, inflight, latency_us);
-	else
-		end_probe(limit, now_us, latency_us, rate);
+	wanted = max_of(wanted, inflight * PROBE_DEEPEST);
+	limit->phase = LIMIT_PROBE;
+	limit->probe_inflight = inflight;
+	limit->probe_before = *period;
+	limit->effective = max_of(wanted, LIMIT_MIN);
+	start_marking(limit, now_us);
 }
 
-/* Grows quickly until a period brings neither more rate nor an unchanged
- * latency. */
-static void startup_period(limit_t *limit, double latency_us, double rate)
+static void end_probe(limit_t *limit, int64_t now_us, double inflation)
 {
-	bool slower = latency_us > (double)limit->base_us * 1.3;
-	bool faster = rate > highest_rate(limit) * 1.15;
+	const latency_period_t *before = &limit->probe_before;
+	double target = knee(limit->probe_inflight,
+			     before->inflation / inflation, before->own_share) *
+			LIMIT_GAIN;
 
-	limit->flat_periods = faster ? 0 : limit->flat_periods + 1;
-	push_rate(limit, rate);
-	if (slower || limit->flat_periods >= 2)
-		limit->phase = LIMIT_CRUISE;
-	else
-		set_limit(limit, limit->limit * LIMIT_STARTUP_GROWTH);
+	limit->phase = LIMIT_CRUISE;
+	limit->next_probe_us = now_us + PROBE_INTERVAL_US;
+	limit->early_probe_us = now_us + PROBE_EARLY_US;
+	latency_scale(&limit->latency, inflation);
+	set_limit(limit, min_of(max_of(target, limit->limit * LIMIT_FALL),
+				limit->limit * LIMIT_GROWTH));
 }
 
-static bool probe_due(const limit_t *limit, int64_t now_us, double latency_us)
+static bool probe_due(const limit_t *limit, int64_t now_us, double inflation)
 {
-	int64_t early_us =
-		limit->next_probe_us - PROBE_INTERVAL_US + PROBE_EARLY_US;
-
 	if (now_us >= limit->next_probe_us)
 		return true;
-	return now_us >= early_us &&
-	       latency_us > (double)limit->base_us * PROBE_EARLY_RATIO;
+	return now_us >= limit->early_probe_us &&
+	       inflation > PROBE_EARLY_INFLATION;
 }
 
 static void cruise_period(limit_t *limit, int64_t now_us, double inflight,
-			  double latency_us, double rate)
+			  const latency_period_t *period)
 {
-	double wanted;
+	double wanted = knee(inflight, period->inflation, period->own_share) *
+			LIMIT_GAIN;
 
-	push_rate(limit, rate);
 	if (limit->ceiling > 0)
 		limit->ceiling *= LIMIT_CEILING_GROWTH;
-	if (probe_due(limit, now_us, latency_us)) {
-		start_probe(limit, now_us, inflight, latency_us, rate);
-		return;
-	}
-	wanted = target(limit);
-	if (wanted > limit->limit)
+	if (probe_due(limit, now_us, period->inflation))
+		start_probe(limit, now_us, inflight, period);
+	else if (wanted > limit->limit)
 		set_limit(limit, min_of(wanted, limit->limit * LIMIT_GROWTH));
 }
 
+/* Lower latencies are taken over at any load, higher ones without load. */
+static void follow_base(limit_t *limit, double inflight,
+			const latency_period_t *period)
+{
+	bool unloaded = inflight < limit->limit * UNLOADED;
+	double weight =
+		0.5 * min_of(1, (double)period->count / PERIOD_COMPLETIONS);
+
+	if (period->inflation < 1 || unloaded)
+		latency_scale(&limit->latency,
+			      1 + weight * (period->inflation - 1));
+}
+
 static void end_period(limit_t *limit, int64_t now_us)
 {
 	double elapsed = (double)(now_us - limit->start_us);
-	double latency = (double)limit->latency_sum_us / limit->completions;
-	double rate = limit->completions * (double)CAS_USEC_PER_SEC / elapsed;
 	double inflight = limit->inflight_time / elapsed;
 	bool bound = limit->bound_time > elapsed / 2;
+	latency_period_t period = latency_end_period(&limit->latency);
 
 	start_period(limit, now_us);
 	if (limit->phase == LIMIT_PROBE) {
-		probe_period(limit, now_us, inflight, latency, rate);
+		end_probe(limit, now_us, period.inflation);
 		return;
 	}
-	if (!limit->base_us || latency < (double)limit->base_us)
-		limit->base_us = (int64_t)latency;
-	else if (inflight < limit->limit * 0.6)
-		limit->base_us += ((int64_t)latency - limit->base_us) / 2;
-	if (!bound)
-		return;
-	if (limit->phase == LIMIT_STARTUP)
-		startup_period(limit, latency, rate);
-	else
-		cruise_period(limit, now_us, inflight, latency, rate);
+	follow_base(limit, inflight, &period);
+	if (bound && limit->phase == LIMIT_CRUISE)
+		cruise_period(limit, now_us, inflight, &period);
 }
 
-static void age_typical(limit_t *limit, int64_t now_us)
+/* A probe first waits until the lower limit is reached, so that nothing queues
+ * in the upstream. It then marks the next requests and ends when they have. */
+static bool probe_is_over(limit_t *limit, int64_t now_us)
 {
-	if (now_us - limit->typical_at_us < TYPICAL_STALE_US)
-		return;
-	limit->typical_at_us = now_us;
-	limit->typical_us /= 2;
+	int64_t elapsed = now_us - limit->start_us;
+
+	if (!limit->marked && limit->inflight > (int)limit->effective + 1) {
+		start_marking(limit, now_us);
+		return false;
+	}
+	if (elapsed >= PROBE_MAX_US)
+		return true;
+	return limit->marked == PROBE_REQUESTS &&
+	       limit->marked_done >= limit->marked;
 }
 
-void limit_tick(limit_t *limit, int64_t now_us)
+static bool period_is_over(const limit_t *limit, int64_t now_us)
 {
+	bool startup = limit->phase == LIMIT_STARTUP;
+	double latencies = startup ? 1 : PERIOD_LATENCIES;
+	int completions = startup ? STARTUP_COMPLETIONS : PERIOD_COMPLETIONS;
 	int64_t elapsed = now_us - limit->start_us;
-	double wanted = limit->typical_us * PERIOD_LATENCIES;
+
+	if (elapsed < PERIOD_MIN_US)
+		return false;
+	if (elapsed >= PERIOD_MAX_US)
+		return true;
+	return limit->completions >= completions &&
+	       (double)elapsed >= limit->own_us * latencies;
+}
+
+void limit_tick(limit_t *limit, int64_t now_us)
+{
+	bool over;
 
 	account(limit, now_us);
-	age_typical(limit, now_us);
-	if (elapsed < PERIOD_MIN_US || (double)elapsed < wanted)
-		if (elapsed < PERIOD_MAX_US)
-			return;
-	if (limit->completions < PERIOD_COMPLETIONS && elapsed < PERIOD_MAX_US)
+	if (limit->phase == LIMIT_PROBE)
+		over = probe_is_over(limit, now_us);
+	else
+		over = period_is_over(limit, now_us);
+	if (!over)
 		return;
 	if (limit->completions)
 		end_period(limit, now_us);
--- a/packages/admission/queue.c
+++ b/packages/admission/queue.c
@@ -33,22 +33,11 @@
 	class->prev_active->next_active = class->next_active;
 }
 
-static void note_time(admission_t *admission)
-{
-	int64_t now_us = cas_clock_now(admission->clock);
-
-	if (admission->queued)
-		admission->queue_busy_us +=
-			now_us - admission->queue_changed_us;
-	admission->queue_changed_us = now_us;
-}
-
 void queue_push(admission_t *admission, admission_ticket_t *ticket)
 {
 	request_class_t *class = ticket->class;
 	ticket_link_t *head = &class->queue;
 
-	note_time(admission);
 	ticket->link.next = head;
 	ticket->link.prev = head->prev;
 	head->prev->next = &ticket->link;
@@ -63,7 +52,6 @@
 {
 	request_class_t *class = ticket->class;
 
-	note_time(admission);
 	ticket->link.prev->next = ticket->link.next;
 	ticket->link.next->prev = ticket->link.prev;
 	if (!--class->queued)
