--- a/packages/membership/exchange.c
+++ b/packages/membership/exchange.c
@@ -10,6 +10,11 @@
 /* A first reply makes confirmations possible; the next beat comes early. */
 #define EARLY_BEAT_US (100 * CAS_USEC_PER_MSEC)
 #define EARLY_GAP_US (300 * CAS_USEC_PER_MSEC)
+/* Period for a short time after a new list, so that the fence at the new
+ * revision is held before the confirmations of the earlier one end. */
+#define FAST_PERIOD_US (300 * CAS_USEC_PER_MSEC)
+/* A leader that is silent for this long is called by both sides. */
+#define LEADER_SILENT_US (2500 * CAS_USEC_PER_MSEC)
 
 static void add_target(membership_t *m, cas_id_t to, uint32_t kind, bool probe)
 {
@@ -77,8 +82,10 @@
 		index = leaders.index[rank < leaders.count ? rank : 0];
 	else
 		index = any_of_group(m, other);
-	add_target(m, m->view->ids[index], MEMBERSHIP_KIND_GROUP,
-		   leaders.count == 0);
+	if (is_caller(own, other) ||
+	    now - m->members[index].direct_us > LEADER_SILENT_US)
+		add_target(m, m->view->ids[index], MEMBERSHIP_KIND_GROUP,
+			   leaders.count == 0);
 }
 
 static void add_other_target(membership_t *m, other_dc_t *other)
@@ -105,7 +112,7 @@
 	for (size_t i = 0; i < groups; i++) {
 		bool mine = own->count == 1 || (group + i) % own->count == rank;
 
-		if (i != group && mine && is_caller(group, i))
+		if (i != group && mine)
 			add_group_target(m, group, i, now);
 	}
 	for (size_t i = slot; slots && i < m->other_count; i += slots)
@@ -205,12 +212,15 @@
 
 void membership_exchange_tick(membership_t *m, int64_t now)
 {
+	int64_t period_us =
+		now < m->fast_until_us ? FAST_PERIOD_US : MEMBERSHIP_PERIOD_US;
+
 	if (!m->view)
 		return;
 	if (now >= m->next_beat_us) {
-		m->next_beat_us += MEMBERSHIP_PERIOD_US;
+		m->next_beat_us += period_us;
 		if (m->next_beat_us <= now)
-			m->next_beat_us = now + MEMBERSHIP_PERIOD_US;
+			m->next_beat_us = now + period_us;
 		m->last_beat_us = now;
 		m->retry_us = now + RETRY_US;
 		beat_all(m, now);
--- a/packages/membership/membership.c
+++ b/packages/membership/membership.c
@@ -3,7 +3,10 @@
 
 #include "membership_internal.h"
 
+/* The first beat after a new list comes within this time. */
 #define ADOPT_BEAT_MS 200
+/* How long beats come faster after a new list. */
+#define ADOPT_FAST_US (2 * CAS_USEC_PER_SEC)
 
 membership_t *membership_create(TALLOC_CTX *ctx, const cas_clock_t *clock,
 				cas_rng_t *rng, const membership_ops_t *ops,
@@ -192,6 +195,7 @@
 		m->newest.roster_revision = roster->revision;
 		m->newest.roster_host = 0;
 	}
+	m->fast_until_us = now + ADOPT_FAST_US;
 	if (m->next_beat_us > beat_us)
 		m->next_beat_us = beat_us;
 	if (resize_targets(m))
--- a/packages/membership/membership_internal.h
+++ b/packages/membership/membership_internal.h
@@ -108,6 +108,7 @@
 
 	int64_t next_beat_us;
 	int64_t last_beat_us;
+	int64_t fast_until_us;
 	int64_t retry_us; /* INT64_MAX: none */
 	target_t *targets;
 	size_t target_count;
