membership: shorten messages

Cause: the leaders' largest sender was over 2 KB/s; member replies carried two bitmaps, leader messages two bytes a host and empty summaries. Change: one byte a host while all have confirmed for long, the alive bitmap only when a host is not, the summary optional, time held beside the flags.

--- a/packages/membership/beat.c
+++ b/packages/membership/beat.c
@@ -3,7 +3,7 @@
 
 /* A stamp may seem this far ahead when two clocks drift apart. */
 #define STAMP_AHEAD_MS 100
-#define HELD_MAX_MS 3600000
+#define HELD_MAX_MS ((1 << (32 - MEMBERSHIP_FLAG_BITS)) - 1)
 
 uint32_t membership_stamp(const membership_t *m, int64_t now)
 {
@@ -107,7 +107,7 @@
 		beat.flags |= MEMBERSHIP_FLAG_DRAINING;
 	if (membership_confirming(m, now)) {
 		beat.flags |= MEMBERSHIP_FLAG_CONFIRMING;
-		beat.held_ms = held_ms(m, now);
+		beat.flags |= held_ms(m, now) << MEMBERSHIP_FLAG_BITS;
 	}
 	put_runs(m, kind, &m->beat_buffer, &beat.runs.runs_len,
 		 &beat.runs.runs_val, now);
@@ -134,6 +134,7 @@
 {
 	view_t *view = membership_view_at(m, beat->roster_revision);
 	int index = membership_view_find(view, from);
+	int64_t held_ms = beat->flags >> MEMBERSHIP_FLAG_BITS;
 	int64_t made_us;
 
 	if (!(beat->flags & MEMBERSHIP_FLAG_ECHO) ||
@@ -141,7 +142,7 @@
 		return;
 	if (index >= 0 && (beat->flags & MEMBERSHIP_FLAG_CONFIRMING))
 		membership_view_confirm(view, (size_t)index,
-					now - beat->held_ms * INT64_C(1000),
+					now - held_ms * 1000,
 					made_us + MEMBERSHIP_LEASE_US);
 	membership_merge_runs(m, beat->roster_revision, beat->runs.runs_val,
 			      beat->runs.runs_len, made_us, now);
@@ -197,7 +198,9 @@
 	member = &m->members[index];
 	member->stamp_ms = reply->stamp_ms;
 	member->stamp_at_us = now;
-	membership_merge_summary(m, reply, sent_us, now);
+	if (reply->summary)
+		membership_merge_summary(m, reply->roster_revision,
+					 reply->summary, sent_us, now);
 	membership_merge_runs(m, reply->roster_revision, reply->runs.runs_val,
 			      reply->runs.runs_len, sent_us, now);
 }
--- a/packages/membership/membership_internal.h
+++ b/packages/membership/membership_internal.h
@@ -79,7 +79,9 @@
 /* Owned copies of what a message points to. */
 typedef struct relay_buffer {
 	membership_run run;
-	char *entries;
+	membership_summary summary;
+	char *lives;
+	char *helds;
 	char *bitmaps[3];
 } relay_buffer_t;
 
@@ -161,7 +163,8 @@
 void membership_merge_runs(membership_t *m, int64_t revision,
 			   const membership_run *runs, size_t count,
 			   int64_t base_us, int64_t now);
-void membership_merge_summary(membership_t *m, const membership_reply *reply,
+void membership_merge_summary(membership_t *m, int64_t revision,
+			      const membership_summary *summary,
 			      int64_t base_us, int64_t now);
 
 /* beat.c */
--- a/packages/membership/messages/membership.x
+++ b/packages/membership/messages/membership.x
@@ -17,20 +17,23 @@
 const MEMBERSHIP_KIND_REMOTE = 3;
 const MEMBERSHIP_KIND_MASK = 3;
 /* Further flags of a beat. */
+const MEMBERSHIP_FLAG_BITS = 8;
 const MEMBERSHIP_FLAG_DRAINING = 4;
 const MEMBERSHIP_FLAG_CONFIRMING = 8;
 const MEMBERSHIP_FLAG_ECHO = 16; /* echo_ms is set */
 
 /*
- * Two bytes for each host from index first on, in the list of the sender's
- * data centre at the roster revision of the message. Byte 0: what is left of
- * the lease since the host was heard, in units of 25 ms. Byte 1, high bit:
- * draining; other bits: 0 when the host does not confirm the revision, else 1
- * plus the time it has been at the revision in units of 128 ms.
+ * One byte in each array for each host from index first on, in the list of the
+ * sender's data centre at the roster revision of the message. lives: what is
+ * left of the lease since the host was heard, in units of 25 ms. helds, high
+ * bit: draining; other bits: 0 when the host does not confirm the revision,
+ * else 1 plus the time it has been at the revision in units of 128 ms. helds
+ * is empty when every host has the longest time told and none is draining.
  */
 struct membership_run {
 	unsigned int first;
-	opaque entries<MEMBERSHIP_RUN_MAX>;
+	opaque lives<MEMBERSHIP_RUN_MAX>;
+	opaque helds<MEMBERSHIP_RUN_MAX>;
 };
 
 struct membership_beat {
@@ -38,23 +41,25 @@
 	hyper table_revision;
 	unsigned int stamp_ms; /* sender's clock */
 	unsigned int echo_ms; /* receiver's clock, at latest when it was sent */
-	unsigned int held_ms; /* time at the roster revision */
-	unsigned int flags;
+	unsigned int flags; /* above MEMBERSHIP_FLAG_BITS: ms at the revision */
 	membership_run runs<MEMBERSHIP_RUNS_MAX>;
 };
 
-/* The bitmaps have one bit for each host of the data centre, and are empty
- * when the reply is not to a member. */
+/* The data centre for a member; bitmaps have one bit for each host. */
+struct membership_summary {
+	unsigned int life_ms; /* shortest remaining lifetime of confirming */
+	unsigned int held_ms; /* shortest time at the revision of confirming */
+	opaque confirming<MEMBERSHIP_BITMAP_MAX>;
+	opaque alive<MEMBERSHIP_BITMAP_MAX>; /* empty: all */
+	opaque draining<MEMBERSHIP_BITMAP_MAX>; /* empty: none */
+};
+
 struct membership_reply {
 	hyper roster_revision;
 	hyper table_revision;
 	unsigned int stamp_ms; /* sender's clock */
 	unsigned int echo_ms; /* stamp of the beat */
-	unsigned int life_ms; /* shortest remaining lifetime of confirming */
-	unsigned int held_ms; /* shortest time at the revision of confirming */
-	opaque confirming<MEMBERSHIP_BITMAP_MAX>;
-	opaque alive<MEMBERSHIP_BITMAP_MAX>;
-	opaque draining<MEMBERSHIP_BITMAP_MAX>;
+	membership_summary *summary;
 	membership_run runs<MEMBERSHIP_RUNS_MAX>;
 };
 
--- a/packages/membership/relay.c
+++ b/packages/membership/relay.c
@@ -6,27 +6,32 @@
 
 #define LIFE_UNIT_US (25 * CAS_USEC_PER_MSEC)
 #define HELD_UNIT_US (128 * CAS_USEC_PER_MSEC)
-#define HELD_CODE_MAX 127
+/* The longest time told; above MEMBERSHIP_SETTLE_US. */
+#define HELD_CODE_MAX 66
 #define HELD_CODE_MASK 0x7f
 #define DRAINING_BIT 0x80
 #define HELD_MAX_US ((HELD_CODE_MAX - 1) * HELD_UNIT_US)
 #define BITMAP_HOSTS_MAX (MEMBERSHIP_BITMAP_MAX * 8)
 
+static bool resize_one(membership_t *m, char **storage, size_t size)
+{
+	char *resized = talloc_realloc(m, *storage, char, size);
+
+	if (resized)
+		*storage = resized;
+	return resized;
+}
+
 static int resize(membership_t *m, relay_buffer_t *buffer)
 {
 	size_t count = m->view->count;
-	char *entries = talloc_realloc(m, buffer->entries, char, 2 * count + 1);
 
-	if (!entries)
+	if (!resize_one(m, &buffer->lives, count + 1) ||
+	    !resize_one(m, &buffer->helds, count + 1))
 		return MEMBERSHIP_ENOMEM;
-	buffer->entries = entries;
 	for (size_t i = 0; i < 3; i++) {
-		char *bitmap = talloc_realloc(m, buffer->bitmaps[i], char,
-					      count / 8 + 1);
-
-		if (!bitmap)
+		if (!resize_one(m, &buffer->bitmaps[i], count / 8 + 1))
 			return MEMBERSHIP_ENOMEM;
-		buffer->bitmaps[i] = bitmap;
 	}
 	return 0;
 }
@@ -60,37 +65,44 @@
 	return *life_us > 0;
 }
 
-static void put_entry(const membership_t *m, size_t index, int64_t now,
-		      uint8_t entry[2])
+/* Writes one host's bytes. Returns true when the second one says more than
+ * that the host has confirmed for long. */
+static bool put_entry(const membership_t *m, size_t index, int64_t now,
+		      char *life, char *held)
 {
 	const member_t *member = &m->members[index];
 	int64_t life_us;
 	int64_t held_us;
-
-	if (confirmation_of(m, index, now, &life_us, &held_us)) {
-		entry[1] = (uint8_t)(1 + held_us / HELD_UNIT_US);
-	} else {
-		entry[1] = 0;
-		life_us = (int)index == m->view->self ? MEMBERSHIP_LEASE_US
-			  : member->known ? member->heard_until_us - now
-					  : 0;
-	}
-	entry[0] = life_us > 0 ? (uint8_t)(life_us / LIFE_UNIT_US) : 0;
-	if (member->draining)
-		entry[1] |= DRAINING_BIT;
+	uint8_t code = 0;
+
+	if (confirmation_of(m, index, now, &life_us, &held_us))
+		code = (uint8_t)(1 + held_us / HELD_UNIT_US);
+	else if ((int)index == m->view->self)
+		life_us = MEMBERSHIP_LEASE_US;
+	else
+		life_us = member->known ? member->heard_until_us - now : 0;
+	*life = (char)(life_us > 0 ? life_us / LIFE_UNIT_US : 0);
+	*held = (char)(code | (member->draining ? DRAINING_BIT : 0));
+	return *life && (code != HELD_CODE_MAX || member->draining);
 }
 
 void membership_relay_run(membership_t *m, relay_buffer_t *buffer, size_t first,
 			  size_t count, int64_t now)
 {
+	bool any_held = false;
+
 	if (count > MEMBERSHIP_RUN_HOSTS)
 		count = MEMBERSHIP_RUN_HOSTS;
-	for (size_t i = 0; i < count; i++)
-		put_entry(m, first + i, now,
-			  (uint8_t *)buffer->entries + 2 * i);
+	for (size_t i = 0; i < count; i++) {
+		if (put_entry(m, first + i, now, &buffer->lives[i],
+			      &buffer->helds[i]))
+			any_held = true;
+	}
 	buffer->run.first = (u_int)first;
-	buffer->run.entries.entries_val = buffer->entries;
-	buffer->run.entries.entries_len = (u_int)(2 * count);
+	buffer->run.lives.lives_val = buffer->lives;
+	buffer->run.lives.lives_len = (u_int)count;
+	buffer->run.helds.helds_val = buffer->helds;
+	buffer->run.helds.helds_len = any_held ? (u_int)count : 0;
 }
 
 static int descending(const void *a, const void *b)
@@ -157,67 +169,102 @@
 	return index / 8 < len && (bitmap[index / 8] >> (index % 8)) & 1;
 }
 
+static bool is_chosen(const membership_t *m, const choice_t *choice,
+		      size_t index, int64_t now)
+{
+	int64_t life_us;
+	int64_t held_us;
+
+	return confirmation_of(m, index, now, &life_us, &held_us) &&
+	       life_us >= choice->least_life_us &&
+	       held_us >= choice->least_held_us;
+}
+
+static bool is_heard(const membership_t *m, size_t index, int64_t now)
+{
+	return (int)index == m->view->self ||
+	       (m->members[index].known && membership_is_live(m, index, now));
+}
+
 void membership_relay_summary(membership_t *m, membership_reply *reply,
 			      int64_t now)
 {
+	membership_summary *summary = &m->reply_buffer.summary;
 	char **bitmaps = m->reply_buffer.bitmaps;
 	size_t hosts = (size_t)min64((int64_t)m->view->count, BITMAP_HOSTS_MAX);
 	u_int len = (u_int)((hosts + 7) / 8);
-	bool any_draining = false;
 	choice_t choice;
 	bool chosen = choose(m, &choice, now);
-	int64_t life_us;
-	int64_t held_us;
+	bool any_dead = false;
+	bool any_draining = false;
 
 	for (size_t i = 0; i < 3; i++)
 		memset(bitmaps[i], 0, len);
 	for (size_t i = 0; i < hosts; i++) {
-		const member_t *member = &m->members[i];
-
-		if (chosen && confirmation_of(m, i, now, &life_us, &held_us) &&
-		    life_us >= choice.least_life_us &&
-		    held_us >= choice.least_held_us)
+		if (chosen && is_chosen(m, &choice, i, now))
 			set_bit(bitmaps[0], i);
-		if (membership_is_live(m, i, now) &&
-		    (member->known || (int)i == m->view->self))
+		if (is_heard(m, i, now))
 			set_bit(bitmaps[1], i);
-		if (member->draining) {
+		else
+			any_dead = true;
+		if (m->members[i].draining) {
 			set_bit(bitmaps[2], i);
 			any_draining = true;
 		}
 	}
-	if (chosen) {
-		reply->life_ms = (u_int)(choice.least_life_us / 1000);
-		reply->held_ms = (u_int)(choice.least_held_us / 1000);
-		reply->confirming.confirming_val = bitmaps[0];
-		reply->confirming.confirming_len = len;
-	}
-	reply->alive.alive_val = bitmaps[1];
-	reply->alive.alive_len = len;
-	reply->draining.draining_val = bitmaps[2];
-	reply->draining.draining_len = any_draining ? len : 0;
+	*summary = (membership_summary){
+		.life_ms = chosen ? (u_int)(choice.least_life_us / 1000) : 0,
+		.held_ms = chosen ? (u_int)(choice.least_held_us / 1000) : 0,
+		.confirming = { chosen ? len : 0, bitmaps[0] },
+		.alive = { any_dead ? len : 0, bitmaps[1] },
+		.draining = { any_draining ? len : 0, bitmaps[2] },
+	};
+	reply->summary = summary;
 }
 
 /* Takes an entry that its sender knew to be true at base_us or later. */
 static void merge_entry(membership_t *m, view_t *view, size_t index,
-			const uint8_t entry[2], int64_t base_us, int64_t now)
+			uint8_t life, uint8_t held, int64_t base_us,
+			int64_t now)
 {
-	int64_t until_us = base_us + entry[0] * LIFE_UNIT_US;
-	int code = entry[1] & HELD_CODE_MASK;
+	int64_t until_us = base_us + life * LIFE_UNIT_US;
+	int code = held & HELD_CODE_MASK;
 	member_t *member;
 
-	if ((int)index == view->self || entry[0] == 0 ||
-	    entry[0] * LIFE_UNIT_US > MEMBERSHIP_LEASE_US)
+	if ((int)index == view->self || life == 0 ||
+	    life * LIFE_UNIT_US > MEMBERSHIP_LEASE_US)
 		return;
 	if (code > 0)
 		membership_view_confirm(
 			view, index, now - (code - 1) * HELD_UNIT_US, until_us);
+	if (view != m->view)
+		return;
 	member = &m->members[index];
-	if (view != m->view || until_us <= member->heard_until_us)
+	if (until_us <= member->heard_until_us)
 		return;
 	member->heard_until_us = until_us;
 	member->known = true;
-	member->draining = entry[1] & DRAINING_BIT;
+	member->draining = held & DRAINING_BIT;
+}
+
+static void merge_run(membership_t *m, view_t *view, const membership_run *run,
+		      int64_t base_us, int64_t now)
+{
+	const char *helds = run->helds.helds_val;
+
+	if (run->helds.helds_len &&
+	    run->helds.helds_len != run->lives.lives_len)
+		return;
+	for (size_t i = 0; i < run->lives.lives_len; i++) {
+		size_t index = (size_t)run->first + i;
+
+		if (index >= view->count)
+			break;
+		merge_entry(m, view, index, (uint8_t)run->lives.lives_val[i],
+			    run->helds.helds_len ? (uint8_t)helds[i]
+						 : HELD_CODE_MAX,
+			    base_us, now);
+	}
 }
 
 void membership_merge_runs(membership_t *m, int64_t revision,
@@ -226,25 +273,11 @@
 {
 	view_t *view = membership_view_at(m, revision);
 
-	if (!view)
-		return;
-	for (size_t i = 0; i < count; i++) {
-		const uint8_t *entries =
-			(const uint8_t *)runs[i].entries.entries_val;
-		size_t hosts = runs[i].entries.entries_len / 2;
-
-		for (size_t k = 0; k < hosts; k++) {
-			size_t index = (size_t)runs[i].first + k;
-
-			if (index >= view->count)
-				break;
-			merge_entry(m, view, index, entries + 2 * k, base_us,
-				    now);
-		}
-	}
+	for (size_t i = 0; view && i < count; i++)
+		merge_run(m, view, &runs[i], base_us, now);
 }
 
-static void merge_alive(membership_t *m, const membership_reply *reply,
+static void merge_alive(membership_t *m, const membership_summary *summary,
 			size_t index, int64_t now)
 {
 	member_t *member = &m->members[index];
@@ -252,11 +285,12 @@
 		   membership_own_group(m);
 	int64_t limit_us = now + MEMBERSHIP_LEASE_US -
 			   (own ? LIVE_GROUP_US : LIVE_OTHER_US);
+	int64_t until_us =
+		min64(limit_us + LIVE_SUMMARY_US, now + MEMBERSHIP_LEASE_US);
 
-	if (get_bit(reply->alive.alive_val, reply->alive.alive_len, index)) {
-		int64_t until_us = min64(limit_us + LIVE_SUMMARY_US,
-					 now + MEMBERSHIP_LEASE_US);
-
+	if (summary->alive.alive_len == 0 ||
+	    get_bit(summary->alive.alive_val, summary->alive.alive_len,
+		    index)) {
 		if (until_us > member->heard_until_us)
 			member->heard_until_us = until_us;
 		member->known = true;
@@ -264,26 +298,27 @@
 		   member->heard_until_us > limit_us) {
 		member->heard_until_us = limit_us;
 	}
-	member->draining = get_bit(reply->draining.draining_val,
-				   reply->draining.draining_len, index);
+	member->draining = get_bit(summary->draining.draining_val,
+				   summary->draining.draining_len, index);
 }
 
-void membership_merge_summary(membership_t *m, const membership_reply *reply,
+void membership_merge_summary(membership_t *m, int64_t revision,
+			      const membership_summary *summary,
 			      int64_t base_us, int64_t now)
 {
-	view_t *view = membership_view_at(m, reply->roster_revision);
-	int64_t expire_us = base_us + (int64_t)reply->life_ms * 1000;
-	int64_t since_us = now - (int64_t)reply->held_ms * 1000;
+	view_t *view = membership_view_at(m, revision);
+	int64_t expire_us = base_us + (int64_t)summary->life_ms * 1000;
+	int64_t since_us = now - (int64_t)summary->held_ms * 1000;
 
-	if (!view || reply->life_ms * INT64_C(1000) > MEMBERSHIP_LEASE_US)
+	if (!view || summary->life_ms * INT64_C(1000) > MEMBERSHIP_LEASE_US)
 		return;
 	for (size_t i = 0; i < view->count; i++) {
 		if ((int)i == view->self)
 			continue;
-		if (get_bit(reply->confirming.confirming_val,
-			    reply->confirming.confirming_len, i))
+		if (get_bit(summary->confirming.confirming_val,
+			    summary->confirming.confirming_len, i))
 			membership_view_confirm(view, i, since_us, expire_us);
-		if (view == m->view && reply->alive.alive_len)
-			merge_alive(m, reply, i, now);
+		if (view == m->view)
+			merge_alive(m, summary, i, now);
 	}
 }
