membership: spread the leaders' work evenly

Cause: the largest sender was a second leader with six pairs of groups, calls to another data centre every second and notices to every member, which the other leader notified too. Change: first leaders call other data centres, in every second period, at hosts that do not lead; the first leader calls the second; each leader notifies the members that it serves.

--- a/packages/membership/exchange.c
+++ b/packages/membership/exchange.c
@@ -3,7 +3,7 @@
  * parity of its index, or to both when the data centre is one group. The two
  * leaders of a group share the other groups by parity, and each pair of groups
  * has one caller, since an exchange carries both groups' confirmations. The
- * second leader exchanges all it knows with the first.
+ * first leader exchanges all it knows with the second.
  */
 #include "membership_internal.h"
 
@@ -88,35 +88,63 @@
 			   leaders.count == 0);
 }
 
+/* Returns a host that is not listed among the first of its group, as these
+ * carry the leaders' work; any host passes revisions on. */
+static cas_id_t any_of_other(const membership_t *m, const other_dc_t *other)
+{
+	size_t index = cas_rng_below(m->rng, (uint32_t)other->count);
+	size_t group = membership_group_of(other->count, index);
+	size_t start = membership_group_start(other->count, group);
+	size_t end = membership_group_start(other->count, group + 1);
+
+	if (index < start + LEADER_COUNT && start + LEADER_COUNT < end)
+		index = end - 1;
+	return other->hosts[index];
+}
+
 static void add_other_target(membership_t *m, other_dc_t *other)
 {
 	if (!other->contact && other->count)
-		other->contact = other->hosts[cas_rng_below(
-			m->rng, (uint32_t)other->count)];
+		other->contact = any_of_other(m, other);
 	if (other->contact)
 		add_target(m, other->contact, MEMBERSHIP_KIND_REMOTE, false);
 }
 
+/*
+ * The first leaders share the other data centres, or both leaders of a single
+ * group do. These are called in every second period: news spreads by notices,
+ * and links between regions are billed by volume.
+ */
+static void add_other_targets(membership_t *m, size_t leaders, size_t rank)
+{
+	size_t groups = membership_group_count(m->view->count);
+	size_t slots = groups > 1 ? groups : leaders;
+	size_t slot = groups > 1 ? membership_own_group(m) : rank;
+
+	m->other_turn = !m->other_turn;
+	if (m->other_turn || slots == 0 || (groups > 1 && rank > 0))
+		return;
+	for (size_t i = slot; i < m->other_count; i += slots)
+		add_other_target(m, &m->others[i]);
+}
+
 static void add_leader_targets(membership_t *m, const leaders_t *own,
 			       size_t rank, int64_t now)
 {
 	size_t groups = membership_group_count(m->view->count);
 	size_t group = membership_own_group(m);
-	/* The leaders of the data centre share the other data centres. */
-	size_t slots = groups * own->count;
-	size_t slot = group * own->count + rank;
 
-	if (rank == 1)
-		add_target(m, m->view->ids[own->index[0]],
+	if (rank == 0 && own->count > 1)
+		add_target(m, m->view->ids[own->index[1]],
 			   MEMBERSHIP_KIND_SIBLING, false);
 	for (size_t i = 0; i < groups; i++) {
-		bool mine = own->count == 1 || (group + i) % own->count == rank;
+		bool mine =
+			own->count == 1 || (group + i) % LEADER_COUNT == rank;
 
 		if (i != group && mine)
 			add_group_target(m, group, i, now);
 	}
-	for (size_t i = slot; slots && i < m->other_count; i += slots)
-		add_other_target(m, &m->others[i]);
+	add_other_targets(m, own->count, rank);
 	add_probe(m, group, now);
 }
 
--- a/packages/membership/membership_internal.h
+++ b/packages/membership/membership_internal.h
@@ -115,6 +115,7 @@
 	target_t *targets;
 	size_t target_count;
 	size_t relay_first;
+	bool other_turn;
 	relay_buffer_t beat_buffer;
 	relay_buffer_t reply_buffer;
 
--- a/packages/membership/notice.c
+++ b/packages/membership/notice.c
@@ -33,14 +33,21 @@
 	}
 }
 
-static void add_group(membership_t *m, int64_t now)
+/* The other leader, and the members that this leader serves. */
+static void add_group(membership_t *m, int64_t now, size_t rank)
 {
 	size_t group = membership_own_group(m);
 	size_t end = membership_group_start(m->view->count, group + 1);
+	leaders_t leaders;
 
+	membership_leaders(m, group, now, &leaders);
+	for (size_t i = 0; i < leaders.count; i++)
+		add_notice(m, m->view->ids[leaders.index[i]], NULL);
 	for (size_t i = membership_group_start(m->view->count, group); i < end;
 	     i++) {
-		if (membership_is_live(m, i, now))
+		bool served = leaders.count == 1 || i % LEADER_COUNT == rank;
+
+		if (served && membership_is_live(m, i, now))
 			add_notice(m, m->view->ids[i], NULL);
 	}
 }
@@ -67,7 +74,7 @@
 {
 	m->notice_count = 0;
 	if (rank >= 0) {
-		add_group(m, now);
+		add_group(m, now, (size_t)rank);
 		add_others(m, (size_t)rank);
 	}
 	if (rank < 0 || membership_is_watcher(m))
