--- a/packages/membership/membership_internal.h
+++ b/packages/membership/membership_internal.h
@@ -79,7 +79,9 @@
 /* Owned copies of what a message points to. */
 typedef struct relay_buffer {
 	membership_run run;
-	char *entries;
+	membership_summary summary;
+	char *lives;
+	char *helds;
 	char *bitmaps[3];
 } relay_buffer_t;
 
@@ -108,10 +110,12 @@
 
 	int64_t next_beat_us;
 	int64_t last_beat_us;
+	int64_t fast_until_us;
 	int64_t retry_us; /* INT64_MAX: none */
 	target_t *targets;
 	size_t target_count;
 	size_t relay_first;
+	bool other_turn;
 	relay_buffer_t beat_buffer;
 	relay_buffer_t reply_buffer;
 
@@ -160,7 +164,8 @@
 void membership_merge_runs(membership_t *m, int64_t revision,
 			   const membership_run *runs, size_t count,
 			   int64_t base_us, int64_t now);
-void membership_merge_summary(membership_t *m, const membership_reply *reply,
+void membership_merge_summary(membership_t *m, int64_t revision,
+			      const membership_summary *summary,
 			      int64_t base_us, int64_t now);
 
 /* beat.c */
