--- a/packages/config/tests/test_table.c
+++ b/packages/config/tests/test_table.c
@@ -186,9 +186,14 @@
 	{ "revision = 7", "revision = 7\nhosts_revision = 1",
 	  "need each other" },
 	{ "salt = \"00", "salt = \"", "salt must be 32 hexadecimal digits" },
+	{ "[[service]]", "# \xc5\x9f\n[[service]]\n\xc5\x9f = 1",
+	  "t:11:1: only comments may contain characters outside of ASCII" },
+	{ "\"first\"", "\"\xc5\x9f\"", ":10: only comments may contain" },
+	{ "\"first\"", "\"\\u015f\"", "label must be a text of 0 to 128" },
+	{ "[[service]]", "[=", "t:9:1: malformed key or table header" },
 	{ "[[customer]]\nname = \"acme\"", "[customer]\nname = \"acme\"",
 	  "t:30:" },
-	{ "[[key]]", "a.b.c.d.e.f.g.h.i.j = 1\n[[key]]", "nested more than" },
+	{ "[[key]]", "a.b.c.d.e.f.g.h.i.j = 1\n[[key]]", "nested too deep" },
 	{ "[end]", "[end]\ncount = 1", "end: unknown key \"count\"" },
 };
 
@@ -268,10 +273,12 @@
 	char *text = talloc_array(*state, char, len + 1);
 
 	memset(text, '[', len);
-	expect_fault(*state, (cas_str_t){ text, len }, false, "nested more");
+	expect_fault(*state, (cas_str_t){ text, len }, false,
+		     "nested too deep");
 	for (size_t i = 0; i < len; i++)
 		text[i] = i % 2 ? '.' : 'a';
-	expect_fault(*state, (cas_str_t){ text, len }, false, "nested more");
+	expect_fault(*state, (cas_str_t){ text, len }, false,
+		     "nested too deep");
 	memset(text, '\n', len + 1);
 	expect_fault(*state, (cas_str_t){ text, len + 1 }, false,
 		     "1048577 bytes are more than the limit");
--- a/packages/config/toml_adapter.cpp
+++ b/packages/config/toml_adapter.cpp
@@ -3,11 +3,32 @@
  * into plain C nodes. The header-only form is used because the packaged
  * library is built with parse errors as exceptions.
  */
+
+/*
+ * The library asserts on some malformed texts, such as "[=", instead of
+ * reporting them. With NDEBUG it would take the condition for granted, so
+ * asserts stay on in every build type and are turned into a fault.
+ */
+#undef NDEBUG
+namespace
+{
+struct assert_failed {
+};
+
+[[noreturn]] void fail_assert()
+{
+	throw assert_failed();
+}
+} /* namespace */
+#define TOML_ASSERT(condition)                                                 \
+	((condition) ? static_cast<void>(0) : fail_assert())
+
 #define TOML_HEADER_ONLY 1
 #define TOML_EXCEPTIONS 0
 #define TOML_ENABLE_FORMATTERS 0
 #include <toml++/toml.h>
 
+#include <algorithm>
 #include <cstdio>
 #include <cstring>
 #include <new>
@@ -104,26 +125,90 @@
 	return CONFIG_EFAULTS;
 }
 
+/* Parses text and copies the tree unless root is NULL. Throws. */
+int parse(TALLOC_CTX *ctx, std::string_view text, toml_node_t **root,
+	  toml_error_t *error)
+{
+	toml::parse_result result = toml::parse(text);
+
+	if (!result)
+		return fill_error(result.error(), error);
+	if (!root)
+		return 0;
+	*root = talloc_zero(ctx, toml_node_t);
+	if (!*root)
+		return CONFIG_ENOMEM;
+	copy_table(*root, result.table(), *root);
+	return 0;
+}
+
+bool asserts(std::string_view text)
+{
+	toml_error_t error;
+
+	try {
+		parse(nullptr, text, nullptr, &error);
+		return false;
+	} catch (const assert_failed &) {
+		return true;
+	}
+}
+
+/* Returns the length of the first count lines. */
+size_t lines_length(std::string_view text, size_t count)
+{
+	size_t at = 0;
+
+	while (count-- && at < text.size()) {
+		size_t end = text.find('\n', at);
+
+		at = end == std::string_view::npos ? text.size() : end + 1;
+	}
+	return at;
+}
+
+/*
+ * A failed assert has no position. The parser stops at the first fault, so the
+ * first lines alone trigger it exactly when they reach the line at fault.
+ */
+int fill_assert_error(std::string_view text, toml_error_t *error)
+{
+	size_t high = (size_t)std::count(text.begin(), text.end(), '\n') + 1;
+	size_t low = 1;
+
+	while (low < high) {
+		size_t middle = low + (high - low) / 2;
+
+		if (asserts(text.substr(0, lines_length(text, middle))))
+			high = middle;
+		else
+			low = middle + 1;
+	}
+	error->line = (int32_t)low;
+	error->column = 1;
+	snprintf(error->reason, sizeof(error->reason),
+		 "malformed key or table header");
+	return CONFIG_EFAULTS;
+}
+
 } /* namespace */
 
 extern "C" int toml_parse(TALLOC_CTX *ctx, cas_str_t text, toml_node_t **root,
 			  toml_error_t *error)
 {
-	int rc = toml_check_depth(text, error);
+	std::string_view view(text.ptr, text.len);
+	int rc = toml_check_text(text, error);
 
 	if (rc)
 		return rc;
 	try {
-		toml::parse_result result =
-			toml::parse(std::string_view(text.ptr, text.len));
-
-		if (!result)
-			return fill_error(result.error(), error);
-		*root = talloc_zero(ctx, toml_node_t);
-		if (!*root)
-			return CONFIG_ENOMEM;
-		copy_table(*root, result.table(), *root);
-		return 0;
+		return parse(ctx, view, root, error);
+	} catch (const assert_failed &) {
+	} catch (...) {
+		return CONFIG_ENOMEM;
+	}
+	try {
+		return fill_assert_error(view, error);
 	} catch (...) {
 		return CONFIG_ENOMEM;
 	}
--- a/packages/config/toml_internal.h
+++ b/packages/config/toml_internal.h
@@ -58,8 +58,12 @@
 int toml_parse(TALLOC_CTX *ctx, cas_str_t text, toml_node_t **root,
 	       toml_error_t *error);
 
-/* Returns 0, or CONFIG_EFAULTS with *error when text is nested too deep. */
-int toml_check_depth(cas_str_t text, toml_error_t *error);
+/*
+ * Checks what the parser cannot be trusted with: nesting, and characters
+ * outside of ASCII except in comments. Returns 0, or CONFIG_EFAULTS with
+ * *error filled in.
+ */
+int toml_check_text(cas_str_t text, toml_error_t *error);
 
 /* Returns the child of a table (borrowed), or NULL. */
 const toml_node_t *toml_get(const toml_node_t *table, const char *key);
--- a/packages/config/toml_depth.c
+++ b/packages/config/toml_scan.c
@@ -1,7 +1,11 @@
 /*
- * Bounds the nesting of a TOML document before the recursive parser reads it.
+ * Looks over a TOML document before the parser reads it, and refuses what the
+ * parser cannot be trusted with: deep nesting, which it recurses over, and
+ * characters outside of ASCII except in comments, for which its test for
+ * blanks has undefined behaviour (U+00A1 to U+0499, among others).
+ *
  * Only the well-formed start of a document matters: the parser stops at the
- * first error, and up to there this scan sees the same strings and brackets.
+ * first fault, and up to there this scan sees the same strings and brackets.
  */
 #include <stdio.h>
 
@@ -15,8 +19,23 @@
 	size_t line_start;
 	int depth;
 	int parts; /* of the dotted key that is being read */
+	const char *fault; /* NULL while the text is good */
 } scan_t;
 
+static const char byte_order_mark[] = "\xef\xbb\xbf";
+
+/* Refuses bytes that have no place outside of comments. */
+static void scan_check_byte(scan_t *scan)
+{
+	unsigned char c = (unsigned char)scan->text.ptr[scan->at];
+
+	if (c >= 0x80)
+		scan->fault = "only comments may contain characters outside "
+			      "of ASCII";
+	else if ((c < ' ' && c != '\t' && c != '\r' && c != '\n') || c == 0x7f)
+		scan->fault = "control characters are not allowed";
+}
+
 static bool scan_has(const scan_t *scan, size_t at, char c, size_t count)
 {
 	for (size_t i = 0; i < count; i++)
@@ -47,6 +66,9 @@
 				scan->at++;
 			return;
 		}
+		scan_check_byte(scan);
+		if (scan->fault)
+			return;
 		if (scan->text.ptr[scan->at] == '\n') {
 			if (quotes == 1)
 				return;
@@ -95,33 +117,43 @@
 	scan->at++;
 }
 
-static bool scan_step(scan_t *scan)
+static void scan_depth(scan_t *scan)
+{
+	if (scan->depth > TOML_DEPTH_MAX || scan->parts >= TOML_DEPTH_MAX)
+		scan->fault = "nested too deep";
+}
+
+static void scan_step(scan_t *scan)
 {
 	char c = scan->text.ptr[scan->at];
 
+	scan_check_byte(scan);
+	if (scan->fault)
+		return;
 	if (c == '"' || c == '\'')
 		scan_string(scan);
 	else if (c == '#')
 		scan_comment(scan);
 	else
 		scan_char(scan);
-	return scan->depth <= TOML_DEPTH_MAX && scan->parts < TOML_DEPTH_MAX;
+	if (!scan->fault)
+		scan_depth(scan);
 }
 
-int toml_check_depth(cas_str_t text, toml_error_t *error)
+int toml_check_text(cas_str_t text, toml_error_t *error)
 {
 	scan_t scan = { .text = text, .line = 1 };
 
-	while (scan.at < text.len) {
-		if (scan_step(&scan))
-			continue;
-		error->line = scan.line;
-		error->column = (int32_t)(scan.at - scan.line_start);
-		snprintf(error->reason, sizeof(error->reason),
-			 "nested more than %d deep", TOML_DEPTH_MAX);
-		return CONFIG_EFAULTS;
-	}
-	return 0;
+	if (cas_str_starts_with(text, CAS_STR(byte_order_mark)))
+		scan.at = strlen(byte_order_mark);
+	while (scan.at < text.len && !scan.fault)
+		scan_step(&scan);
+	if (!scan.fault)
+		return 0;
+	error->line = scan.line;
+	error->column = (int32_t)(scan.at - scan.line_start) + 1;
+	snprintf(error->reason, sizeof(error->reason), "%s", scan.fault);
+	return CONFIG_EFAULTS;
 }
 
 const toml_node_t *toml_get(const toml_node_t *table, const char *key)
