--- a/packages/http/back_call.c
+++ b/packages/http/back_call.c
@@ -148,7 +148,7 @@
 static void set_request_body(http_call_t *call, const http_call_spec_t *spec)
 {
 	CURL *easy = call->easy;
-	cas_str_t ready = CAS_STR("");
+	cas_str_t ready;
 
 	if (spec->body && http_pipe_is_closed(spec->body)) {
 		ready = http_pipe_peek(spec->body);
--- a/packages/http/front_mhd.c
+++ b/packages/http/front_mhd.c
@@ -18,6 +18,8 @@
 #define CONN_MEMORY_STEP_BYTES ((size_t)2 * 1024)
 /* Block of a streamed response body. */
 #define BLOCK_BYTES ((size_t)16 * 1024)
+/* Bodies of rejected requests up to this size are read and dropped. */
+#define DROPPED_BODY_BYTES (64 * 1024)
 /* Bytes of an oversized chunked body that are read and dropped before the
  * connection is closed without a response. */
 #define OVERSIZE_READ_BYTES (256 * 1024)
@@ -254,7 +256,8 @@
 	cas_str_t coding = http_headers_value(exchange->headers,
 					      CAS_STR("Transfer-Encoding"));
 
-	if (info && info->header_size > exchange->front->settings.header_max_bytes)
+	if (info &&
+	    info->header_size > exchange->front->settings.header_max_bytes)
 		return MHD_HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE;
 	if (http_target_check(cas_str_from(exchange->target),
 			      &exchange->origin))
@@ -334,6 +337,20 @@
 	front->ops->body(front->private, exchange);
 }
 
+/*
+ * A reply to the head alone makes libmicrohttpd close the connection, because
+ * the body may still come. So the head of a request with no or a small body
+ * is passed at once, and the reply waits for the end of the body.
+ */
+static bool may_pass_head(const http_exchange_t *exchange)
+{
+	if (exchange->content_length == 0)
+		return true;
+	return exchange->has_reply && exchange->content_length > 0 &&
+	       exchange->content_length <= DROPPED_BODY_BYTES &&
+	       !http_headers_find(exchange->headers, CAS_STR("Expect"));
+}
+
 /* Called again for the head until it lets libmicrohttpd go on. */
 static enum MHD_Result decide_head(http_exchange_t *exchange,
 				   const char *method)
@@ -346,6 +363,10 @@
 	}
 	if (exchange->gone)
 		return MHD_NO;
+	if (may_pass_head(exchange)) {
+		exchange->head_done = true;
+		return MHD_YES;
+	}
 	if (exchange->has_reply)
 		return send_reply(exchange);
 	if (exchange->phase == PHASE_HEAD)
@@ -371,7 +392,7 @@
 		return decide_head(exchange, method);
 	if (*size)
 		return read_body(exchange, data, size);
-	if (exchange->phase == PHASE_BODY)
+	if (exchange->phase == PHASE_BODY && !exchange->has_reply)
 		end_body(exchange);
 	if (exchange->gone)
 		return MHD_NO;
--- a/programs/cassiad/leg.c
+++ b/programs/cassiad/leg.c
@@ -52,8 +52,8 @@
 
 static void bind_host(cassiad_t *daemon, const attempt_outcome *report)
 {
-	binding_t *binding = g_hash_table_lookup(daemon->bindings,
-						 &report->host);
+	binding_t *binding =
+		g_hash_table_lookup(daemon->bindings, &report->host);
 
 	if (!binding) {
 		binding = g_new0(binding_t, 1);
@@ -83,7 +83,8 @@
 
 	if (attempt_read_outcome(&leg->daemon->secrets, text, report))
 		return false;
-	if (memcmp(report->attempt, leg->context.attempt, ATTEMPT_ID_BYTES) ||
+	if (memcmp(report->attempt, leg->context.attempt, ATTEMPT_ID_BYTES) !=
+		    0 ||
 	    report->host != leg->spec.host ||
 	    (int)report->status != reply->status)
 		return false;
