End the growth of a delegated share with its term

Cause: after a customer's rate rose above the central limit, a plain loan on the same link kept the delegated rate growing, and a share whose burst had grown could be delegated to two holders at once. Change: the delegated rate has its own end, and a share has one receiver.

--- a/packages/quota/delegate.c
+++ b/packages/quota/delegate.c
@@ -10,6 +10,16 @@
 #define TERM_RENEWAL CAS_USEC_PER_SEC
 #define IDLE_TIME (5 * CAS_USEC_PER_SEC)
 
+/* Two receivers of one share would both add at its rate. */
+static bool taken_by_other(const quota_bucket_t *bucket,
+			   const quota_account_t *account, int64_t now)
+{
+	return now < bucket->delegated_until_us &&
+	       (bucket->delegate != account->host ||
+		bucket->delegate_incarnation != account->incarnation ||
+		bucket->delegate_slot != account->from_slot);
+}
+
 void quota_delegate(quota_t *quota, quota_bucket_t *bucket,
 		    quota_account_t *account, quota_reply *reply)
 {
@@ -21,7 +31,7 @@
 	reply->wait = QUOTA_WAIT_LIMIT / 2;
 	/* A share that has shrunk ends its term before the next one. */
 	if (bucket->state != QUOTA_ADDING || bucket->main || amount <= 0 ||
-	    amount < before)
+	    amount < before || taken_by_other(bucket, account, now))
 		return;
 	reply->wait = 0;
 	reply->granted = amount;
@@ -36,6 +46,9 @@
 	bucket->level = 0;
 	bucket->remainder = 0;
 	bucket->delegated_until_us = expires;
+	bucket->delegate = account->host;
+	bucket->delegate_incarnation = account->incarnation;
+	bucket->delegate_slot = account->from_slot;
 }
 
 void quota_delegate_reply(quota_t *quota, quota_bucket_t *bucket,
@@ -56,6 +69,7 @@
 				      .host = link->to,
 				      .incarnation = link->incarnation });
 	link->rate = reply->rate;
+	link->rate_until_us = expires;
 	link->renew_at_us = link->first_sent_us + TERM_RENEWAL;
 	bucket->lent_total += reply->granted - before;
 	room = bucket->lent_total - bucket->lent_level - bucket->out_lent;
@@ -72,9 +86,7 @@
 		const quota_link_t *link = &bucket->lenders[i];
 		int64_t until = 0;
 
-		if (link->lots.count == 0 || link->rate == 0)
-			continue;
-		until = quota_min(now, link->lots.items[0].expires_us);
+		until = quota_min(now, link->rate_until_us);
 		if (until > bucket->touched_us)
 			grown += (int64_t)((__int128)link->rate *
 					   (until - bucket->touched_us) /
--- a/packages/quota/quota_internal.h
+++ b/packages/quota/quota_internal.h
@@ -47,6 +47,7 @@
 	int64_t wait_until_us;
 	int64_t report_due_us;
 	int64_t rate; /* delegated by the target, micro-tokens a second */
+	int64_t rate_until_us;
 	int64_t renew_at_us;
 	int64_t counted; /* outstanding at the target, by its last reply */
 	uint64_t incarnation; /* of the last replier */
@@ -112,6 +113,9 @@
 	int64_t next_round_us;
 	bool main; /* the other shares of the customer are delegated here */
 	int64_t delegated_until_us; /* the own share is delegated */
+	cas_id_t delegate; /* to this host */
+	uint64_t delegate_incarnation;
+	uint16_t delegate_slot;
 	int64_t asked_us; /* by a daemon, last time */
 
 	double need_rate; /* micro-tokens a second wanted by daemons */
