Give quota ticks an absolute due time

Cause: quota_next_due added the fence check period to the present time, so it moved along with each call. The daemon kept the value of its last tick instead, which was 'never' when no table was known yet; a host without calls was then not ticked, and its bucket lapsed after 2 s without a look at the fence. A daemon that restarted found no tokens at its peer for 4.5 s. Change: the due time counts from the last tick, and cassiad compares it with the present time only.

--- a/packages/quota/quota.c
+++ b/packages/quota/quota.c
@@ -214,6 +214,7 @@
 
 void quota_tick(quota_t *quota)
 {
+	quota->ticked_us = cas_clock_now(quota->clock);
 	for (size_t i = 0; i < quota->customer_count; i++) {
 		quota_customer_t *customer = quota->customers[i];
 
@@ -228,7 +229,6 @@
 
 int64_t quota_next_due(const quota_t *quota)
 {
-	int64_t now = cas_clock_now(quota->clock);
 	int64_t due = QUOTA_NEVER;
 
 	for (size_t i = 0; i < quota->customer_count; i++) {
@@ -238,7 +238,8 @@
 		for (const quota_bucket_t *b = customer->buckets; b;
 		     b = b->next) {
 			due = quota_min(due, quota_borrow_due(b));
-			due = quota_min(due, now + FENCE_CHECK_PERIOD);
+			due = quota_min(due, quota->ticked_us +
+						     FENCE_CHECK_PERIOD);
 		}
 	}
 	return due;
--- a/packages/quota/quota_internal.h
+++ b/packages/quota/quota_internal.h
@@ -194,6 +194,7 @@
 	cas_id_t self;
 	uint64_t incarnation;
 	int64_t created_us;
+	int64_t ticked_us;
 	uint32_t sequence;
 	quota_view_t *view;
 	quota_customer_t **customers; /* sorted by id */
--- a/programs/cassiad/control.c
+++ b/programs/cassiad/control.c
@@ -15,7 +15,6 @@
 	membership_t *membership;
 	quota_t *quota;
 	config_boot_t *boot;
-	int64_t quota_due_us; /* as quota said behind its last tick */
 };
 
 struct control_wait {
@@ -296,11 +295,8 @@
 
 	if (membership_next_due(control->membership) <= now)
 		membership_tick(control->membership);
-	if (control->quota_due_us <= now ||
-	    quota_next_due(control->quota) <= now) {
+	if (quota_next_due(control->quota) <= now)
 		quota_tick(control->quota);
-		control->quota_due_us = quota_next_due(control->quota);
-	}
 	if (daemon->ready)
 		return;
 	config_boot_tick(control->boot);
