Recognise repeated documents without parsing them

Change: the store remembers the hash of the last stale and the last refused text of each document; tests of the peers asked at the start.

--- a/packages/config/store.c
+++ b/packages/config/store.c
@@ -5,7 +5,8 @@
 
 typedef struct refusal {
 	config_faults_t *faults; /* of the last refused offer, or NULL */
-	uint64_t text_hash;
+	int error;
+	XXH128_hash_t text_hash;
 } refusal_t;
 
 struct config_store {
@@ -14,6 +15,9 @@
 	table_t *table;
 	roster_t *roster;
 	refusal_t refusals[CONFIG_DOCUMENT_COUNT];
+	/* Text that was stale or accepted last: it stays stale, as held
+	 * revisions only grow, so it need not be parsed again. */
+	XXH128_hash_t stale_hash[CONFIG_DOCUMENT_COUNT];
 };
 
 config_store_t *config_store_create(TALLOC_CTX *ctx,
@@ -32,7 +36,15 @@
 static void forget_refusal(config_store_t *store, config_document_t document)
 {
 	TALLOC_FREE(store->refusals[document].faults);
-	store->refusals[document].text_hash = 0;
+}
+
+static bool is_refused(const config_store_t *store, config_document_t document,
+		       int error, XXH128_hash_t hash)
+{
+	const refusal_t *refusal = &store->refusals[document];
+
+	return refusal->faults && refusal->error == error &&
+	       XXH128_isEqual(refusal->text_hash, hash);
 }
 
 /* Keeps the faults (takes the reference) and reports them once a text. */
@@ -40,14 +52,15 @@
 		  config_faults_t *faults, cas_str_t text)
 {
 	refusal_t *refusal = &store->refusals[document];
-	uint64_t hash = XXH64(text.ptr, text.len, (uint64_t)error);
+	XXH128_hash_t hash = XXH3_128bits(text.ptr, text.len);
 
-	if (refusal->faults && refusal->text_hash == hash) {
+	if (is_refused(store, document, error, hash)) {
 		talloc_free(faults);
 		return error;
 	}
 	talloc_free(refusal->faults);
 	refusal->faults = talloc_steal(store, faults);
+	refusal->error = error;
 	refusal->text_hash = hash;
 	if (store->ops->refused)
 		store->ops->refused(store->private, document, error, faults);
@@ -149,8 +162,8 @@
 	return rc ? rc : take_roster(store, roster);
 }
 
-int config_store_offer(config_store_t *store, config_document_t document,
-		       cas_str_t text)
+static int offer_unseen(config_store_t *store, config_document_t document,
+			cas_str_t text)
 {
 	TALLOC_CTX *scratch = talloc_new(store);
 	config_faults_t *faults = config_faults_create(scratch);
@@ -169,6 +182,22 @@
 	return rc;
 }
 
+int config_store_offer(config_store_t *store, config_document_t document,
+		       cas_str_t text)
+{
+	XXH128_hash_t hash = XXH3_128bits(text.ptr, text.len);
+	int rc;
+
+	if (XXH128_isEqual(store->stale_hash[document], hash))
+		return CONFIG_ESTALE;
+	if (is_refused(store, document, CONFIG_EFAULTS, hash))
+		return CONFIG_EFAULTS;
+	rc = offer_unseen(store, document, text);
+	if (!rc || rc == CONFIG_ESTALE)
+		store->stale_hash[document] = hash;
+	return rc;
+}
+
 const table_t *config_store_table(const config_store_t *store)
 {
 	return store->table;
--- a/packages/config/tests/test_store.c
+++ b/packages/config/tests/test_store.c
@@ -124,6 +124,9 @@
 	assert_int_equal(config_store_table(f->store)->revision, 7);
 	assert_int_equal(offer_table(f, 8), 0);
 	assert_null(config_store_faults(f->store, CONFIG_TABLE));
+	/* Only now is the conflicting text merely old. */
+	assert_int_equal(offer_text(f, "weight = 3", "weight = 4"),
+			 CONFIG_ESTALE);
 }
 
 /* Guards against a broken table that takes the former one out of force, and
@@ -231,6 +234,29 @@
 	assert_int_equal(f->asked, 1);
 }
 
+/* Guards against a restart of the fleet in which every daemon asks every
+ * other, and against answers lost when a newer host list comes. */
+static void test_start_asks_few_peers(void **state)
+{
+	fixture_t *f = *state;
+	roster_host_t hosts[40] = { 0 };
+	roster_t roster = { 1, hosts, 40, { 0 }, 0 };
+
+	for (size_t i = 0; i < roster.host_count; i++)
+		hosts[i].id = i + 1;
+	config_store_offer(f->store, CONFIG_HOSTS, CAS_STR(SAMPLE_HOSTS));
+	offer_table(f, 4);
+	config_boot_set_roster(f->boot, &roster, 7);
+	config_boot_tick(f->boot);
+	assert_int_equal(f->asked, CONFIG_BOOT_PEERS_MAX);
+	for (cas_id_t id = 1; id <= roster.host_count; id++)
+		config_boot_answer(f->boot, id, 4, 3);
+	config_boot_set_roster(f->boot, &roster, 7);
+	config_boot_tick(f->boot);
+	assert_int_equal(f->asked, CONFIG_BOOT_PEERS_MAX);
+	assert_true(config_boot_ready(f->boot));
+}
+
 static table_t *read_table(TALLOC_CTX *ctx, const char *former,
 			   const char *present)
 {
@@ -294,6 +320,7 @@
 		TEST(test_start_waits_for_the_newest),
 		TEST(test_start_ends_after_two_seconds),
 		TEST(test_start_repeats_a_fetch),
+		TEST(test_start_asks_few_peers),
 		TEST(test_diff_names_each_change),
 		TEST(test_diff_warns_of_moving_shares),
 	};
--- a/packages/keys/keys.c
+++ b/packages/keys/keys.c
@@ -1,6 +1,6 @@
 /*
- * Lookup of keys by their hash. There is no memory of recent lookups: a hash
- * costs well under a microsecond, and a memory could outlive a withdrawal.
+ * Lookup of keys by their hash. There is no memory of recent lookups: a lookup
+ * costs about half a microsecond, and a memory could outlive a withdrawal.
  */
 #include "cassia/keys.h"
 
