--- a/packages/attempt/table.c
+++ b/packages/attempt/table.c
@@ -79,8 +79,7 @@
 	size_t slot;
 
 	sweep(table, now_us);
-	if (deadline_us <= now_us ||
-	    deadline_us > now_us + ATTEMPT_LIFE_MAX)
+	if (deadline_us <= now_us || deadline_us > now_us + ATTEMPT_LIFE_MAX)
 		return ATTEMPT_EEXPIRED;
 	if (g_hash_table_contains(table->by_id, id))
 		return ATTEMPT_EDUPLICATE;
--- a/packages/http/front_mhd.c
+++ b/packages/http/front_mhd.c
@@ -254,7 +254,8 @@
 	cas_str_t coding = http_headers_value(exchange->headers,
 					      CAS_STR("Transfer-Encoding"));
 
-	if (info && info->header_size > exchange->front->settings.header_max_bytes)
+	if (info &&
+	    info->header_size > exchange->front->settings.header_max_bytes)
 		return MHD_HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE;
 	if (http_target_check(cas_str_from(exchange->target),
 			      &exchange->origin))
--- a/programs/cassiad/config.c
+++ b/programs/cassiad/config.c
@@ -10,9 +10,9 @@
 
 	for (size_t i = 0; faults && i < faults->count; i++)
 		cas_log(CAS_LOG_ERROR, event,
-			CAS_LOG_Z("fault", config_fault_print(
-						   ctx, file,
-						   &faults->items[i])));
+			CAS_LOG_Z("fault",
+				  config_fault_print(ctx, file,
+						     &faults->items[i])));
 	talloc_free(ctx);
 }
 
@@ -49,9 +49,9 @@
 	roster_t patched = *daemon->roster;
 	const settings_t *settings = daemon->settings;
 
-	patched.hosts = talloc_memdup(daemon, patched.hosts,
-				      patched.host_count *
-					      sizeof(*patched.hosts));
+	patched.hosts =
+		talloc_memdup(daemon, patched.hosts,
+			      patched.host_count * sizeof(*patched.hosts));
 	if (!patched.hosts)
 		return;
 	for (size_t i = 0; i < patched.host_count; i++) {
@@ -159,9 +159,9 @@
 
 int config_open_source(cassiad_t *daemon)
 {
-	daemon->source = source_create(daemon, daemon->ev, daemon->rng,
-				       daemon->settings, &source_store_sink,
-				       daemon->store);
+	daemon->source =
+		source_create(daemon, daemon->ev, daemon->rng, daemon->settings,
+			      &source_store_sink, daemon->store);
 	return daemon->source ? 0 : CONFIG_ENOMEM;
 }
 
--- a/programs/cassiad/control.c
+++ b/programs/cassiad/control.c
@@ -259,9 +259,9 @@
 		control, daemon->clock, daemon->rng, &membership_ops, control,
 		settings->host_id, daemon->incarnation,
 		settings->data_centre_id);
-	control->quota = quota_create(control, daemon->clock, daemon->rng,
-				      &quota_ops, control, settings->host_id,
-				      daemon->incarnation);
+	control->quota =
+		quota_create(control, daemon->clock, daemon->rng, &quota_ops,
+			     control, settings->host_id, daemon->incarnation);
 	control->boot = config_boot_create(control, daemon->clock,
 					   daemon->store, &boot_ops, control);
 	if (!control->membership || !control->quota || !control->boot)
--- a/programs/cassiad/daemon.c
+++ b/programs/cassiad/daemon.c
@@ -42,17 +42,16 @@
 	};
 	int error;
 
-	*listener->front = http_front_create(daemon, daemon->ev, daemon->clock,
-					     &settings, listener->ops, daemon,
-					     &error);
+	*listener->front =
+		http_front_create(daemon, daemon->ev, daemon->clock, &settings,
+				  listener->ops, daemon, &error);
 	if (error) {
 		cas_log(CAS_LOG_ERROR, "listen_failed",
 			CAS_LOG_Z("port_of", listener->name),
 			CAS_LOG_INT("port", listener->endpoint->port));
 		return error;
 	}
-	cas_log(CAS_LOG_INFO, "listening",
-		CAS_LOG_Z("port_of", listener->name),
+	cas_log(CAS_LOG_INFO, "listening", CAS_LOG_Z("port_of", listener->name),
 		CAS_LOG_INT("port", http_front_port(*listener->front)));
 	return 0;
 }
@@ -145,8 +144,8 @@
 /* The caller may still use a connection that was busy a moment ago. */
 static uint64_t count_inflight(const cassiad_t *daemon)
 {
-	uint64_t count = daemon->serving +
-			 (uint64_t)admission_queued(daemon->admission);
+	uint64_t count =
+		daemon->serving + (uint64_t)admission_queued(daemon->admission);
 
 	if (!daemon->stopping)
 		return count;
@@ -185,9 +184,9 @@
 	(void)te;
 	(void)now;
 	tick(daemon);
-	tevent_add_timer(ev, daemon, tevent_timeval_current_ofs(0,
-								TICK_MS * 1000),
-			 on_tick, daemon);
+	tevent_add_timer(ev, daemon,
+			 tevent_timeval_current_ofs(0, TICK_MS * 1000), on_tick,
+			 daemon);
 }
 
 static void on_signal(struct tevent_context *ev, struct tevent_signal *se,
@@ -230,8 +229,8 @@
 		attempt_table_create(daemon, daemon->clock, ATTEMPTS_MAX);
 	daemon->live = attempt_live_create(daemon);
 	daemon->thresholds = thresholds_create(daemon, daemon->clock);
-	daemon->routing = routing_create(daemon, daemon->clock, daemon->rng,
-					 NULL, NULL);
+	daemon->routing =
+		routing_create(daemon, daemon->clock, daemon->rng, NULL, NULL);
 	daemon->brake = retry_brake_create(daemon, daemon->clock);
 	daemon->drain = drain_create(daemon, daemon->clock, &drain_ops, daemon);
 	daemon->bindings = g_hash_table_new_full(g_int64_hash, g_int64_equal,
--- a/programs/cassiad/entry.c
+++ b/programs/cassiad/entry.c
@@ -77,8 +77,8 @@
 	stop_work(request);
 	request->reason = reason;
 	request->status = reason_status(reason);
-	request->outcome = request->maybe_run ? ATTEMPT_UNKNOWN
-					      : ATTEMPT_NOT_RUN;
+	request->outcome =
+		request->maybe_run ? ATTEMPT_UNKNOWN : ATTEMPT_NOT_RUN;
 	entry_reply_refusal(request, retry_after_us);
 }
 
@@ -202,11 +202,10 @@
 	};
 
 	if (!request->answered || !whole) {
-		event.outcome = request->maybe_run ||
-						request->outcome ==
-							ATTEMPT_SERVED
-					? ATTEMPT_UNKNOWN
-					: ATTEMPT_NOT_RUN;
+		event.outcome =
+			request->maybe_run || request->outcome == ATTEMPT_SERVED
+				? ATTEMPT_UNKNOWN
+				: ATTEMPT_NOT_RUN;
 		if (event.reason == REASON_NONE)
 			event.reason = REASON_CANCELLED;
 	}
--- a/programs/cassiad/entry_head.c
+++ b/programs/cassiad/entry_head.c
@@ -20,8 +20,7 @@
 	cas_str_t target = http_exchange_target(request->exchange);
 
 	if (holds_key(target) ||
-	    http_query_value(http_target_query(target),
-			     CAS_STR("access_token"))
+	    http_query_value(http_target_query(target), CAS_STR("access_token"))
 		    .ptr)
 		return true;
 	for (size_t i = 0; i < headers->count; i++) {
@@ -46,8 +45,7 @@
 		return REASON_NO_KEY;
 	if (keys_lookup(daemon->keys, token, &request->key))
 		return REASON_UNKNOWN_KEY;
-	customer = table_find_customer(daemon->table,
-				       request->key.customer_id);
+	customer = table_find_customer(daemon->table, request->key.customer_id);
 	if (!customer)
 		return REASON_UNKNOWN_KEY;
 	request->has_key = true;
@@ -110,8 +108,8 @@
 	context->importance = (u_int)route->importance;
 	context->idempotent = route->idempotent;
 	context->weight = 1;
-	context->deadline = request->started_us +
-			    wanted_timeout_us(request, route);
+	context->deadline =
+		request->started_us + wanted_timeout_us(request, route);
 	request->max_body_bytes = route->max_body_bytes;
 	request->own_budget = retry_budget_of(route->retries);
 }
--- a/programs/cassiad/entry_reply.c
+++ b/programs/cassiad/entry_reply.c
@@ -19,12 +19,12 @@
 
 	if (!customer)
 		return 0;
-	policy = talloc_asprintf(
-		headers, "\"customer\";q=%lld;w=%lld",
-		(long long)(customer->burst_micro / 1000000),
-		(long long)whole_seconds(customer->burst_micro *
-					 CAS_USEC_PER_SEC /
-					 customer->rate_micro));
+	policy =
+		talloc_asprintf(headers, "\"customer\";q=%lld;w=%lld",
+				(long long)(customer->burst_micro / 1000000),
+				(long long)whole_seconds(customer->burst_micro *
+							 CAS_USEC_PER_SEC /
+							 customer->rate_micro));
 	limit = talloc_asprintf(headers, "\"customer\";r=0;t=%lld",
 				(long long)retry_s);
 	if (!policy || !limit)
@@ -47,8 +47,7 @@
 		return 0;
 	if (retry_s < 1)
 		retry_s = 1;
-	if (request->status == 429 &&
-	    add_rate_limit(request, headers, retry_s))
+	if (request->status == 429 && add_rate_limit(request, headers, retry_s))
 		return -1;
 	return http_headers_add_int(headers, headers, "Retry-After", retry_s);
 }
--- a/programs/cassiad/entry_send.c
+++ b/programs/cassiad/entry_send.c
@@ -145,8 +145,8 @@
 	cassiad_t *daemon = request->daemon;
 	const routing_result_t result = {
 		.outcome = outcome,
-		.latency_us = cas_clock_now(daemon->clock) -
-			      request->leg_started_us,
+		.latency_us =
+			cas_clock_now(daemon->clock) - request->leg_started_us,
 		.limit_hint = report ? (int32_t)report->limit : 0,
 		.busy_permille = report ? report->busy : -1,
 	};
--- a/programs/cassiad/leg.c
+++ b/programs/cassiad/leg.c
@@ -52,8 +52,8 @@
 
 static void bind_host(cassiad_t *daemon, const attempt_outcome *report)
 {
-	binding_t *binding = g_hash_table_lookup(daemon->bindings,
-						 &report->host);
+	binding_t *binding =
+		g_hash_table_lookup(daemon->bindings, &report->host);
 
 	if (!binding) {
 		binding = g_new0(binding_t, 1);
--- a/programs/cassiad/ops.c
+++ b/programs/cassiad/ops.c
@@ -40,8 +40,8 @@
 
 static void show_readyz(cassiad_t *daemon, http_exchange_t *exchange)
 {
-	bool ready = daemon->ready &&
-		     drain_state(daemon->drain) == DRAIN_SERVING;
+	bool ready =
+		daemon->ready && drain_state(daemon->drain) == DRAIN_SERVING;
 	cas_str_t text = cas_str_from(daemon_state(daemon));
 
 	http_exchange_reply_text(exchange, ready ? 200 : 503, NULL, text);
@@ -148,9 +148,12 @@
 }
 
 static const page_t pages[] = {
-	{ "GET", "/healthz", show_healthz }, { "GET", "/readyz", show_readyz },
-	{ "GET", "/metrics", show_metrics }, { "GET", "/status", show_status },
-	{ "GET", "/top", show_top },	     { "GET", "/explain", show_explain },
+	{ "GET", "/healthz", show_healthz },
+	{ "GET", "/readyz", show_readyz },
+	{ "GET", "/metrics", show_metrics },
+	{ "GET", "/status", show_status },
+	{ "GET", "/top", show_top },
+	{ "GET", "/explain", show_explain },
 	{ "POST", "/drain", do_drain },
 };
 
--- a/programs/cassiad/serve.c
+++ b/programs/cassiad/serve.c
@@ -99,8 +99,8 @@
 
 static void set_failure(serve_t *serve, const http_result_t *result)
 {
-	serve->result.outcome = result->sent ? ATTEMPT_UNKNOWN
-					     : ATTEMPT_NOT_RUN;
+	serve->result.outcome =
+		result->sent ? ATTEMPT_UNKNOWN : ATTEMPT_NOT_RUN;
 	if (result->error == HTTP_EEXPIRED || result->error == HTTP_ETIMEOUT)
 		serve->result.reason = REASON_DEADLINE;
 	else if (!result->sent)
@@ -221,8 +221,8 @@
 		.headers = headers,
 		.body = serve->spec.body,
 		.content_length = serve->spec.content_length,
-		.timeout_us = serve->context.deadline -
-			      cas_clock_now(daemon->clock),
+		.timeout_us =
+			serve->context.deadline - cas_clock_now(daemon->clock),
 		.connect_timeout_us = CAS_USEC_PER_SEC,
 		.may_send = in_time,
 	};
--- a/programs/cassiad/stats.c
+++ b/programs/cassiad/stats.c
@@ -137,8 +137,8 @@
 	cas_counter_t *counter;
 
 	snprintf(labels, sizeof(labels), "reason=\"%s\"", reason_name(reason));
-	counter = cas_metrics_counter(daemon->metrics,
-				      "cassia_refusals_total", labels);
+	counter = cas_metrics_counter(daemon->metrics, "cassia_refusals_total",
+				      labels);
 	if (counter)
 		counter->value++;
 }
@@ -188,19 +188,17 @@
 			     const customer_stats_t *own)
 {
 	const table_customer_t *customer =
-		daemon->table ? table_find_customer(daemon->table,
-						    own->customer)
-			      : NULL;
+		daemon->table
+			? table_find_customer(daemon->table, own->customer)
+			: NULL;
 	cas_str_t name = customer_name(daemon, own->customer);
 
-	return json_pack("{s:s%, s:i, s:I, s:I, s:I, s:I}", "name", name.ptr,
-			 name.len, "importance",
-			 customer ? customer->importance : 0, "served",
-			 (json_int_t)own->served, "rejected",
-			 (json_int_t)own->rejected, "p50_us",
-			 (json_int_t)cas_hist_quantile(own->latency, 0.5),
-			 "p99_us",
-			 (json_int_t)cas_hist_quantile(own->latency, 0.99));
+	return json_pack(
+		"{s:s%, s:i, s:I, s:I, s:I, s:I}", "name", name.ptr, name.len,
+		"importance", customer ? customer->importance : 0, "served",
+		(json_int_t)own->served, "rejected", (json_int_t)own->rejected,
+		"p50_us", (json_int_t)cas_hist_quantile(own->latency, 0.5),
+		"p99_us", (json_int_t)cas_hist_quantile(own->latency, 0.99));
 }
 
 json_t *stats_top(const cassiad_t *daemon)
