Let cassiactl drain the upstream or stop the daemon

Cause: the operators' port drains the upstream unless goal=stop is given, which cassiactl could not send; and a key with escapes in a document could put control characters into logs and terminals.

--- a/packages/config/fault.c
+++ b/packages/config/fault.c
@@ -9,6 +9,18 @@
 	return talloc_zero(ctx, config_faults_t);
 }
 
+/* Texts may come from a document with any escapes in it, and go to logs,
+ * terminals and JSON. */
+static cas_str_t plain_copy(TALLOC_CTX *ctx, cas_str_t text)
+{
+	char *copy = talloc_strndup(ctx, text.len ? text.ptr : "", text.len);
+
+	for (char *c = copy; c && *c; c++)
+		if (*c < ' ' || *c > '~')
+			*c = '?';
+	return cas_str_from(copy);
+}
+
 void config_faults_add(config_faults_t *faults, int32_t line, int32_t column,
 		       cas_str_t row, cas_str_t key, const char *format, ...)
 {
@@ -36,9 +48,10 @@
 	fault = &items[faults->count++];
 	fault->line = line;
 	fault->column = column;
-	fault->row = cas_str_dup(faults, row);
-	fault->key = cas_str_dup(faults, key);
-	fault->reason = cas_str_from(reason);
+	fault->row = plain_copy(faults, row);
+	fault->key = plain_copy(faults, key);
+	fault->reason = plain_copy(faults, cas_str_from(reason));
+	talloc_free(reason);
 }
 
 static int fault_compare(const void *left, const void *right)
--- a/packages/config/include/cassia/fault.h
+++ b/packages/config/include/cassia/fault.h
@@ -40,7 +40,8 @@
 /* Returns a new empty list, or NULL when memory is short. */
 config_faults_t *config_faults_create(TALLOC_CTX *ctx);
 
-/* Adds a fault; row and key are copied, the reason is a printf format. */
+/* Adds a fault; row and key are copied, the reason is a printf format. What is
+ * not printable ASCII becomes a question mark. */
 void config_faults_add(config_faults_t *faults, int32_t line, int32_t column,
 		       cas_str_t row, cas_str_t key, const char *format, ...)
 	__attribute__((format(printf, 6, 7)));
--- a/packages/config/tests/test_table.c
+++ b/packages/config/tests/test_table.c
@@ -144,6 +144,7 @@
 	  "known key is \"weight\"" },
 	{ "[[service]]", "[[servise]]",
 	  "the nearest known key is \"service\"" },
+	{ "weight = 3", "\"\\u001b[2J\\u015f\" = 3", "unknown key \"?[2J??\"" },
 	{ "weight = 3", "weight = 0", "t:27:10: customer \"acme\": weight" },
 	{ "rate = 2.5", "rate = 0",
 	  "customer \"acme\": rate must be a number" },
--- a/programs/cassiactl/command_operators.c
+++ b/programs/cassiactl/command_operators.c
@@ -8,6 +8,7 @@
 typedef struct operators_options {
 	char *address; /* --operators */
 	char *settings;
+	gboolean stop;
 } operators_options_t;
 
 /* Returns the base URL (owned by ctl->ctx), or NULL after a message. */
@@ -90,9 +91,24 @@
 		   talloc_asprintf(ctl->ctx, "/explain?id=%s", escaped));
 }
 
-/* Runs a command; path is NULL for explain, whose argument is the id. */
-static int run(ctl_t *ctl, const ctl_usage_t *usage, const char *method,
-	       const char *path, int argc, char **argv)
+/* What a command asks for. */
+typedef struct question {
+	const char *method;
+	const char *path; /* NULL for explain, whose argument is the id */
+	const char *stop_path; /* with --stop; NULL when there is none */
+} question_t;
+
+static int answer(ctl_t *ctl, const operators_options_t *options,
+		  const question_t *question, char **argv)
+{
+	if (!question->path)
+		return explain(ctl, options, argv[1]);
+	return ask(ctl, options, question->method,
+		   options->stop ? question->stop_path : question->path);
+}
+
+static int run(ctl_t *ctl, const ctl_usage_t *usage, const question_t *question,
+	       int argc, char **argv)
 {
 	operators_options_t options = { 0 };
 	const GOptionEntry entries[] = {
@@ -100,16 +116,19 @@
 		  "Operators' port of the daemon", "ADDRESS:PORT" },
 		{ "settings", 0, 0, G_OPTION_ARG_FILENAME, &options.settings,
 		  "Settings of the daemon, for its operators' port", "FILE" },
+		{ "stop", 0, 0, G_OPTION_ARG_NONE, &options.stop,
+		  "Stop the daemon as well when it has finished", NULL },
 		G_OPTION_ENTRY_NULL,
 	};
-	int exit_code;
+	const GOptionEntry without_stop[] = { entries[0], entries[1],
+					      G_OPTION_ENTRY_NULL };
+	int exit_code = CTL_OK;
 
-	if (!ctl_parse(ctl, usage, entries, &argc, &argv))
-		exit_code = ctl->exit_code;
-	else if (path)
-		exit_code = ask(ctl, &options, method, path);
+	if (ctl_parse(ctl, usage, question->stop_path ? entries : without_stop,
+		      &argc, &argv))
+		exit_code = answer(ctl, &options, question, argv);
 	else
-		exit_code = explain(ctl, &options, argv[1]);
+		exit_code = ctl->exit_code;
 	g_free(options.address);
 	g_free(options.settings);
 	return exit_code;
@@ -117,17 +136,19 @@
 
 int ctl_status(ctl_t *ctl, int argc, char **argv)
 {
+	static const question_t question = { "GET", "/status", NULL };
 	static const ctl_usage_t usage = {
 		"status --operators ADDRESS:PORT",
 		"Shows the state of a daemon, what is in force, and faults.", 0,
 		0
 	};
 
-	return run(ctl, &usage, "GET", "/status", argc, argv);
+	return run(ctl, &usage, &question, argc, argv);
 }
 
 int ctl_top(ctl_t *ctl, int argc, char **argv)
 {
+	static const question_t question = { "GET", "/top", NULL };
 	static const ctl_usage_t usage = {
 		"top --operators ADDRESS:PORT",
 		"Shows served and rejected requests and latencies in "
@@ -135,26 +156,31 @@
 		0, 0
 	};
 
-	return run(ctl, &usage, "GET", "/top", argc, argv);
+	return run(ctl, &usage, &question, argc, argv);
 }
 
 int ctl_drain(ctl_t *ctl, int argc, char **argv)
 {
+	static const question_t question = { "POST", "/drain",
+					     "/drain?goal=stop" };
 	static const ctl_usage_t usage = {
 		"drain --operators ADDRESS:PORT",
-		"Makes a daemon finish its requests, take no new ones and stop.",
+		"Takes the upstream of a daemon out of service without aborting "
+		"requests. The daemon goes on as an entry for callers, unless "
+		"--stop is given.",
 		0, 0
 	};
 
-	return run(ctl, &usage, "POST", "/drain", argc, argv);
+	return run(ctl, &usage, &question, argc, argv);
 }
 
 int ctl_explain(ctl_t *ctl, int argc, char **argv)
 {
+	static const question_t question = { "GET", NULL, NULL };
 	static const ctl_usage_t usage = {
 		"explain REQUEST_ID --operators ADDRESS:PORT",
 		"Shows what became of a recent request and why.", 1, 1
 	};
 
-	return run(ctl, &usage, "GET", NULL, argc, argv);
+	return run(ctl, &usage, &question, argc, argv);
 }
--- a/programs/cassiactl/ctl.c
+++ b/programs/cassiactl/ctl.c
@@ -20,7 +20,7 @@
 	{ "key", "issue a new key for a customer", ctl_key },
 	{ "status", "show the state of a daemon", ctl_status },
 	{ "top", "show the customers of a daemon", ctl_top },
-	{ "drain", "stop a daemon without aborting requests", ctl_drain },
+	{ "drain", "take an upstream or a daemon out of service", ctl_drain },
 	{ "explain", "show what became of a request", ctl_explain },
 };
 
@@ -162,6 +162,7 @@
 	if (sodium_init() < 0 || curl_global_init(CURL_GLOBAL_DEFAULT))
 		return ctl_fail(&ctl, "libraries cannot be initialised");
 	ctl.ctx = talloc_new(NULL);
+	g_set_prgname(PROGRAM);
 	if (argc < 2) {
 		print_usage(&ctl, err);
 		exit_code = CTL_FAILED;
--- a/programs/cassiactl/tests/test_cassiactl.c
+++ b/programs/cassiactl/tests/test_cassiactl.c
@@ -30,6 +30,7 @@
 	struct MHD_Daemon *daemon;
 	char address[32];
 	char last_method[8];
+	char last_goal[8];
 } fixture_t;
 
 static int setup(void **state)
@@ -202,6 +203,7 @@
 	const char *body = "{\"detail\":\"no such request\"}";
 	struct MHD_Response *response;
 	enum MHD_Result result;
+	const char *goal;
 	unsigned int status = 200;
 
 	(void)version;
@@ -212,6 +214,9 @@
 		return MHD_YES;
 	}
 	snprintf(f->last_method, sizeof(f->last_method), "%s", method);
+	goal = MHD_lookup_connection_value(connection, MHD_GET_ARGUMENT_KIND,
+					   "goal");
+	snprintf(f->last_goal, sizeof(f->last_goal), "%s", goal ? goal : "");
 	if (!strcmp(url, "/status"))
 		body = "{\"host\":\"a1\",\"uptime_s\":12,\"faults\":[],"
 		       "\"more\":{\"x\":1}}";
@@ -288,6 +293,10 @@
 	start_daemon(f);
 	assert_int_equal(run_on_daemon(f, "drain"), CTL_OK);
 	assert_string_equal(f->last_method, "POST");
+	assert_string_equal(f->last_goal, "");
+	assert_int_equal(run_on_daemon(f, "drain --stop"), CTL_OK);
+	assert_string_equal(f->last_goal, "stop");
+	assert_int_equal(run_on_daemon(f, "status --stop"), CTL_FAILED);
 	assert_int_equal(run_on_daemon(f, "explain a&b"), CTL_OK);
 	assert_string_equal(f->out, "outcome           not-run\n");
 	assert_int_equal(run_on_daemon(f, "explain other"), CTL_REFUSED);
@@ -312,6 +321,7 @@
 		snprintf(line, sizeof(line), "%s --help", names[i]);
 		assert_int_equal(run(f, line), CTL_OK);
 		expect(f->out, "--json");
+		expect(f->out, "  cassiactl [OPTION");
 		snprintf(line, sizeof(line), "%s --version", names[i]);
 		assert_int_equal(run(f, line), CTL_OK);
 		assert_string_equal(f->out, "cassiactl " CASSIA_VERSION "\n");
