--- a/programs/cassiad/config.c
+++ b/programs/cassiad/config.c
@@ -2,6 +2,7 @@
 #include "cassia/log.h"
 #include "control.h"
 #include "daemon.h"
+#include "fetch.h"
 
 static void log_faults(const char *event, const char *file,
 		       const config_faults_t *faults)
@@ -82,8 +83,10 @@
 		daemon->watching = watching;
 		source_set_watching(daemon->source, watching);
 	}
-	if (!daemon->roster || !daemon->table)
+	if (!daemon->roster || !daemon->table) {
+		fetch_from_seed(daemon);
 		return;
+	}
 	for (size_t i = 0; i < daemon->roster->host_count; i++) {
 		cas_id_t id = daemon->roster->hosts[i].id;
 
--- a/programs/cassiad/leg.c
+++ b/programs/cassiad/leg.c
@@ -83,7 +83,8 @@
 
 	if (attempt_read_outcome(&leg->daemon->secrets, text, report))
 		return false;
-	if (memcmp(report->attempt, leg->context.attempt, ATTEMPT_ID_BYTES) ||
+	if (memcmp(report->attempt, leg->context.attempt, ATTEMPT_ID_BYTES) !=
+		    0 ||
 	    report->host != leg->spec.host ||
 	    (int)report->status != reply->status)
 		return false;
