Use timers on the monotonic clock everywhere

Cause: tevent's timers follow the wall clock. After the clock was set back by an hour, the daemon's 10 ms tick fired 0 times in a second instead of 98, so heartbeats, quotas and admission stood still.

--- a/bench/bench_path.c
+++ b/bench/bench_path.c
@@ -145,17 +145,18 @@
 
 static void write_hosts(TALLOC_CTX *ctx)
 {
-	static const char row[] = "[[host]]\nname = \"%s\"\nservice = \"%s\"\n"
-				  "data_centre = \"m1\"\naddress = \"" NET
-				  "%d\"\n"
-				  "peer_port = %d\ncontrol_port = %d\n";
-	char *first = talloc_asprintf(ctx, row, "e1", "entry", 1, PEER,
-				      CONTROL);
-	char *second = talloc_asprintf(ctx, row, "b1", "booking", 2, PEER,
-				       CONTROL);
-
-	write_file("hosts.toml", talloc_asprintf(ctx, "revision = 1\n%s%s[end]\n",
-						 first, second));
+	static const char row[] =
+		"[[host]]\nname = \"%s\"\nservice = \"%s\"\n"
+		"data_centre = \"m1\"\naddress = \"" NET "%d\"\n"
+		"peer_port = %d\ncontrol_port = %d\n";
+	char *first =
+		talloc_asprintf(ctx, row, "e1", "entry", 1, PEER, CONTROL);
+	char *second =
+		talloc_asprintf(ctx, row, "b1", "booking", 2, PEER, CONTROL);
+
+	write_file("hosts.toml",
+		   talloc_asprintf(ctx, "revision = 1\n%s%s[end]\n", first,
+				   second));
 }
 
 static void write_settings(TALLOC_CTX *ctx, const char *name,
@@ -240,8 +241,8 @@
 static size_t response_length(const conn_t *conn)
 {
 	const char *end = memmem(conn->in, conn->in_len, "\r\n\r\n", 4);
-	const char *field = memmem(conn->in, conn->in_len, "Content-Length:",
-				   15);
+	const char *field =
+		memmem(conn->in, conn->in_len, "Content-Length:", 15);
 	size_t len;
 
 	if (!end || !field)
@@ -366,8 +367,8 @@
 	run_load(whole, RUN_S);
 	printf("bench=throughput calls_per_s=%ld failed=%ld "
 	       "baseline_calls_per_s=%ld\n",
-	       whole->counted / (RUN_S - WARM_UP_S),
-	       whole->failed, alone->counted / (RUN_S - WARM_UP_S));
+	       whole->counted / (RUN_S - WARM_UP_S), whole->failed,
+	       alone->counted / (RUN_S - WARM_UP_S));
 	load_destroy(alone);
 	load_destroy(whole);
 }
@@ -417,8 +418,9 @@
 			    .port = port };
 
 	target.request = talloc_asprintf(
-		ctx, "GET %s HTTP/1.1\r\nHost: bench\r\nX-Size: 200\r\n"
-		     "Authorization: Bearer " KEY "\r\n\r\n",
+		ctx,
+		"GET %s HTTP/1.1\r\nHost: bench\r\nX-Size: 200\r\n"
+		"Authorization: Bearer " KEY "\r\n\r\n",
 		path);
 	target.request_len = strlen(target.request);
 	return target;
@@ -453,16 +455,15 @@
 			    "--settings",
 			    talloc_asprintf(ctx, "%s/%s.toml", dir, name),
 			    NULL };
-	char *upstream[] = {
-		talloc_asprintf(ctx, "%s/standins/upstream", build),
-		"--address",
-		talloc_asprintf(ctx, NET "%d", number),
-		"--port",
-		talloc_asprintf(ctx, "%d", UPSTREAM),
-		"--delay-us",
-		talloc_strdup(ctx, delay_us),
-		NULL
-	};
+	char *upstream[] = { talloc_asprintf(ctx, "%s/standins/upstream",
+					     build),
+			     "--address",
+			     talloc_asprintf(ctx, NET "%d", number),
+			     "--port",
+			     talloc_asprintf(ctx, "%d", UPSTREAM),
+			     "--delay-us",
+			     talloc_strdup(ctx, delay_us),
+			     NULL };
 
 	write_settings(ctx, name, service, number);
 	start(talloc_asprintf(ctx, "%s.up.log", name), upstream);
@@ -472,7 +473,8 @@
 int main(int argc, char **argv)
 {
 	TALLOC_CTX *ctx = talloc_new(NULL);
-	char *build = talloc_asprintf(ctx, "%s/..", dirname(talloc_strdup(ctx, argv[0])));
+	char *build = talloc_asprintf(ctx, "%s/..",
+				      dirname(talloc_strdup(ctx, argv[0])));
 	target_t direct, path, direct_own, own;
 	struct rlimit limit;
 	pid_t entry;
--- a/packages/config/tests/test_mono_timer.c
+++ b/packages/base/tests/test_timer.c
@@ -1,11 +1,11 @@
-/* Tests of the timers that the sources run on. */
+/* Tests of the timers on the monotonic clock. */
 #include "cassia/test.h"
 
 #include <sys/time.h>
 #include <time.h>
 
 #include "cassia/clock.h"
-#include "mono_timer_internal.h"
+#include "cassia/timer.h"
 
 static long wall_step_s;
 
@@ -26,19 +26,19 @@
 	(*(int *)private)++;
 }
 
-/* Guards against a source that stops when the wall clock is set back. */
+/* Guards against work that stops when the wall clock is set back. */
 static void test_fires_after_the_wall_clock_is_set_back(void **state)
 {
 	struct tevent_context *ev = tevent_context_init(NULL);
 	int fired = 0;
-	mono_timer_t *timer = mono_timer_create(ev, ev, count, &fired);
+	cas_timer_t *timer = cas_timer_create(ev, ev, count, &fired);
 
 	(void)state;
-	mono_timer_arm(timer, 20 * CAS_USEC_PER_MSEC);
+	cas_timer_arm(timer, 20 * CAS_USEC_PER_MSEC);
 	wall_step_s = -3600;
 	tevent_loop_once(ev);
 	assert_int_equal(fired, 1);
-	mono_timer_arm(timer, 0);
+	cas_timer_arm(timer, 0);
 	tevent_loop_once(ev);
 	assert_int_equal(fired, 2);
 	wall_step_s = 0;
@@ -53,14 +53,14 @@
 	int64_t start = cas_clock_now(clock);
 	int first = 0;
 	int second = 0;
-	mono_timer_t *off = mono_timer_create(ev, ev, count, &first);
-	mono_timer_t *late = mono_timer_create(ev, ev, count, &second);
+	cas_timer_t *off = cas_timer_create(ev, ev, count, &first);
+	cas_timer_t *late = cas_timer_create(ev, ev, count, &second);
 
 	(void)state;
-	mono_timer_arm(off, CAS_USEC_PER_MSEC);
-	mono_timer_disarm(off);
-	mono_timer_arm(late, CAS_USEC_PER_MSEC);
-	mono_timer_arm(late, 30 * CAS_USEC_PER_MSEC);
+	cas_timer_arm(off, CAS_USEC_PER_MSEC);
+	cas_timer_disarm(off);
+	cas_timer_arm(late, CAS_USEC_PER_MSEC);
+	cas_timer_arm(late, 30 * CAS_USEC_PER_MSEC);
 	tevent_loop_once(ev);
 	assert_int_equal(first, 0);
 	assert_int_equal(second, 1);
--- a/packages/config/mono_timer.c
+++ b/packages/base/timer.c
@@ -1,22 +1,22 @@
 /* One-shot timers on the monotonic clock, by timerfd. */
-#include "mono_timer_internal.h"
+#include "cassia/timer.h"
 
 #include <sys/timerfd.h>
 #include <unistd.h>
 
 #include "cassia/clock.h"
 
-struct mono_timer {
+struct cas_timer {
 	int fd;
 	struct tevent_fd *fde;
-	mono_timer_handler_t handler;
+	cas_timer_handler_t handler;
 	void *private;
 };
 
 static void fd_handler(struct tevent_context *ev, struct tevent_fd *fde,
 		       uint16_t flags, void *private)
 {
-	mono_timer_t *timer = private;
+	cas_timer_t *timer = private;
 	uint64_t fired;
 
 	(void)ev;
@@ -27,7 +27,7 @@
 		timer->handler(timer->private);
 }
 
-static int timer_destroy(mono_timer_t *timer)
+static int timer_destroy(cas_timer_t *timer)
 {
 	talloc_free(timer->fde);
 	if (timer->fd >= 0)
@@ -35,10 +35,10 @@
 	return 0;
 }
 
-mono_timer_t *mono_timer_create(TALLOC_CTX *ctx, struct tevent_context *ev,
-				mono_timer_handler_t handler, void *private)
+cas_timer_t *cas_timer_create(TALLOC_CTX *ctx, struct tevent_context *ev,
+			      cas_timer_handler_t handler, void *private)
 {
-	mono_timer_t *timer = talloc_zero(ctx, mono_timer_t);
+	cas_timer_t *timer = talloc_zero(ctx, cas_timer_t);
 
 	if (!timer)
 		return NULL;
@@ -56,7 +56,7 @@
 	return timer;
 }
 
-void mono_timer_arm(mono_timer_t *timer, int64_t delay_us)
+void cas_timer_arm(cas_timer_t *timer, int64_t delay_us)
 {
 	struct itimerspec spec = { 0 };
 
@@ -68,7 +68,7 @@
 	timerfd_settime(timer->fd, 0, &spec, NULL);
 }
 
-void mono_timer_disarm(mono_timer_t *timer)
+void cas_timer_disarm(cas_timer_t *timer)
 {
 	struct itimerspec spec = { 0 };
 
--- a/packages/config/curl_loop.c
+++ b/packages/config/curl_loop.c
@@ -3,12 +3,12 @@
 
 #include "cassia/clock.h"
 #include "cassia/fault.h"
-#include "mono_timer_internal.h"
+#include "cassia/timer.h"
 
 struct curl_loop {
 	struct tevent_context *ev;
 	CURLM *multi;
-	mono_timer_t *timer;
+	cas_timer_t *timer;
 };
 
 typedef struct watched_socket {
@@ -112,9 +112,9 @@
 
 	(void)multi;
 	if (timeout_ms < 0)
-		mono_timer_disarm(loop->timer);
+		cas_timer_disarm(loop->timer);
 	else
-		mono_timer_arm(loop->timer, timeout_ms * CAS_USEC_PER_MSEC);
+		cas_timer_arm(loop->timer, timeout_ms * CAS_USEC_PER_MSEC);
 	return 0;
 }
 
@@ -131,7 +131,7 @@
 	if (!loop)
 		return NULL;
 	loop->ev = ev;
-	loop->timer = mono_timer_create(loop, ev, timer_fired, loop);
+	loop->timer = cas_timer_create(loop, ev, timer_fired, loop);
 	loop->multi = loop->timer ? curl_multi_init() : NULL;
 	if (!loop->multi) {
 		talloc_free(loop);
--- a/packages/config/source_file.c
+++ b/packages/config/source_file.c
@@ -2,7 +2,7 @@
 #include <errno.h>
 #include <sys/stat.h>
 
-#include "mono_timer_internal.h"
+#include "cassia/timer.h"
 #include "source_internal.h"
 
 typedef struct watched_file {
@@ -15,7 +15,7 @@
 
 typedef struct file_source {
 	source_t base;
-	mono_timer_t *timer;
+	cas_timer_t *timer;
 	watched_file_t files[CONFIG_DOCUMENT_COUNT];
 	size_t file_count;
 } file_source_t;
@@ -101,7 +101,7 @@
 {
 	file_source_t *source = private;
 
-	mono_timer_arm(source->timer, SOURCE_FILE_CHECK_US);
+	cas_timer_arm(source->timer, SOURCE_FILE_CHECK_US);
 	look_at_all(source, false);
 }
 
@@ -124,7 +124,7 @@
 	if (!source)
 		return NULL;
 	source->base = (source_t){ &file_ops, sink, private };
-	source->timer = mono_timer_create(source, ev, timer_fired, source);
+	source->timer = cas_timer_create(source, ev, timer_fired, source);
 	if (!source->timer)
 		goto error;
 	if (add_file(source, CONFIG_TABLE, table_path))
@@ -132,7 +132,7 @@
 	if (strcmp(table_path, hosts_path) != 0 &&
 	    add_file(source, CONFIG_HOSTS, hosts_path))
 		goto error;
-	mono_timer_arm(source->timer, SOURCE_FILE_CHECK_US);
+	cas_timer_arm(source->timer, SOURCE_FILE_CHECK_US);
 	look_at_all(source, false);
 	return &source->base;
 error:
--- a/packages/config/source_http.c
+++ b/packages/config/source_http.c
@@ -3,7 +3,7 @@
  * at most one read in flight for each document.
  */
 #include "curl_loop_internal.h"
-#include "mono_timer_internal.h"
+#include "cassia/timer.h"
 #include "source_internal.h"
 
 #define HTTP_OK 200
@@ -23,7 +23,7 @@
 	bool long_poll; /* the read in flight waits for a change */
 	char *body;
 	size_t body_len;
-	mono_timer_t *timer;
+	cas_timer_t *timer;
 	unsigned int failures; /* in a row */
 	char last_reason[CURL_ERROR_SIZE];
 	char curl_error[CURL_ERROR_SIZE];
@@ -49,7 +49,7 @@
 
 static void schedule(http_read_t *read, int64_t delay_us)
 {
-	mono_timer_arm(read->timer, delay_us);
+	cas_timer_arm(read->timer, delay_us);
 }
 
 /* Returns a time between half of base_us and one and a half. */
@@ -211,7 +211,7 @@
 		read->again = true;
 		return;
 	}
-	mono_timer_disarm(read->timer);
+	cas_timer_disarm(read->timer);
 	read->long_poll = read->source->watching;
 	read->curl_error[0] = '\0';
 	read->too_large = false;
@@ -264,7 +264,7 @@
 	http_read_t *read = &source->reads[document];
 	CURL *easy = curl_easy_init();
 
-	read->timer = mono_timer_create(source, source->ev, timer_fired, read);
+	read->timer = cas_timer_create(source, source->ev, timer_fired, read);
 	if (!easy || !read->timer) {
 		curl_easy_cleanup(easy);
 		return CONFIG_ENOMEM;
--- a/packages/http/back.c
+++ b/packages/http/back.c
@@ -100,16 +100,9 @@
 	tevent_schedule_immediate(back->act_soon, back->ev, on_soon, back);
 }
 
-static void on_timer(struct tevent_context *ev, struct tevent_timer *te,
-		     struct timeval current, void *private)
+static void on_timer(void *private)
 {
-	http_back_t *back = private;
-
-	(void)ev;
-	(void)te;
-	(void)current;
-	back->timer = NULL;
-	back_act(back, CURL_SOCKET_TIMEOUT, 0);
+	back_act(private, CURL_SOCKET_TIMEOUT, 0);
 }
 
 static int set_timer(CURLM *multi, long wait_ms, void *cls)
@@ -117,17 +110,13 @@
 	http_back_t *back = cls;
 
 	(void)multi;
-	TALLOC_FREE(back->timer);
 	if (wait_ms == 0)
 		back_act_soon(back);
-	if (wait_ms <= 0)
-		return 0;
-	back->timer = tevent_add_timer(
-		back->ev, back,
-		tevent_timeval_current_ofs((uint32_t)(wait_ms / 1000),
-					   (uint32_t)(wait_ms % 1000) * 1000),
-		on_timer, back);
-	return back->timer ? 0 : -1;
+	if (wait_ms > 0)
+		cas_timer_arm(back->timer, wait_ms * CAS_USEC_PER_MSEC);
+	else
+		cas_timer_disarm(back->timer);
+	return 0;
 }
 
 static void on_socket_ready(struct tevent_context *ev, struct tevent_fd *fde,
@@ -205,9 +194,10 @@
 	back->ev = ev;
 	back->settings = *settings;
 	back->act_soon = tevent_create_immediate(back);
+	back->timer = cas_timer_create(back, ev, on_timer, back);
 	back->multi = curl_multi_init();
 	talloc_set_destructor(back, back_destroy);
-	if (!back->act_soon || !back->multi) {
+	if (!back->act_soon || !back->timer || !back->multi) {
 		talloc_free(back);
 		return NULL;
 	}
--- a/packages/http/back_internal.h
+++ b/packages/http/back_internal.h
@@ -4,6 +4,7 @@
 
 #include <curl/curl.h>
 
+#include "cassia/timer.h"
 #include "cassia/http_back.h"
 
 #define BACK_IDLE_HANDLES 256
@@ -12,7 +13,7 @@
 	struct tevent_context *ev;
 	http_back_settings_t settings;
 	CURLM *multi;
-	struct tevent_timer *timer;
+	cas_timer_t *timer;
 	struct tevent_immediate *act_soon;
 	bool act_pending;
 	http_call_t *calls;
--- a/packages/http/front_internal.h
+++ b/packages/http/front_internal.h
@@ -5,6 +5,7 @@
 #include <microhttpd.h>
 #include <sys/epoll.h>
 
+#include "cassia/timer.h"
 #include "cassia/http_front.h"
 
 typedef struct http_conn http_conn_t;
@@ -65,7 +66,7 @@
 	struct MHD_Daemon *daemon;
 	struct tevent_fd *mhd_fde;
 	struct tevent_immediate *run_soon;
-	struct tevent_timer *sweep_timer;
+	cas_timer_t *sweep_timer;
 	bool run_pending;
 	bool draining; /* no longer listening */
 	bool closing; /* connections end behind a response */
--- a/packages/http/front_watch.c
+++ b/packages/http/front_watch.c
@@ -13,7 +13,7 @@
 #include "cassia/http_problem.h"
 
 #define WATCH_BATCH 64
-#define SWEEP_PERIOD_S 1
+#define SWEEP_PERIOD_US CAS_USEC_PER_SEC
 
 /* A caller that closes its side during a request is taken as gone. */
 static void on_watch(struct tevent_context *ev, struct tevent_fd *fde,
@@ -105,26 +105,11 @@
 		conn_time_out(exchange->conn);
 }
 
-static void on_sweep(struct tevent_context *ev, struct tevent_timer *te,
-		     struct timeval current, void *private);
-
-static int schedule_sweep(http_front_t *front)
-{
-	front->sweep_timer = tevent_add_timer(
-		front->ev, front, tevent_timeval_current_ofs(SWEEP_PERIOD_S, 0),
-		on_sweep, front);
-	return front->sweep_timer ? 0 : HTTP_ENOMEM;
-}
-
-static void on_sweep(struct tevent_context *ev, struct tevent_timer *te,
-		     struct timeval current, void *private)
+static void on_sweep(void *private)
 {
 	http_front_t *front = private;
 	int64_t now = cas_clock_now(front->clock);
 
-	(void)ev;
-	(void)te;
-	(void)current;
 	for (http_conn_t *conn = front->conns; conn; conn = conn->next) {
 		if (conn->exchange)
 			sweep_exchange(conn->exchange, now);
@@ -133,7 +118,7 @@
 	}
 	/* libmicrohttpd closes idle connections when it runs. */
 	front_run_soon(front);
-	schedule_sweep(front);
+	cas_timer_arm(front->sweep_timer, SWEEP_PERIOD_US);
 }
 
 int front_watch_start(http_front_t *front)
@@ -145,5 +130,10 @@
 					 TEVENT_FD_READ, on_watch, front);
 	if (!front->watch_fde)
 		return HTTP_ENOMEM;
-	return schedule_sweep(front);
+	front->sweep_timer =
+		cas_timer_create(front, front->ev, on_sweep, front);
+	if (!front->sweep_timer)
+		return HTTP_ENOMEM;
+	cas_timer_arm(front->sweep_timer, SWEEP_PERIOD_US);
+	return 0;
 }
--- a/packages/quota/quota.c
+++ b/packages/quota/quota.c
@@ -238,8 +238,8 @@
 		for (const quota_bucket_t *b = customer->buckets; b;
 		     b = b->next) {
 			due = quota_min(due, quota_borrow_due(b));
-			due = quota_min(due, quota->ticked_us +
-						     FENCE_CHECK_PERIOD);
+			due = quota_min(due,
+					quota->ticked_us + FENCE_CHECK_PERIOD);
 		}
 	}
 	return due;
--- a/programs/cassiad/control.c
+++ b/programs/cassiad/control.c
@@ -205,8 +205,7 @@
 	.fetch = boot_fetch,
 };
 
-void control_fleet_secrets(const settings_t *settings,
-			   fleet_secrets_t *secrets)
+void control_fleet_secrets(const settings_t *settings, fleet_secrets_t *secrets)
 {
 	memset(secrets, 0, sizeof(*secrets));
 	for (size_t i = 0; i < settings->secret_count; i++) {
--- a/programs/cassiad/daemon.c
+++ b/programs/cassiad/daemon.c
@@ -176,17 +176,12 @@
 	drain_tick(daemon->drain);
 }
 
-static void on_tick(struct tevent_context *ev, struct tevent_timer *te,
-		    struct timeval now, void *private)
+static void on_tick(void *private)
 {
 	cassiad_t *daemon = private;
 
-	(void)te;
-	(void)now;
 	tick(daemon);
-	tevent_add_timer(ev, daemon,
-			 tevent_timeval_current_ofs(0, TICK_MS * 1000), on_tick,
-			 daemon);
+	cas_timer_arm(daemon->tick_timer, TICK_MS * CAS_USEC_PER_MSEC);
 }
 
 static void on_signal(struct tevent_context *ev, struct tevent_signal *se,
@@ -243,6 +238,16 @@
 	return admit_start(daemon);
 }
 
+static int start_tick(cassiad_t *daemon)
+{
+	daemon->tick_timer =
+		cas_timer_create(daemon, daemon->ev, on_tick, daemon);
+	if (!daemon->tick_timer)
+		return BASE_ENOMEM;
+	on_tick(daemon);
+	return 0;
+}
+
 static void add_signals(cassiad_t *daemon)
 {
 	const int numbers[] = { SIGTERM, SIGINT, SIGHUP };
@@ -276,8 +281,7 @@
 		return error;
 	}
 	add_signals(daemon);
-	on_tick(daemon->ev, NULL, (struct timeval){ 0 }, daemon);
-	return 0;
+	return start_tick(daemon);
 }
 
 /* Servers first: they end the requests that use the other parts. */
--- a/programs/cassiad/daemon.h
+++ b/programs/cassiad/daemon.h
@@ -21,6 +21,7 @@
 #include "cassia/settings.h"
 #include "cassia/source.h"
 #include "cassia/thresholds.h"
+#include "cassia/timer.h"
 #include "reason.h"
 
 typedef struct control control_t;
@@ -59,6 +60,7 @@
 	keys_t *keys;
 	bool fetches[CONFIG_DOCUMENT_COUNT]; /* running */
 	int64_t next_seed_us;
+	cas_timer_t *tick_timer;
 
 	http_front_t *front; /* callers */
 	http_front_t *local; /* child calls of the upstream */
