--- a/bench/sim.h
+++ b/bench/sim.h
@@ -19,6 +19,8 @@
 #define SIM_BIN_US (100 * CAS_USEC_PER_MSEC)
 #define SIM_BINS 300
 #define SIM_TRIES_MAX 8
+#define SIM_REASONS (ADMISSION_REASON_STOPPED + 2)
+#define SIM_REASON_EARLY (ADMISSION_REASON_STOPPED + 1)
 
 typedef struct sim sim_t;
 typedef struct sim_call sim_call_t;
@@ -141,6 +143,8 @@
 	sim_count_t importances[ADMISSION_IMPORTANCES];
 	sim_bin_t bins[SIM_BINS];
 	int64_t retries_max;
+	/* Calls not run, by route, level in the chain and reason. */
+	uint32_t rejected[WORKLOAD_ROUTES_MAX][WORKLOAD_DEPTH][SIM_REASONS];
 	uint64_t events;
 };
 
--- a/packages/admission/admission.c
+++ b/packages/admission/admission.c
@@ -35,6 +35,8 @@
 	admission->ops = *ops;
 	admission->private = private;
 	admission->updated_us = cas_clock_now(clock);
+	admission->occupied_at_us = admission->updated_us;
+	admission->gain = 1;
 	limit_init(&admission->limit, admission->updated_us);
 	if (demand_init(admission)) {
 		talloc_free(admission);
@@ -58,6 +60,7 @@
 static void start(admission_t *admission, admission_ticket_t *ticket,
 		  int64_t now_us)
 {
+	demand_note_occupancy(admission, now_us);
 	ticket->running = true;
 	ticket->since_us = now_us;
 	limit_start(&admission->limit, now_us);
@@ -106,7 +109,7 @@
 {
 	int32_t limit = (int32_t)admission->limit.limit;
 
-	return limit > QUEUE_LENGTH_MIN ? limit : QUEUE_LENGTH_MIN;
+	return limit / 2 > QUEUE_LENGTH_MIN ? limit / 2 : QUEUE_LENGTH_MIN;
 }
 
 /* Makes room for a request of the class. Returns false when there is none. */
@@ -163,6 +166,13 @@
 	return class;
 }
 
+static double fraction_for(const admission_request_t *request,
+			   const request_class_t *class)
+{
+	return request->child ? demand_highest_fraction(class)
+			      : class->fraction;
+}
+
 admission_verdict_t admission_offer(admission_t *admission,
 				    const admission_request_t *request,
 				    admission_ticket_t **ticket,
@@ -173,22 +183,24 @@
 		latency_kind(&admission->limit.latency, request->kind);
 	request_class_t *class = note_arrival(admission, request, kind);
 
+	bool at_once;
+
 	*ticket = NULL;
 	*reason = ADMISSION_REASON_NONE;
 	if (!class)
 		return reject(reason, ADMISSION_REASON_MEMORY);
 	if (too_late(kind, now_us, request->deadline_us))
 		return reject(reason, ADMISSION_REASON_DEADLINE);
-	if (!draw_below(request->draw, class->fraction))
+	if (!draw_below(request->draw, fraction_for(request, class)))
 		return reject(reason, ADMISSION_REASON_SHED);
 	dispatch(admission);
-	if ((admission->queued || !limit_allows(&admission->limit)) &&
-	    !make_room(admission, class))
+	at_once = !admission->queued && limit_allows(&admission->limit);
+	if (!at_once && !make_room(admission, class))
 		return reject(reason, ADMISSION_REASON_QUEUE_FULL);
 	*ticket = ticket_create(admission, request, class, kind);
 	if (!*ticket)
 		return reject(reason, ADMISSION_REASON_MEMORY);
-	if (!admission->queued && limit_allows(&admission->limit)) {
+	if (at_once) {
 		start(admission, *ticket, now_us);
 		return ADMISSION_RUN;
 	}
@@ -208,6 +220,7 @@
 {
 	int64_t now_us = cas_clock_now(admission->clock);
 
+	demand_note_occupancy(admission, now_us);
 	limit_finish(&admission->limit, ticket->kind, now_us,
 		     now_us - ticket->since_us, ticket->child_us,
 		     limit_end_of(result));
--- a/packages/admission/admission_internal.h
+++ b/packages/admission/admission_internal.h
@@ -8,8 +8,8 @@
 #include "limit_internal.h"
 
 /* The lowest of this many published fractions is certainly in force at all
- * entry daemons. */
-#define CLASS_PUBLISHED 6
+ * entry daemons; the highest may have admitted work that is still running. */
+#define CLASS_PUBLISHED 10
 
 typedef struct ticket_link {
 	struct ticket_link *next;
@@ -69,6 +69,10 @@
 	request_class_t **order; /* scratch space of the division */
 	size_t order_size;
 	int64_t updated_us;
+	int64_t occupied_at_us;
+	double occupied_us; /* integral of running and queued requests */
+	double gain; /* corrects the error of the demand estimates */
+	bool shedding; /* some fraction is below 1 */
 };
 
 /* Queue (queue.c). */
@@ -87,9 +91,13 @@
 			      cas_id_t customer);
 request_class_t *demand_class_add(admission_t *admission, int32_t importance,
 				  cas_id_t customer);
+/* Returns the highest recent fraction of the class. */
+double demand_highest_fraction(const request_class_t *class);
 /* Counts a request that would hold the upstream for held_us. */
 void demand_arrived(request_class_t *class, uint32_t draw, double held_us);
 void demand_update(admission_t *admission, int64_t now_us);
+/* Call it before the number of running or queued requests changes. */
+void demand_note_occupancy(admission_t *admission, int64_t now_us);
 
 /* Returns whether the draw lies below the fraction. */
 static inline bool draw_below(uint32_t draw, double fraction)
--- a/packages/admission/demand.c
+++ b/packages/admission/demand.c
@@ -11,17 +11,26 @@
  * end of a surge shows within a second. */
 #define DEMAND_RISE 0.3
 #define DEMAND_FALL 0.5
+#define FRACTION_WEIGHT 1
 #define HELD_WEIGHT 0.05
 #define SURE_MIN 0.02
 #define CLASS_IDLE_US (60 * CAS_USEC_PER_SEC)
 /* Bounds of the correction of capacity by the length of the queue. */
-#define SLACK_LOW 0.85
-#define SLACK_HIGH 1.2
+#define SLACK_LOW 0.7
+#define SLACK_HIGH 1.1
 #define SLACK_GAIN 0.2
 #define STARTUP_GROWTH 2.0
+/* Part of the limit that running and queued requests should make up, and the
+ * change of the gain in each update. */
+#define GAIN_OCCUPANCY 1.0
+#define GAIN_RISE 1.1
+#define GAIN_FALL 0.9
+#define GAIN_RETURN 0.2
+#define GAIN_LOW 0.5
+#define GAIN_HIGH 4.0
 /* Part of the limit that the queue should hold. */
-#define QUEUE_TARGET 0.15
-#define QUEUE_TARGET_MIN 2.0
+#define QUEUE_TARGET 0.1
+#define QUEUE_TARGET_MIN 4.0
 
 static guint class_hash(gconstpointer p)
 {
@@ -100,6 +109,16 @@
 	return lowest > SURE_MIN ? lowest : SURE_MIN;
 }
 
+double demand_highest_fraction(const request_class_t *class)
+{
+	double highest = class->fraction;
+
+	for (int i = 0; i < CLASS_PUBLISHED; i++)
+		if (class->published[i] > highest)
+			highest = class->published[i];
+	return highest;
+}
+
 void demand_arrived(request_class_t *class, uint32_t draw, double held_us)
 {
 	if (class->held_us <= 0)
@@ -143,6 +162,13 @@
 	return left_share > right_share;
 }
 
+static double fraction_of(const request_class_t *class)
+{
+	if (class->demand <= class->granted)
+		return 1;
+	return class->granted / class->demand;
+}
+
 /* Gives the classes of one importance, sorted by demand for their weight,
  * what they ask for as long as it is below the fair share of what is left.
  * Returns what remains of the capacity. */
@@ -157,9 +183,8 @@
 		double fair = capacity * class->weight / weights;
 
 		class->granted = class->demand < fair ? class->demand : fair;
-		class->fraction = class->demand > class->granted
-					  ? class->granted / class->demand
-					  : 1;
+		class->fraction += FRACTION_WEIGHT *
+				   (fraction_of(class) - class->fraction);
 		capacity -= class->granted;
 		weights -= class->weight;
 	}
@@ -187,6 +212,34 @@
 	return 1 - queued / wanted;
 }
 
+void demand_note_occupancy(admission_t *admission, int64_t now_us)
+{
+	int32_t requests = admission->limit.inflight + admission->queued;
+	int64_t elapsed_us = now_us - admission->occupied_at_us;
+
+	admission->occupied_us += (double)elapsed_us * requests;
+	admission->occupied_at_us = now_us;
+}
+
+/*
+ * While load is shed the limit should be in use. Rejected requests come again
+ * as retries, so the demand looks higher than it is; the gain makes up for
+ * that. It returns to 1 when nothing is shed.
+ */
+static void update_gain(admission_t *admission, double elapsed_us)
+{
+	double occupied = admission->occupied_us / elapsed_us;
+	double wanted = admission->limit.limit * GAIN_OCCUPANCY;
+	double step = wanted / (occupied > 1 ? occupied : 1);
+
+	if (admission->shedding)
+		admission->gain *= clamp(step, GAIN_FALL, GAIN_RISE);
+	else
+		admission->gain += GAIN_RETURN * (1 - admission->gain);
+	admission->gain = clamp(admission->gain, GAIN_LOW, GAIN_HIGH);
+	admission->occupied_us = 0;
+}
+
 /* Capacity for one importance and those above it, as requests in flight. A
  * limit that is still growing counts for what it becomes soon. */
 static double capacity_for(const admission_t *admission, int importance)
@@ -195,7 +248,7 @@
 	double room = queue_room(admission, importance);
 	double growth = limit->phase == LIMIT_STARTUP ? STARTUP_GROWTH : 1;
 
-	return limit->limit * growth *
+	return limit->limit * growth * admission->gain *
 	       clamp(1 + SLACK_GAIN * room, SLACK_LOW, SLACK_HIGH);
 }
 
@@ -269,8 +322,13 @@
 	count = list_classes(admission);
 	for (size_t i = 0; i < count; i++)
 		update_class_demand(admission->order[i], elapsed_us);
+	demand_note_occupancy(admission, now_us);
+	update_gain(admission, elapsed_us);
 	divide_all(admission, count);
-	for (size_t i = 0; i < count; i++)
+	admission->shedding = false;
+	for (size_t i = 0; i < count; i++) {
+		admission->shedding |= admission->order[i]->fraction < 1;
 		publish(admission->order[i]);
+	}
 	admission->updated_us = now_us;
 }
--- a/packages/admission/include/cassia/admission.h
+++ b/packages/admission/include/cassia/admission.h
@@ -29,6 +29,9 @@
 	cas_id_t customer;
 	int32_t weight; /* of the customer, 1 or more */
 	int64_t deadline_us; /* on the module's clock */
+	/* A child call of work that was admitted before. It is kept by the
+	 * highest recent fraction, because that work is lost otherwise. */
+	bool child;
 	/* Requests of one kind take similar times; usually the id of the
 	 * route, with the position in the call chain if it can be told. */
 	cas_id_t kind;
--- a/packages/admission/limit.c
+++ b/packages/admission/limit.c
@@ -12,34 +12,42 @@
 
 #include "cassia/clock.h"
 
-#define LIMIT_START 8.0
+#define LIMIT_START 10.0
 #define LIMIT_MIN 2.0
 #define LIMIT_MAX 100000.0
 /* Room above rate times latency, so that noise does not idle the upstream. */
-#define LIMIT_GAIN 1.2
-#define LIMIT_GROWTH 1.25
-#define LIMIT_FALL 0.7
+#define LIMIT_GAIN 1.1
+#define LIMIT_GROWTH 1.15
+#define CRUISE_FALL 0.98
+/* Requests at the knee for those in flight that show no queueing. */
+#define NO_QUEUE 0.9
+#define LIMIT_FALL 0.5
 #define LIMIT_SHED_FALL 0.8
 #define LIMIT_CEILING_GROWTH 1.02
 #define STARTUP_INFLATION 1.3
-#define STARTUP_WEIGHT (1.0 / 16)
+#define STARTUP_WEIGHT (1.0 / 32)
+#define STARTUP_GROWTH 0.7
 /* A period is long enough for a mean latency that is off by a few percent. */
 #define PERIOD_MIN_US (50 * CAS_USEC_PER_MSEC)
 #define PERIOD_MAX_US CAS_USEC_PER_SEC
-#define PERIOD_LATENCIES 2
+#define PERIOD_LATENCIES 3
 #define PERIOD_COMPLETIONS 64
-#define STARTUP_COMPLETIONS 16
+#define STARTUP_COMPLETIONS 24
 #define PROBE_INTERVAL_US (3 * CAS_USEC_PER_SEC)
-#define PROBE_EARLY_US (CAS_USEC_PER_SEC / 2)
-#define PROBE_EARLY_INFLATION 1.5
+#define PROBE_PAUSES 10
+#define PROBE_EARLY_DIVISOR 6
+/* Requests in flight for those at the knee that call for an early probe. */
+#define PROBE_EARLY_EXCESS 1.4
 /* Part of the estimated knee to which a probe lowers the limit. */
 #define PROBE_STEP 0.8
-#define PROBE_DEEPEST 0.5
-#define PROBE_REQUESTS 64
+#define PROBE_DEEPEST 0.35
+#define PROBE_REQUESTS_MIN 24.0
+#define PROBE_REQUESTS_MAX 64.0
 #define PROBE_MAX_US (2 * CAS_USEC_PER_SEC)
+#define BASE_WEIGHT 0.1
+#define BASE_FALLEN 0.8
+#define BASE_WEIGHT_FALLEN 0.5
 #define TYPICAL_WEIGHT 0.05
-/* Below this use of the limit there is no queueing in the upstream. */
-#define UNLOADED 0.6
 
 static double min_of(double a, double b)
 {
@@ -58,6 +66,7 @@
 	limit->inflight_time = 0;
 	limit->bound_time = 0;
 	limit->completions = 0;
+	limit->startup_limit = limit->limit;
 	latency_restart(&limit->latency);
 }
 
@@ -93,12 +102,12 @@
 	account(limit, now_us);
 	limit->inflight++;
 	if (limit->phase != LIMIT_PROBE || now_us < limit->start_us ||
-	    limit->marked >= PROBE_REQUESTS)
+	    limit->marked >= limit->marks_wanted)
 		return;
 	limit->marked++;
 	limit->marked_to_us = now_us;
 	/* Those marked are in the upstream ahead of any that now follow. */
-	if (limit->marked == PROBE_REQUESTS)
+	if (limit->marked == limit->marks_wanted)
 		limit->effective = limit->limit;
 }
 
@@ -119,9 +128,10 @@
 	return inflight * (1 - own_share * excess);
 }
 
-/* One more for each completion doubles the limit in one latency. */
+/* Grows by a factor of 1 + STARTUP_GROWTH in one latency. The latency that
+ * ends the growth is that of the limit one latency ago. */
 static void startup_finish(limit_t *limit, const latency_kind_t *kind,
-			   double total_us, double own_us, bool was_full)
+			   int64_t now_us, double own_us, bool was_full)
 {
 	double inflation;
 
@@ -132,12 +142,17 @@
 	inflation = limit->startup_inflation;
 	if (inflation < STARTUP_INFLATION) {
 		if (was_full)
-			set_limit(limit, limit->limit + 1);
+			set_limit(limit, limit->limit + STARTUP_GROWTH);
 		return;
 	}
 	limit->phase = LIMIT_CRUISE;
-	set_limit(limit, knee(limit->inflight, inflation, own_us / total_us) *
-				 LIMIT_GAIN);
+	limit->next_probe_us = now_us;
+	set_limit(limit,
+		  max_of(knee(max_of(limit->startup_limit,
+				     limit->inflight / (1 + STARTUP_GROWTH)),
+			      inflation, limit->own_us / limit->typical_us) *
+				 LIMIT_GAIN,
+			 min_of(limit->limit, LIMIT_START)));
 }
 
 static void smooth(double *mean, double value)
@@ -180,8 +195,7 @@
 	smooth(&limit->typical_us, (double)total_us);
 	smooth(&limit->own_us, (double)own_us);
 	if (limit->phase == LIMIT_STARTUP)
-		startup_finish(limit, kind, (double)total_us, (double)own_us,
-			       was_full);
+		startup_finish(limit, kind, now_us, (double)own_us, was_full);
 }
 
 void limit_shed(limit_t *limit, int64_t now_us)
@@ -213,58 +227,85 @@
 
 	wanted = max_of(wanted, inflight * PROBE_DEEPEST);
 	limit->phase = LIMIT_PROBE;
+	limit->probe_start_us = now_us;
 	limit->probe_inflight = inflight;
 	limit->probe_before = *period;
 	limit->effective = max_of(wanted, LIMIT_MIN);
+	limit->marks_wanted = (int)min_of(max_of(wanted, PROBE_REQUESTS_MIN),
+					  PROBE_REQUESTS_MAX);
 	start_marking(limit, now_us);
 }
 
+/* Probes take at most a tenth of the time, so that they cost little where
+ * requests are few. */
+static void leave_probe(limit_t *limit, int64_t now_us)
+{
+	int64_t pause_us = (now_us - limit->probe_start_us) * PROBE_PAUSES;
+
+	if (pause_us < PROBE_INTERVAL_US)
+		pause_us = PROBE_INTERVAL_US;
+	limit->phase = LIMIT_CRUISE;
+	limit->effective = limit->limit;
+	limit->next_probe_us = now_us + pause_us;
+	limit->early_probe_us = now_us + pause_us / PROBE_EARLY_DIVISOR;
+}
+
 static void end_probe(limit_t *limit, int64_t now_us, double inflation)
 {
 	const latency_period_t *before = &limit->probe_before;
-	double target = knee(limit->probe_inflight,
-			     before->inflation / inflation, before->own_share) *
+	double ratio = before->inflation / inflation;
+	double target = knee(limit->probe_inflight, ratio, before->own_share) *
 			LIMIT_GAIN;
 
-	limit->phase = LIMIT_CRUISE;
-	limit->next_probe_us = now_us + PROBE_INTERVAL_US;
-	limit->early_probe_us = now_us + PROBE_EARLY_US;
+	leave_probe(limit, now_us);
 	latency_scale(&limit->latency, inflation);
 	set_limit(limit, min_of(max_of(target, limit->limit * LIMIT_FALL),
 				limit->limit * LIMIT_GROWTH));
 }
 
-static bool probe_due(const limit_t *limit, int64_t now_us, double inflation)
+static bool probe_due(const limit_t *limit, int64_t now_us, double inflight,
+		      double at_knee)
 {
 	if (now_us >= limit->next_probe_us)
 		return true;
 	return now_us >= limit->early_probe_us &&
-	       inflation > PROBE_EARLY_INFLATION;
+	       inflight > at_knee * PROBE_EARLY_EXCESS;
+}
+
+/* Without a sign of queueing the limit grows; with one it moves to the knee,
+ * downwards only slowly until a probe has confirmed the base latency. */
+static double cruise_target(const limit_t *limit, double inflight,
+			    double at_knee)
+{
+	if (at_knee > inflight * NO_QUEUE)
+		return max_of(limit->limit, inflight * LIMIT_GROWTH);
+	return max_of(at_knee * LIMIT_GAIN, limit->limit * CRUISE_FALL);
 }
 
 static void cruise_period(limit_t *limit, int64_t now_us, double inflight,
 			  const latency_period_t *period)
 {
-	double wanted = knee(inflight, period->inflation, period->own_share) *
-			LIMIT_GAIN;
+	double at_knee = knee(inflight, period->inflation, period->own_share);
 
 	if (limit->ceiling > 0)
 		limit->ceiling *= LIMIT_CEILING_GROWTH;
-	if (probe_due(limit, now_us, period->inflation))
+	if (probe_due(limit, now_us, inflight, at_knee))
 		start_probe(limit, now_us, inflight, period);
-	else if (wanted > limit->limit)
-		set_limit(limit, min_of(wanted, limit->limit * LIMIT_GROWTH));
+	else
+		set_limit(limit, min_of(cruise_target(limit, inflight, at_knee),
+					limit->limit * LIMIT_GROWTH));
 }
 
-/* Lower latencies are taken over at any load, higher ones without load. */
-static void follow_base(limit_t *limit, double inflight,
-			const latency_period_t *period)
+/* Lower latencies are taken over at any load, slowly while they may be noise;
+ * higher ones only by a probe, which knows that they are not due to
+ * queueing. */
+static void follow_base(limit_t *limit, const latency_period_t *period)
 {
-	bool unloaded = inflight < limit->limit * UNLOADED;
-	double weight =
-		0.5 * min_of(1, (double)period->count / PERIOD_COMPLETIONS);
+	double weight = period->inflation < BASE_FALLEN ? BASE_WEIGHT_FALLEN
+							: BASE_WEIGHT;
 
-	if (period->inflation < 1 || unloaded)
+	weight *= min_of(1, (double)period->count / PERIOD_COMPLETIONS);
+	if (period->inflation < 1)
 		latency_scale(&limit->latency,
 			      1 + weight * (period->inflation - 1));
 }
@@ -277,11 +318,16 @@
 	latency_period_t period = latency_end_period(&limit->latency);
 
 	start_period(limit, now_us);
+	if (limit->phase == LIMIT_PROBE &&
+	    limit->marked < limit->marks_wanted) {
+		leave_probe(limit, now_us);
+		return;
+	}
 	if (limit->phase == LIMIT_PROBE) {
 		end_probe(limit, now_us, period.inflation);
 		return;
 	}
-	follow_base(limit, inflight, &period);
+	follow_base(limit, &period);
 	if (bound && limit->phase == LIMIT_CRUISE)
 		cruise_period(limit, now_us, inflight, &period);
 }
@@ -290,22 +336,19 @@
  * in the upstream. It then marks the next requests and ends when they have. */
 static bool probe_is_over(limit_t *limit, int64_t now_us)
 {
-	int64_t elapsed = now_us - limit->start_us;
-
+	if (now_us - limit->probe_start_us >= PROBE_MAX_US)
+		return true;
 	if (!limit->marked && limit->inflight > (int)limit->effective + 1) {
 		start_marking(limit, now_us);
 		return false;
 	}
-	if (elapsed >= PROBE_MAX_US)
-		return true;
-	return limit->marked == PROBE_REQUESTS &&
+	return limit->marked == limit->marks_wanted &&
 	       limit->marked_done >= limit->marked;
 }
 
 static bool period_is_over(const limit_t *limit, int64_t now_us)
 {
 	bool startup = limit->phase == LIMIT_STARTUP;
-	double latencies = startup ? 1 : PERIOD_LATENCIES;
 	int completions = startup ? STARTUP_COMPLETIONS : PERIOD_COMPLETIONS;
 	int64_t elapsed = now_us - limit->start_us;
 
@@ -314,7 +357,7 @@
 	if (elapsed >= PERIOD_MAX_US)
 		return true;
 	return limit->completions >= completions &&
-	       (double)elapsed >= limit->own_us * latencies;
+	       (double)elapsed >= limit->own_us * PERIOD_LATENCIES;
 }
 
 void limit_tick(limit_t *limit, int64_t now_us)
--- a/packages/admission/limit_internal.h
+++ b/packages/admission/limit_internal.h
@@ -19,15 +19,18 @@
 	/* Smoothed over all kinds, for the length of periods. */
 	double typical_us;
 	double own_us;
+	int64_t probe_start_us;
 	int64_t next_probe_us;
 	int64_t early_probe_us; /* not before, when latency is high */
 	int64_t next_shed_us;
+	double startup_limit; /* at the start of the current period */
 	double startup_inflation; /* smoothed over single requests */
 	double probe_inflight; /* before the probe */
 	latency_period_t probe_before;
 	/* Requests whose latency the probe takes: those that started from
 	 * start_us to marked_to_us. */
 	int marked;
+	int marks_wanted;
 	int marked_done;
 	int64_t marked_to_us;
 	/* The period that is being measured. */
