--- a/packages/admission/admission.c
+++ b/packages/admission/admission.c
@@ -63,7 +63,7 @@
 	demand_note_occupancy(admission, now_us);
 	ticket->running = true;
 	ticket->since_us = now_us;
-	limit_start(&admission->limit, now_us);
+	ticket->mark = limit_start(&admission->limit, now_us);
 }
 
 /* Drops a request that is off the queue. */
@@ -219,10 +219,14 @@
 		      admission_result_t result)
 {
 	int64_t now_us = cas_clock_now(admission->clock);
+	limit_held_t held = {
+		.total_us = now_us - ticket->since_us,
+		.child_us = ticket->child_us,
+		.mark = ticket->mark,
+	};
 
 	demand_note_occupancy(admission, now_us);
-	limit_finish(&admission->limit, ticket->kind, now_us,
-		     now_us - ticket->since_us, ticket->child_us,
+	limit_finish(&admission->limit, ticket->kind, now_us, &held,
 		     limit_end_of(result));
 	if (result == ADMISSION_SHED_BY_UPSTREAM)
 		limit_shed(&admission->limit, now_us);
--- a/packages/admission/admission_internal.h
+++ b/packages/admission/admission_internal.h
@@ -30,8 +30,10 @@
 	/* Demand since the last update, as time that the requests would hold
 	 * the upstream, and smoothed as a number of requests in flight. */
 	double arrived_us;
-	double early_us;
+	double early_us; /* rejected by entry daemons */
 	double sure_us; /* with a draw that no entry daemon rejects */
+	double highest_draw; /* of what arrived, 0..1 */
+	double reach; /* the highest draw of the last updates */
 	double held_us; /* smoothed, of one request */
 	double demand;
 	double granted; /* by the last division */
@@ -49,6 +51,7 @@
 	int64_t deadline_us;
 	int64_t since_us; /* queued, then started */
 	int64_t child_us; /* waiting for child calls */
+	uint32_t mark; /* of the limit */
 	void *private;
 	bool running;
 };
--- a/packages/admission/demand.c
+++ b/packages/admission/demand.c
@@ -12,6 +12,12 @@
 #define DEMAND_RISE 0.3
 #define DEMAND_FALL 0.5
 #define FRACTION_WEIGHT 1
+#define DRAW_RANGE 4294967296.0
+/* Reach for the own fraction below which another service is the limit, and
+ * room for that service to take more. */
+#define ELSEWHERE 0.7
+#define ELSEWHERE_ROOM 1.25
+#define REACH_DECAY 0.85
 #define HELD_WEIGHT 0.05
 #define SURE_MIN 0.02
 #define CLASS_IDLE_US (60 * CAS_USEC_PER_SEC)
@@ -27,7 +33,7 @@
 #define GAIN_FALL 0.9
 #define GAIN_RETURN 0.2
 #define GAIN_LOW 0.5
-#define GAIN_HIGH 4.0
+#define GAIN_HIGH 2.0
 /* Part of the limit that the queue should hold. */
 #define QUEUE_TARGET 0.1
 #define QUEUE_TARGET_MIN 4.0
@@ -125,27 +131,50 @@
 		class->held_us = held_us;
 	class->held_us += HELD_WEIGHT * (held_us - class->held_us);
 	class->arrived_us += held_us;
+	if ((double)draw > class->highest_draw * DRAW_RANGE)
+		class->highest_draw = draw / DRAW_RANGE;
 	if (draw_below(draw, sure_fraction(class)))
 		class->sure_us += held_us;
 }
 
+/* Returns whether draws that this daemon would keep do not arrive, because a
+ * service further down the call chain sheds more. */
+static bool limited_elsewhere(const request_class_t *class)
+{
+	return class->reach < sure_fraction(class) * ELSEWHERE;
+}
+
 /*
  * The demand is what arrived and what entry daemons report as rejected. For
  * calls rejected further up the chain there is no report; since draws are
- * uniform, those below the sure fraction tell how many there were.
+ * uniform, those below the sure fraction tell how many there were. Where
+ * another service sheds more, only what arrives asks for capacity here.
  */
-static void update_class_demand(request_class_t *class, double elapsed_us)
+static double class_demand(const request_class_t *class)
 {
 	double reported = class->arrived_us + class->early_us;
 	double inferred = class->sure_us / sure_fraction(class);
-	double demand =
-		(reported > inferred ? reported : inferred) / elapsed_us;
-	double weight = demand > class->demand ? DEMAND_RISE : DEMAND_FALL;
 
+	if (limited_elsewhere(class))
+		return class->arrived_us * ELSEWHERE_ROOM;
+	return reported > inferred ? reported : inferred;
+}
+
+static void update_class_demand(request_class_t *class, double elapsed_us)
+{
+	double demand;
+	double weight;
+
+	class->reach *= REACH_DECAY;
+	if (class->highest_draw > class->reach)
+		class->reach = class->highest_draw;
+	demand = class_demand(class) / elapsed_us;
+	weight = demand > class->demand ? DEMAND_RISE : DEMAND_FALL;
 	class->demand += weight * (demand - class->demand);
 	class->arrived_us = 0;
 	class->early_us = 0;
 	class->sure_us = 0;
+	class->highest_draw = 0;
 }
 
 static int compare_classes(const void *a, const void *b)
--- a/packages/admission/limit.c
+++ b/packages/admission/limit.c
@@ -97,18 +97,18 @@
 		limit->bound_time += elapsed;
 }
 
-void limit_start(limit_t *limit, int64_t now_us)
+uint32_t limit_start(limit_t *limit, int64_t now_us)
 {
 	account(limit, now_us);
 	limit->inflight++;
-	if (limit->phase != LIMIT_PROBE || now_us < limit->start_us ||
+	if (limit->phase != LIMIT_PROBE || !limit->probe_settled ||
 	    limit->marked >= limit->marks_wanted)
-		return;
+		return 0;
 	limit->marked++;
-	limit->marked_to_us = now_us;
 	/* Those marked are in the upstream ahead of any that now follow. */
 	if (limit->marked == limit->marks_wanted)
 		limit->effective = limit->limit;
+	return limit->probe_number;
 }
 
 static void set_limit(limit_t *limit, double value)
@@ -164,35 +164,36 @@
 
 /* Returns whether the latency of a request belongs to the period; notes its
  * end when a probe waits for it. */
-static bool is_counted(limit_t *limit, int64_t started_us)
+static bool is_counted(limit_t *limit, uint32_t mark)
 {
 	if (limit->phase != LIMIT_PROBE)
 		return true;
-	if (started_us < limit->start_us || started_us > limit->marked_to_us)
+	if (mark != limit->probe_number)
 		return false;
 	limit->marked_done++;
 	return true;
 }
 
 void limit_finish(limit_t *limit, latency_kind_t *kind, int64_t now_us,
-		  int64_t total_us, int64_t child_us, limit_end_t end)
+		  const limit_held_t *held, limit_end_t end)
 {
 	bool was_full = !limit_allows(limit);
-	int64_t own_us = child_us < total_us ? total_us - child_us : 1;
-	bool counted;
+	bool counted = is_counted(limit, held->mark);
+	int64_t own_us = held->total_us - held->child_us;
 
+	if (own_us < 1)
+		own_us = 1;
 	account(limit, now_us);
 	limit->inflight--;
-	counted = is_counted(limit, now_us - total_us);
 	if (end == LIMIT_END_OTHER)
 		return;
-	latency_add(kind, now_us, total_us, end == LIMIT_END_OK);
+	latency_add(kind, now_us, held->total_us, end == LIMIT_END_OK);
 	if (end != LIMIT_END_OK)
 		return;
 	if (counted)
-		latency_sample(kind, total_us, own_us);
+		latency_sample(kind, held->total_us, own_us);
 	limit->completions++;
-	smooth(&limit->typical_us, (double)total_us);
+	smooth(&limit->typical_us, (double)held->total_us);
 	smooth(&limit->own_us, (double)own_us);
 	if (limit->phase == LIMIT_STARTUP)
 		startup_finish(limit, kind, now_us, (double)own_us, was_full);
@@ -211,14 +212,6 @@
 	set_limit(limit, limit->ceiling);
 }
 
-static void start_marking(limit_t *limit, int64_t now_us)
-{
-	start_period(limit, now_us);
-	limit->marked = 0;
-	limit->marked_done = 0;
-	limit->marked_to_us = now_us - 1;
-}
-
 static void start_probe(limit_t *limit, int64_t now_us, double inflight,
 			const latency_period_t *period)
 {
@@ -233,7 +226,11 @@
 	limit->effective = max_of(wanted, LIMIT_MIN);
 	limit->marks_wanted = (int)min_of(max_of(wanted, PROBE_REQUESTS_MIN),
 					  PROBE_REQUESTS_MAX);
-	start_marking(limit, now_us);
+	limit->probe_settled = false;
+	limit->probe_number++;
+	limit->marked = 0;
+	limit->marked_done = 0;
+	start_period(limit, now_us);
 }
 
 /* Probes take at most a tenth of the time, so that they cost little where
@@ -338,8 +335,10 @@
 {
 	if (now_us - limit->probe_start_us >= PROBE_MAX_US)
 		return true;
-	if (!limit->marked && limit->inflight > (int)limit->effective + 1) {
-		start_marking(limit, now_us);
+	if (!limit->probe_settled) {
+		limit->probe_settled =
+			limit->inflight <= (int)limit->effective + 1;
+		start_period(limit, now_us);
 		return false;
 	}
 	return limit->marked == limit->marks_wanted &&
--- a/packages/admission/limit_internal.h
+++ b/packages/admission/limit_internal.h
@@ -27,12 +27,12 @@
 	double startup_inflation; /* smoothed over single requests */
 	double probe_inflight; /* before the probe */
 	latency_period_t probe_before;
-	/* Requests whose latency the probe takes: those that started from
-	 * start_us to marked_to_us. */
+	/* A probe takes the latency of the requests that it marks. */
+	bool probe_settled;
+	uint32_t probe_number;
 	int marked;
 	int marks_wanted;
 	int marked_done;
-	int64_t marked_to_us;
 	/* The period that is being measured. */
 	int64_t start_us;
 	int64_t changed_us;
@@ -46,7 +46,8 @@
 
 /* Returns whether one more request may start. */
 bool limit_allows(const limit_t *limit);
-void limit_start(limit_t *limit, int64_t now_us);
+/* Counts a request as started. Returns its mark, to be passed back. */
+uint32_t limit_start(limit_t *limit, int64_t now_us);
 
 /* How a request ended, as far as the limit is concerned. */
 typedef enum limit_end {
@@ -55,8 +56,15 @@
 	LIMIT_END_OTHER, /* cancelled or rejected by the upstream */
 } limit_end_t;
 
+/* How long a request held the upstream. */
+typedef struct limit_held {
+	int64_t total_us;
+	int64_t child_us; /* of that, waiting for child calls */
+	uint32_t mark; /* from limit_start */
+} limit_held_t;
+
 void limit_finish(limit_t *limit, latency_kind_t *kind, int64_t now_us,
-		  int64_t total_us, int64_t child_us, limit_end_t end);
+		  const limit_held_t *held, limit_end_t end);
 
 /* Lowers the limit after the upstream rejected a request. */
 void limit_shed(limit_t *limit, int64_t now_us);
