Drop the occupancy gain, slower growth in cruise

Cause: the gain oscillated with the demand estimate. Change: capacity is the limit times a correction by queue length only.

--- a/packages/admission/admission.c
+++ b/packages/admission/admission.c
@@ -35,8 +35,6 @@
 	admission->ops = *ops;
 	admission->private = private;
 	admission->updated_us = cas_clock_now(clock);
-	admission->occupied_at_us = admission->updated_us;
-	admission->gain = 1;
 	limit_init(&admission->limit, admission->updated_us);
 	if (demand_init(admission)) {
 		talloc_free(admission);
@@ -60,7 +58,6 @@
 static void start(admission_t *admission, admission_ticket_t *ticket,
 		  int64_t now_us)
 {
-	demand_note_occupancy(admission, now_us);
 	ticket->running = true;
 	ticket->since_us = now_us;
 	ticket->mark = limit_start(&admission->limit, now_us);
@@ -225,7 +222,6 @@
 		.mark = ticket->mark,
 	};
 
-	demand_note_occupancy(admission, now_us);
 	limit_finish(&admission->limit, ticket->kind, now_us, &held,
 		     limit_end_of(result));
 	if (result == ADMISSION_SHED_BY_UPSTREAM)
--- a/packages/admission/admission_internal.h
+++ b/packages/admission/admission_internal.h
@@ -72,10 +72,6 @@
 	request_class_t **order; /* scratch space of the division */
 	size_t order_size;
 	int64_t updated_us;
-	int64_t occupied_at_us;
-	double occupied_us; /* integral of running and queued requests */
-	double gain; /* corrects the error of the demand estimates */
-	bool shedding; /* some fraction is below 1 */
 };
 
 /* Queue (queue.c). */
@@ -99,8 +95,6 @@
 /* Counts a request that would hold the upstream for held_us. */
 void demand_arrived(request_class_t *class, uint32_t draw, double held_us);
 void demand_update(admission_t *admission, int64_t now_us);
-/* Call it before the number of running or queued requests changes. */
-void demand_note_occupancy(admission_t *admission, int64_t now_us);
 
 /* Returns whether the draw lies below the fraction. */
 static inline bool draw_below(uint32_t draw, double fraction)
--- a/packages/admission/demand.c
+++ b/packages/admission/demand.c
@@ -26,14 +26,6 @@
 #define SLACK_HIGH 1.1
 #define SLACK_GAIN 0.2
 #define STARTUP_GROWTH 2.0
-/* Part of the limit that running and queued requests should make up, and the
- * change of the gain in each update. */
-#define GAIN_OCCUPANCY 1.0
-#define GAIN_RISE 1.1
-#define GAIN_FALL 0.9
-#define GAIN_RETURN 0.2
-#define GAIN_LOW 0.5
-#define GAIN_HIGH 2.0
 /* Part of the limit that the queue should hold. */
 #define QUEUE_TARGET 0.1
 #define QUEUE_TARGET_MIN 4.0
@@ -152,12 +144,13 @@
  */
 static double class_demand(const request_class_t *class)
 {
-	double reported = class->arrived_us + class->early_us;
 	double inferred = class->sure_us / sure_fraction(class);
 
 	if (limited_elsewhere(class))
 		return class->arrived_us * ELSEWHERE_ROOM;
-	return reported > inferred ? reported : inferred;
+	if (class->early_us > 0 || inferred < class->arrived_us)
+		return class->arrived_us + class->early_us;
+	return inferred;
 }
 
 static void update_class_demand(request_class_t *class, double elapsed_us)
@@ -241,34 +234,6 @@
 	return 1 - queued / wanted;
 }
 
-void demand_note_occupancy(admission_t *admission, int64_t now_us)
-{
-	int32_t requests = admission->limit.inflight + admission->queued;
-	int64_t elapsed_us = now_us - admission->occupied_at_us;
-
-	admission->occupied_us += (double)elapsed_us * requests;
-	admission->occupied_at_us = now_us;
-}
-
-/*
- * While load is shed the limit should be in use. Rejected requests come again
- * as retries, so the demand looks higher than it is; the gain makes up for
- * that. It returns to 1 when nothing is shed.
- */
-static void update_gain(admission_t *admission, double elapsed_us)
-{
-	double occupied = admission->occupied_us / elapsed_us;
-	double wanted = admission->limit.limit * GAIN_OCCUPANCY;
-	double step = wanted / (occupied > 1 ? occupied : 1);
-
-	if (admission->shedding)
-		admission->gain *= clamp(step, GAIN_FALL, GAIN_RISE);
-	else
-		admission->gain += GAIN_RETURN * (1 - admission->gain);
-	admission->gain = clamp(admission->gain, GAIN_LOW, GAIN_HIGH);
-	admission->occupied_us = 0;
-}
-
 /* Capacity for one importance and those above it, as requests in flight. A
  * limit that is still growing counts for what it becomes soon. */
 static double capacity_for(const admission_t *admission, int importance)
@@ -277,7 +242,7 @@
 	double room = queue_room(admission, importance);
 	double growth = limit->phase == LIMIT_STARTUP ? STARTUP_GROWTH : 1;
 
-	return limit->limit * growth * admission->gain *
+	return limit->limit * growth *
 	       clamp(1 + SLACK_GAIN * room, SLACK_LOW, SLACK_HIGH);
 }
 
@@ -351,13 +316,8 @@
 	count = list_classes(admission);
 	for (size_t i = 0; i < count; i++)
 		update_class_demand(admission->order[i], elapsed_us);
-	demand_note_occupancy(admission, now_us);
-	update_gain(admission, elapsed_us);
 	divide_all(admission, count);
-	admission->shedding = false;
-	for (size_t i = 0; i < count; i++) {
-		admission->shedding |= admission->order[i]->fraction < 1;
+	for (size_t i = 0; i < count; i++)
 		publish(admission->order[i]);
-	}
 	admission->updated_us = now_us;
 }
--- a/packages/admission/limit.c
+++ b/packages/admission/limit.c
@@ -17,7 +17,7 @@
 #define LIMIT_MAX 100000.0
 /* Room above rate times latency, so that noise does not idle the upstream. */
 #define LIMIT_GAIN 1.1
-#define LIMIT_GROWTH 1.15
+#define LIMIT_GROWTH 1.08
 #define CRUISE_FALL 0.98
 /* Requests at the knee for those in flight that show no queueing. */
 #define NO_QUEUE 0.9
--- a/packages/admission/queue.c
+++ b/packages/admission/queue.c
@@ -38,7 +38,6 @@
 	request_class_t *class = ticket->class;
 	ticket_link_t *head = &class->queue;
 
-	demand_note_occupancy(admission, cas_clock_now(admission->clock));
 	ticket->link.next = head;
 	ticket->link.prev = head->prev;
 	head->prev->next = &ticket->link;
@@ -53,7 +52,6 @@
 {
 	request_class_t *class = ticket->class;
 
-	demand_note_occupancy(admission, cas_clock_now(admission->clock));
 	ticket->link.prev->next = ticket->link.next;
 	ticket->link.next->prev = ticket->link.prev;
 	if (!--class->queued)
