--- a/packages/admission/admission_internal.h
+++ b/packages/admission/admission_internal.h
@@ -72,6 +72,8 @@
 	request_class_t **order; /* scratch space of the division */
 	size_t order_size;
 	int64_t updated_us;
+	double held_time; /* of the limit at the last update */
+	double unused; /* limit for mean requests in flight, 1 or more */
 };
 
 /* Queue (queue.c). */
--- a/packages/admission/demand.c
+++ b/packages/admission/demand.c
@@ -11,7 +11,11 @@
  * end of a surge shows within a second. */
 #define DEMAND_RISE 0.3
 #define DEMAND_FALL 0.5
-#define FRACTION_WEIGHT 1
+/* While part of the limit is unused, fractions rise by this in each update
+ * whatever the demand seems to be. */
+#define IDLE_RISE 1.1
+#define IDLE_STEP 0.01
+#define IDLE_UNUSED 1.03
 #define DRAW_RANGE 4294967296.0
 /* Reach for the own fraction below which another service is the limit, and
  * room for that service to take more. */
@@ -25,6 +29,8 @@
 #define SLACK_LOW 0.7
 #define SLACK_HIGH 1.1
 #define SLACK_GAIN 0.2
+#define UNUSED_FACTOR 1.1
+#define UNUSED_MAX 1.5
 #define STARTUP_GROWTH 2.0
 /* Part of the limit that the queue should hold. */
 #define QUEUE_TARGET 0.1
@@ -184,17 +190,23 @@
 	return left_share > right_share;
 }
 
-static double fraction_of(const request_class_t *class)
+static double fraction_of(const request_class_t *class, bool idle)
 {
-	if (class->demand <= class->granted)
-		return 1;
-	return class->granted / class->demand;
+	double raised = class->fraction * IDLE_RISE + IDLE_STEP;
+	double fraction = 1;
+
+	if (class->demand > class->granted)
+		fraction = class->granted / class->demand;
+	if (idle && raised > fraction)
+		fraction = raised;
+	return fraction < 1 ? fraction : 1;
 }
 
 /* Gives the classes of one importance, sorted by demand for their weight,
  * what they ask for as long as it is below the fair share of what is left.
  * Returns what remains of the capacity. */
-static double divide(request_class_t **classes, size_t count, double capacity)
+static double divide(request_class_t **classes, size_t count, double capacity,
+		     bool idle)
 {
 	double weights = 0;
 
@@ -205,8 +217,7 @@
 		double fair = capacity * class->weight / weights;
 
 		class->granted = class->demand < fair ? class->demand : fair;
-		class->fraction += FRACTION_WEIGHT *
-				   (fraction_of(class) - class->fraction);
+		class->fraction = fraction_of(class, idle);
 		capacity -= class->granted;
 		weights -= class->weight;
 	}
@@ -234,6 +245,20 @@
 	return 1 - queued / wanted;
 }
 
+/*
+ * Rejected requests come again as retries, so the demand looks higher than it
+ * is and the fractions turn out too low. That shows as a limit that is not
+ * used up.
+ */
+static void update_unused(admission_t *admission, double elapsed_us)
+{
+	double held = admission->limit.held_time - admission->held_time;
+	double wanted = admission->limit.limit * elapsed_us;
+
+	admission->unused = clamp(wanted / (held + 1), 1, UNUSED_MAX);
+	admission->held_time = admission->limit.held_time;
+}
+
 /* Capacity for one importance and those above it, as requests in flight. A
  * limit that is still growing counts for what it becomes soon. */
 static double capacity_for(const admission_t *admission, int importance)
@@ -243,6 +268,8 @@
 	double growth = limit->phase == LIMIT_STARTUP ? STARTUP_GROWTH : 1;
 
 	return limit->limit * growth *
+	       (admission->unused < UNUSED_FACTOR ? admission->unused
+						  : UNUSED_FACTOR) *
 	       clamp(1 + SLACK_GAIN * room, SLACK_LOW, SLACK_HIGH);
 }
 
@@ -252,9 +279,18 @@
 	class->published_next = (class->published_next + 1) % CLASS_PUBLISHED;
 }
 
+static bool any_shed(request_class_t *const *classes, size_t count)
+{
+	for (size_t i = 0; i < count; i++)
+		if (classes[i]->fraction < 1)
+			return true;
+	return false;
+}
+
 static void divide_all(admission_t *admission, size_t count)
 {
 	request_class_t **order = admission->order;
+	bool idle = admission->unused > IDLE_UNUSED && !admission->queued;
 	double used = 0;
 	size_t begin = 0;
 
@@ -263,11 +299,17 @@
 		int32_t importance = order[begin]->importance;
 		double capacity = capacity_for(admission, importance);
 		size_t end = begin;
+		bool shed;
 
 		while (end < count && order[end]->importance == importance)
 			end++;
 		capacity = capacity > used ? capacity - used : 0;
-		used += capacity - divide(order + begin, end - begin, capacity);
+		shed = any_shed(order + begin, end - begin);
+		used += capacity -
+			divide(order + begin, end - begin, capacity, idle);
+		/* Only the highest importance that is shed rises. */
+		if (shed)
+			idle = false;
 		begin = end;
 	}
 }
@@ -316,6 +358,7 @@
 	count = list_classes(admission);
 	for (size_t i = 0; i < count; i++)
 		update_class_demand(admission->order[i], elapsed_us);
+	update_unused(admission, elapsed_us);
 	divide_all(admission, count);
 	for (size_t i = 0; i < count; i++)
 		publish(admission->order[i]);
--- a/packages/admission/limit.c
+++ b/packages/admission/limit.c
@@ -93,6 +93,7 @@
 		return;
 	limit->changed_us = now_us;
 	limit->inflight_time += elapsed * limit->inflight;
+	limit->held_time += elapsed * limit->inflight;
 	if (!limit_allows(limit))
 		limit->bound_time += elapsed;
 }
--- a/packages/admission/limit_internal.h
+++ b/packages/admission/limit_internal.h
@@ -33,6 +33,7 @@
 	int marked;
 	int marks_wanted;
 	int marked_done;
+	double held_time; /* integral of requests over microseconds, ever */
 	/* The period that is being measured. */
 	int64_t start_us;
 	int64_t changed_us;
