Estimate demand of direct and child calls separately

Cause: in a class with both, the demand of child calls was missed. Change: early reports count for direct calls, inference for child calls.

--- a/packages/admission/admission_internal.h
+++ b/packages/admission/admission_internal.h
@@ -31,7 +31,8 @@
 	 * the upstream, and smoothed as a number of requests in flight. */
 	double arrived_us;
 	double early_us; /* rejected by entry daemons */
-	double sure_us; /* with a draw that no entry daemon rejects */
+	double child_us; /* of arrived_us, child calls */
+	double sure_us; /* of child_us, with a draw that no daemon rejects */
 	double highest_draw; /* of what arrived, 0..1 */
 	double reach; /* the highest draw of the last updates */
 	double held_us; /* smoothed, of one request */
@@ -95,7 +96,8 @@
 /* Returns the highest recent fraction of the class. */
 double demand_highest_fraction(const request_class_t *class);
 /* Counts a request that would hold the upstream for held_us. */
-void demand_arrived(request_class_t *class, uint32_t draw, double held_us);
+void demand_arrived(request_class_t *class, const admission_request_t *request,
+		    double held_us);
 void demand_update(admission_t *admission, int64_t now_us);
 
 /* Returns whether the draw lies below the fraction. */
--- a/packages/admission/demand.c
+++ b/packages/admission/demand.c
@@ -123,15 +123,19 @@
 	return highest;
 }
 
-void demand_arrived(request_class_t *class, uint32_t draw, double held_us)
+void demand_arrived(request_class_t *class, const admission_request_t *request,
+		    double held_us)
 {
 	if (class->held_us <= 0)
 		class->held_us = held_us;
 	class->held_us += HELD_WEIGHT * (held_us - class->held_us);
 	class->arrived_us += held_us;
-	if ((double)draw > class->highest_draw * DRAW_RANGE)
-		class->highest_draw = draw / DRAW_RANGE;
-	if (draw_below(draw, sure_fraction(class)))
+	if (request->draw > class->highest_draw * DRAW_RANGE)
+		class->highest_draw = request->draw / DRAW_RANGE;
+	if (!request->child)
+		return;
+	class->child_us += held_us;
+	if (draw_below(request->draw, sure_fraction(class)))
 		class->sure_us += held_us;
 }
 
@@ -154,9 +158,9 @@
 
 	if (limited_elsewhere(class))
 		return class->arrived_us * ELSEWHERE_ROOM;
-	if (class->early_us > 0 || inferred < class->arrived_us)
-		return class->arrived_us + class->early_us;
-	return inferred;
+	if (inferred < class->child_us)
+		inferred = class->child_us;
+	return class->arrived_us - class->child_us + class->early_us + inferred;
 }
 
 static void update_class_demand(request_class_t *class, double elapsed_us)
@@ -172,6 +176,7 @@
 	class->demand += weight * (demand - class->demand);
 	class->arrived_us = 0;
 	class->early_us = 0;
+	class->child_us = 0;
 	class->sure_us = 0;
 	class->highest_draw = 0;
 }
