Divide capacity in its own file; protect classes inside their fair share

Cause: a queue filled by a flooding customer lowered the capacity of all. Change: classes inside the nominal fair share keep all; only those beyond it share the capacity corrected by the queue.

--- a/packages/admission/admission.c
+++ b/packages/admission/admission.c
@@ -35,7 +35,6 @@
 	admission->ops = *ops;
 	admission->private = private;
 	admission->updated_us = cas_clock_now(clock);
-	admission->unused = 1;
 	limit_init(&admission->limit, admission->updated_us);
 	if (demand_init(admission)) {
 		talloc_free(admission);
--- a/packages/admission/admission_internal.h
+++ b/packages/admission/admission_internal.h
@@ -74,7 +74,6 @@
 	size_t order_size;
 	int64_t updated_us;
 	double held_time; /* of the limit at the last update */
-	double unused; /* limit for mean requests in flight, 1 or more */
 };
 
 /* Queue (queue.c). */
@@ -100,6 +99,10 @@
 		    double held_us);
 void demand_update(admission_t *admission, int64_t now_us);
 
+/* Divides capacity between the first count classes of the scratch array and
+ * sets their fractions (divide.c). */
+void divide_capacity(admission_t *admission, size_t count, double elapsed_us);
+
 /* Returns whether the draw lies below the fraction. */
 static inline bool draw_below(uint32_t draw, double fraction)
 {
--- a/packages/admission/demand.c
+++ b/packages/admission/demand.c
@@ -1,21 +1,13 @@
 /*
- * Demand of each class and the division of capacity. Every 100 ms capacity
- * goes to the highest importance first; within one importance it is divided
- * by weighted max-min fairness over customers.
+ * Classes of requests and their demand, measured every 100 ms as the number
+ * of requests that would be in flight if none were shed.
  */
 #include "admission_internal.h"
 
-#include <stdlib.h>
-
 /* Smoothing for each update; demand falls faster than it rises, so that the
  * end of a surge shows within a second. */
 #define DEMAND_RISE 0.3
 #define DEMAND_FALL 0.5
-/* While part of the limit is unused, fractions rise by this in each update
- * whatever the demand seems to be. */
-#define IDLE_RISE 1.1
-#define IDLE_STEP 0.01
-#define IDLE_UNUSED 1.03
 #define DRAW_RANGE 4294967296.0
 /* Reach for the own fraction below which another service is the limit, and
  * room for that service to take more. */
@@ -25,16 +17,6 @@
 #define HELD_WEIGHT 0.05
 #define SURE_MIN 0.02
 #define CLASS_IDLE_US (60 * CAS_USEC_PER_SEC)
-/* Bounds of the correction of capacity by the length of the queue. */
-#define SLACK_LOW 0.7
-#define SLACK_HIGH 1.1
-#define SLACK_GAIN 0.2
-#define UNUSED_FACTOR 1.1
-#define UNUSED_MAX 1.5
-#define STARTUP_GROWTH 2.0
-/* Part of the limit that the queue should hold. */
-#define QUEUE_TARGET 0.1
-#define QUEUE_TARGET_MIN 4.0
 
 static guint class_hash(gconstpointer p)
 {
@@ -181,144 +163,6 @@
 	class->highest_draw = 0;
 }
 
-static int compare_classes(const void *a, const void *b)
-{
-	const request_class_t *left = *(request_class_t *const *)a;
-	const request_class_t *right = *(request_class_t *const *)b;
-	double left_share = left->demand / left->weight;
-	double right_share = right->demand / right->weight;
-
-	if (left->importance != right->importance)
-		return right->importance - left->importance;
-	if (left_share < right_share)
-		return -1;
-	return left_share > right_share;
-}
-
-static double fraction_of(const request_class_t *class, bool idle)
-{
-	double raised = class->fraction * IDLE_RISE + IDLE_STEP;
-	double fraction = 1;
-
-	if (class->demand > class->granted)
-		fraction = class->granted / class->demand;
-	if (idle && raised > fraction)
-		fraction = raised;
-	return fraction < 1 ? fraction : 1;
-}
-
-/* Gives the classes of one importance, sorted by demand for their weight,
- * what they ask for as long as it is below the fair share of what is left.
- * Returns what remains of the capacity. */
-static double divide(request_class_t **classes, size_t count, double capacity,
-		     bool idle)
-{
-	double weights = 0;
-
-	for (size_t i = 0; i < count; i++)
-		weights += classes[i]->weight;
-	for (size_t i = 0; i < count; i++) {
-		request_class_t *class = classes[i];
-		double fair = capacity * class->weight / weights;
-
-		class->granted = class->demand < fair ? class->demand : fair;
-		class->fraction = fraction_of(class, idle);
-		capacity -= class->granted;
-		weights -= class->weight;
-	}
-	return capacity > 0 ? capacity : 0;
-}
-
-static double clamp(double value, double low, double high)
-{
-	if (value < low)
-		return low;
-	return value > high ? high : value;
-}
-
-/* Returns 1 for an empty queue of the importance and above, 0 for one of the
- * wanted length, and less for longer ones. */
-static double queue_room(const admission_t *admission, int importance)
-{
-	double wanted = admission->limit.limit * QUEUE_TARGET;
-	double queued = 0;
-
-	if (wanted < QUEUE_TARGET_MIN)
-		wanted = QUEUE_TARGET_MIN;
-	for (int i = importance; i < ADMISSION_IMPORTANCES; i++)
-		queued += admission->queued_at[i];
-	return 1 - queued / wanted;
-}
-
-/*
- * Rejected requests come again as retries, so the demand looks higher than it
- * is and the fractions turn out too low. That shows as a limit that is not
- * used up.
- */
-static void update_unused(admission_t *admission, double elapsed_us)
-{
-	double held = admission->limit.held_time - admission->held_time;
-	double wanted = admission->limit.limit * elapsed_us;
-
-	admission->unused = clamp(wanted / (held + 1), 1, UNUSED_MAX);
-	admission->held_time = admission->limit.held_time;
-}
-
-/* Capacity for one importance and those above it, as requests in flight. A
- * limit that is still growing counts for what it becomes soon. */
-static double capacity_for(const admission_t *admission, int importance)
-{
-	const limit_t *limit = &admission->limit;
-	double room = queue_room(admission, importance);
-	double growth = limit->phase == LIMIT_STARTUP ? STARTUP_GROWTH : 1;
-
-	return limit->limit * growth *
-	       (admission->unused < UNUSED_FACTOR ? admission->unused
-						  : UNUSED_FACTOR) *
-	       clamp(1 + SLACK_GAIN * room, SLACK_LOW, SLACK_HIGH);
-}
-
-static void publish(request_class_t *class)
-{
-	class->published[class->published_next] = class->fraction;
-	class->published_next = (class->published_next + 1) % CLASS_PUBLISHED;
-}
-
-static bool any_shed(request_class_t *const *classes, size_t count)
-{
-	for (size_t i = 0; i < count; i++)
-		if (classes[i]->fraction < 1)
-			return true;
-	return false;
-}
-
-static void divide_all(admission_t *admission, size_t count)
-{
-	request_class_t **order = admission->order;
-	bool idle = admission->unused > IDLE_UNUSED && !admission->queued;
-	double used = 0;
-	size_t begin = 0;
-
-	qsort(order, count, sizeof(request_class_t *), compare_classes);
-	while (begin < count) {
-		int32_t importance = order[begin]->importance;
-		double capacity = capacity_for(admission, importance);
-		size_t end = begin;
-		bool shed;
-
-		while (end < count && order[end]->importance == importance)
-			end++;
-		capacity = capacity > used ? capacity - used : 0;
-		shed = any_shed(order + begin, end - begin);
-		used += capacity -
-			divide(order + begin, end - begin, capacity, idle);
-		/* Only the highest importance that is shed rises. */
-		if (shed)
-			idle = false;
-		begin = end;
-	}
-}
-
 static gboolean forget_idle(gpointer key, gpointer value, gpointer data)
 {
 	request_class_t *class = key;
@@ -354,6 +198,12 @@
 	return i;
 }
 
+static void publish(request_class_t *class)
+{
+	class->published[class->published_next] = class->fraction;
+	class->published_next = (class->published_next + 1) % CLASS_PUBLISHED;
+}
+
 void demand_update(admission_t *admission, int64_t now_us)
 {
 	double elapsed_us = (double)(now_us - admission->updated_us);
@@ -363,8 +213,7 @@
 	count = list_classes(admission);
 	for (size_t i = 0; i < count; i++)
 		update_class_demand(admission->order[i], elapsed_us);
-	update_unused(admission, elapsed_us);
-	divide_all(admission, count);
+	divide_capacity(admission, count, elapsed_us);
 	for (size_t i = 0; i < count; i++)
 		publish(admission->order[i]);
 	admission->updated_us = now_us;
