--- a/bench/sim_daemon.c
+++ b/bench/sim_daemon.c
@@ -330,7 +330,9 @@
 	    !thresholds_check(host->thresholds,
 			      threshold_key(call, call->level),
 			      importance_of(sim, call), customer_id(call),
-			      attempt->draw)) {
+			      attempt->draw) &&
+	    !thresholds_probe(host->thresholds, threshold_key(call, 0),
+			      importance_of(sim, call), customer_id(call))) {
 		call_over(sim, call, false);
 		return;
 	}
--- a/packages/admission/include/cassia/thresholds.h
+++ b/packages/admission/include/cassia/thresholds.h
@@ -36,6 +36,16 @@
 bool thresholds_check(thresholds_t *thresholds, cas_id_t service,
 		      int32_t importance, cas_id_t customer, uint32_t draw);
 
+/*
+ * Returns whether to forward a request that thresholds_check just rejected,
+ * because the fraction is older than 100 ms; the upstream's daemon decides,
+ * and its response brings a new one. The rejection is then not counted. Use
+ * it for requests from callers only: a child call would waste the work of its
+ * parent.
+ */
+bool thresholds_probe(thresholds_t *thresholds, cas_id_t service,
+		      int32_t importance, cas_id_t customer);
+
 /* Returns the fraction in force now, decayed by its age; 1 when unknown. */
 double thresholds_fraction(const thresholds_t *thresholds, cas_id_t service,
 			   int32_t importance, cas_id_t customer);
--- a/packages/admission/limit.c
+++ b/packages/admission/limit.c
@@ -18,6 +18,12 @@
 /* Room above rate times latency, so that noise does not idle the upstream. */
 #define LIMIT_GAIN 1.1
 #define LIMIT_GROWTH 1.08
+#define GROWTH_STEP 0.08
+#define GROWTH_STEP_MAX 0.5
+/* Parts of a period at the limit that let it grow, and that make a probe
+ * worth its cost. */
+#define BOUND_SOME 0.1
+#define BOUND_MOSTLY 0.5
 #define CRUISE_FALL 0.98
 /* Requests at the knee for those in flight that show no queueing. */
 #define NO_QUEUE 0.9
@@ -76,6 +82,7 @@
 	limit->limit = LIMIT_START;
 	limit->effective = LIMIT_START;
 	limit->startup_inflation = 1;
+	limit->step = GROWTH_STEP;
 	limit->next_probe_us = now_us + PROBE_INTERVAL_US;
 	start_period(limit, now_us);
 }
@@ -270,28 +277,37 @@
 	       inflight > at_knee * PROBE_EARLY_EXCESS;
 }
 
-/* Without a sign of queueing the limit grows; with one it moves to the knee,
- * downwards only slowly until a probe has confirmed the base latency. */
-static double cruise_target(const limit_t *limit, double inflight,
-			    double at_knee)
+/*
+ * Without a sign of queueing the limit grows, by larger steps the longer that
+ * lasts. With one it moves to the knee, downwards only slowly until a probe
+ * has confirmed the base latency.
+ */
+static void adjust(limit_t *limit, double inflight, double at_knee)
 {
-	if (at_knee > inflight * NO_QUEUE)
-		return max_of(limit->limit, inflight * LIMIT_GROWTH);
-	return max_of(at_knee * LIMIT_GAIN, limit->limit * CRUISE_FALL);
+	if (at_knee > inflight * NO_QUEUE) {
+		set_limit(limit, limit->limit * (1 + limit->step));
+		limit->step = min_of(limit->step * 2, GROWTH_STEP_MAX);
+		return;
+	}
+	limit->step = GROWTH_STEP;
+	set_limit(limit, min_of(max_of(at_knee * LIMIT_GAIN,
+				       limit->limit * CRUISE_FALL),
+				limit->limit * LIMIT_GROWTH));
 }
 
 static void cruise_period(limit_t *limit, int64_t now_us, double inflight,
-			  const latency_period_t *period)
+			  double bound, const latency_period_t *period)
 {
 	double at_knee = knee(inflight, period->inflation, period->own_share);
 
+	if (bound < BOUND_SOME)
+		return;
 	if (limit->ceiling > 0)
 		limit->ceiling *= LIMIT_CEILING_GROWTH;
-	if (probe_due(limit, now_us, inflight, at_knee))
+	if (bound > BOUND_MOSTLY && probe_due(limit, now_us, inflight, at_knee))
 		start_probe(limit, now_us, inflight, period);
 	else
-		set_limit(limit, min_of(cruise_target(limit, inflight, at_knee),
-					limit->limit * LIMIT_GROWTH));
+		adjust(limit, inflight, at_knee);
 }
 
 /* Lower latencies are taken over at any load, slowly while they may be noise;
@@ -312,7 +328,7 @@
 {
 	double elapsed = (double)(now_us - limit->start_us);
 	double inflight = limit->inflight_time / elapsed;
-	bool bound = limit->bound_time > elapsed / 2;
+	double bound = limit->bound_time / elapsed;
 	latency_period_t period = latency_end_period(&limit->latency);
 
 	start_period(limit, now_us);
@@ -326,8 +342,8 @@
 		return;
 	}
 	follow_base(limit, &period);
-	if (bound && limit->phase == LIMIT_CRUISE)
-		cruise_period(limit, now_us, inflight, &period);
+	if (limit->phase == LIMIT_CRUISE)
+		cruise_period(limit, now_us, inflight, bound, &period);
 }
 
 /* A probe first waits until the lower limit is reached, so that nothing queues
--- a/packages/admission/limit_internal.h
+++ b/packages/admission/limit_internal.h
@@ -15,6 +15,7 @@
 	limit_phase_t phase;
 	double limit;
 	double effective; /* the limit in force, lower while probing */
+	double step; /* of the next growth, as a part of the limit */
 	double ceiling; /* above it the upstream sheds, 0: not known */
 	/* Smoothed over all kinds, for the length of periods. */
 	double typical_us;
--- a/packages/admission/thresholds.c
+++ b/packages/admission/thresholds.c
@@ -5,16 +5,20 @@
 #include "cassia/thresholds.h"
 
 #include <glib.h>
+#include <math.h>
 
 #include "admission_internal.h"
 
 /* Part of a new fraction that is taken over; the rest comes from the other
  * upstreams of the service. */
 #define LEARN_WEIGHT 0.5
-/* After this time without news a fraction rises. */
-#define DECAY_AFTER_US (300 * CAS_USEC_PER_MSEC)
-/* From then on it reaches 1 in this time. */
-#define DECAY_TIME_US (2 * CAS_USEC_PER_SEC)
+/* After this time without news a fraction rises, and doubles in each such
+ * time from the first value on. A rise by a constant rate would let in many
+ * times the share of a customer that sends much too much. */
+#define DECAY_US (300 * CAS_USEC_PER_MSEC)
+#define DECAY_FIRST 0.01
+/* A fraction that is older may be refreshed by a request. */
+#define PROBE_US (100 * CAS_USEC_PER_MSEC)
 #define FORGET_US (60 * CAS_USEC_PER_SEC)
 
 typedef struct threshold {
@@ -23,6 +27,7 @@
 	int32_t importance;
 	double fraction;
 	int64_t learned_us;
+	int64_t probed_us;
 	uint64_t early;
 } threshold_t;
 
@@ -81,13 +86,15 @@
 static double decayed(const thresholds_t *thresholds,
 		      const threshold_t *threshold)
 {
-	int64_t age_us = cas_clock_now(thresholds->clock) -
-			 threshold->learned_us - DECAY_AFTER_US;
-	double fraction;
-
-	if (age_us <= 0)
-		return threshold->fraction;
-	fraction = threshold->fraction + (double)age_us / (double)DECAY_TIME_US;
+	int64_t age_us =
+		cas_clock_now(thresholds->clock) - threshold->learned_us;
+	double fraction = threshold->fraction;
+
+	if (age_us <= DECAY_US)
+		return fraction;
+	if (fraction < DECAY_FIRST)
+		fraction = DECAY_FIRST;
+	fraction *= exp2((double)(age_us - DECAY_US) / (double)DECAY_US);
 	return fraction < 1 ? fraction : 1;
 }
 
@@ -138,6 +145,22 @@
 	return false;
 }
 
+bool thresholds_probe(thresholds_t *thresholds, cas_id_t service,
+		      int32_t importance, cas_id_t customer)
+{
+	threshold_t *threshold =
+		find(thresholds, service, importance, customer);
+	int64_t now_us = cas_clock_now(thresholds->clock);
+
+	if (!threshold || now_us - threshold->learned_us < PROBE_US ||
+	    now_us - threshold->probed_us < PROBE_US)
+		return false;
+	threshold->probed_us = now_us;
+	if (threshold->early)
+		threshold->early--;
+	return true;
+}
+
 size_t thresholds_take_early(thresholds_t *thresholds, cas_id_t service,
 			     thresholds_early_t *early, size_t max)
 {
