Queue child calls before others of the same importance

Cause: callers hold a slot while a child call waits; the longer hold raised the demand of every customer and kept the overload going.

--- a/packages/admission/admission.c
+++ b/packages/admission/admission.c
@@ -109,20 +109,26 @@
 	return limit / 2 > QUEUE_LENGTH_MIN ? limit / 2 : QUEUE_LENGTH_MIN;
 }
 
-/* Makes room for a request of the class. Returns false when there is none. */
-static bool make_room(admission_t *admission, const request_class_t *class)
+/* Makes room for one more in the queue. Returns false when there is none. */
+static bool make_room(admission_t *admission, const request_queue_t *newcomer)
 {
 	admission_ticket_t *victim;
 
 	if (admission->queued < queue_length_max(admission))
 		return true;
-	victim = queue_victim(admission, class);
+	victim = queue_victim(admission, newcomer);
 	if (!victim)
 		return false;
 	drop(admission, victim, ADMISSION_REASON_QUEUE_FULL);
 	return true;
 }
 
+static request_queue_t *queue_for(const admission_request_t *request,
+				  request_class_t *class)
+{
+	return &class->queues[request->child ? QUEUE_CHILD : QUEUE_ROOT];
+}
+
 static admission_ticket_t *ticket_create(admission_t *admission,
 					 const admission_request_t *request,
 					 request_class_t *class,
@@ -133,7 +139,7 @@
 	if (!ticket)
 		return NULL;
 	ticket->admission = admission;
-	ticket->class = class;
+	ticket->queue = queue_for(request, class);
 	ticket->kind = kind;
 	ticket->deadline_us = request->deadline_us;
 	ticket->since_us = cas_clock_now(admission->clock);
@@ -192,7 +198,7 @@
 		return reject(reason, ADMISSION_REASON_SHED);
 	dispatch(admission);
 	at_once = !admission->queued && limit_allows(&admission->limit);
-	if (!at_once && !make_room(admission, class))
+	if (!at_once && !make_room(admission, queue_for(request, class)))
 		return reject(reason, ADMISSION_REASON_QUEUE_FULL);
 	*ticket = ticket_create(admission, request, class, kind);
 	if (!*ticket)
@@ -265,38 +271,40 @@
 	return ADMISSION_REASON_NONE;
 }
 
-/* Returns a queued request of the importance that must go, or NULL. */
-static admission_ticket_t *find_expired(admission_t *admission, int importance,
-					int64_t now_us,
+/* Returns a request from the ring of queues that must go, or NULL. */
+static admission_ticket_t *find_expired(const admission_t *admission,
+					request_queue_t *head, int64_t now_us,
 					admission_reason_t *reason)
 {
-	request_class_t *head = admission->active[importance];
-	request_class_t *class = head;
+	request_queue_t *queue = head;
 
 	if (!head)
 		return NULL;
 	do {
-		for (ticket_link_t *link = class->queue.next;
-		     link != &class->queue; link = link->next) {
+		for (ticket_link_t *link = queue->tickets.next;
+		     link != &queue->tickets; link = link->next) {
 			admission_ticket_t *ticket = (void *)link;
 
 			*reason = expired(admission, ticket, now_us);
 			if (*reason != ADMISSION_REASON_NONE)
 				return ticket;
 		}
-		class = class->next_active;
-	} while (class != head);
+		queue = queue->next;
+	} while (queue != head);
 	return NULL;
 }
 
 /* Restarts the search after each callback, since that may change the queue. */
 static void drop_expired(admission_t *admission, int64_t now_us)
 {
-	for (int i = 0; i < ADMISSION_IMPORTANCES; i++) {
+	for (int i = 0; i < ADMISSION_IMPORTANCES * QUEUE_RANKS; i++) {
+		request_queue_t **head =
+			&admission->active[i / QUEUE_RANKS][i % QUEUE_RANKS];
 		admission_reason_t reason;
 		admission_ticket_t *ticket;
 
-		while ((ticket = find_expired(admission, i, now_us, &reason)))
+		while ((ticket = find_expired(admission, *head, now_us,
+					      &reason)))
 			drop(admission, ticket, reason);
 	}
 }
--- a/packages/admission/admission_internal.h
+++ b/packages/admission/admission_internal.h
@@ -16,17 +16,29 @@
 	struct ticket_link *prev;
 } ticket_link_t;
 
+/* Queued requests of one class, either its child calls or the others. */
+typedef struct request_queue {
+	struct request_class *class;
+	ticket_link_t tickets; /* list head */
+	int32_t count;
+	int32_t deficit;
+	struct request_queue *next; /* ring of those that are not empty */
+	struct request_queue *prev;
+} request_queue_t;
+
+/* Child calls go first: their callers hold a slot while they wait. */
+enum queue_rank {
+	QUEUE_CHILD,
+	QUEUE_ROOT,
+	QUEUE_RANKS,
+};
+
 /* All requests of one customer at one importance. */
 typedef struct request_class {
 	int32_t importance;
 	cas_id_t customer;
 	int32_t weight;
-	/* Queue. */
-	ticket_link_t queue; /* list head */
-	int32_t queued;
-	int32_t deficit;
-	struct request_class *next_active; /* ring within the importance */
-	struct request_class *prev_active;
+	request_queue_t queues[QUEUE_RANKS];
 	/* Demand since the last update, as time that the requests would hold
 	 * the upstream, and smoothed as a number of requests in flight. */
 	double arrived_us;
@@ -47,7 +59,7 @@
 struct admission_ticket {
 	ticket_link_t link; /* first, so that a link is a ticket */
 	admission_t *admission;
-	request_class_t *class;
+	request_queue_t *queue;
 	latency_kind_t *kind;
 	int64_t deadline_us;
 	int64_t since_us; /* queued, then started */
@@ -64,7 +76,7 @@
 	void *private;
 	limit_t limit;
 	/* Queue. */
-	request_class_t *active[ADMISSION_IMPORTANCES];
+	request_queue_t *active[ADMISSION_IMPORTANCES][QUEUE_RANKS];
 	int32_t queued_at[ADMISSION_IMPORTANCES];
 	int32_t queued;
 	bool dispatching;
@@ -77,14 +89,16 @@
 };
 
 /* Queue (queue.c). */
+void queue_init(request_class_t *class);
+int32_t queue_class_count(const request_class_t *class);
 void queue_push(admission_t *admission, admission_ticket_t *ticket);
 void queue_remove(admission_t *admission, admission_ticket_t *ticket);
 /* Returns the next request in order, taken off the queue, or NULL. */
 admission_ticket_t *queue_pop(admission_t *admission);
-/* Returns a queued request that gives way to one of the class, still in the
- * queue, or NULL when the class itself has the least claim. */
+/* Returns a queued request that gives way to one for the queue, still in its
+ * own queue, or NULL when the newcomer has the least claim. */
 admission_ticket_t *queue_victim(admission_t *admission,
-				 const request_class_t *class);
+				 const request_queue_t *newcomer);
 
 /* Demand and division (demand.c). */
 int demand_init(admission_t *admission);
--- a/packages/admission/demand.c
+++ b/packages/admission/demand.c
@@ -76,8 +76,7 @@
 	class->customer = customer;
 	class->weight = 1;
 	class->fraction = 1;
-	class->queue.next = &class->queue;
-	class->queue.prev = &class->queue;
+	queue_init(class);
 	for (int i = 0; i < CLASS_PUBLISHED; i++)
 		class->published[i] = 1;
 	g_hash_table_add(admission->classes, class);
@@ -169,7 +168,8 @@
 	const int64_t *now_us = data;
 
 	(void)value;
-	if (class->queued || *now_us - class->used_us < CLASS_IDLE_US)
+	if (queue_class_count(class) ||
+	    *now_us - class->used_us < CLASS_IDLE_US)
 		return FALSE;
 	talloc_free(class);
 	return TRUE;
--- a/packages/admission/divide.c
+++ b/packages/admission/divide.c
@@ -13,7 +13,7 @@
 /* Part of the limit that the queue should hold. */
 #define QUEUE_TARGET 0.1
 #define QUEUE_TARGET_MIN 4.0
-#define STARTUP_GROWTH 2.0
+#define STARTUP_GROWTH 1.3
 /* Most by which an unused part of the limit raises the capacity. */
 #define UNUSED_MAX 1.1
 /* While part of the limit is unused, fractions rise by this in each update
