Take the queue's correction from the excess demand; longer queue

Cause: a class just beyond its fair share fell to the corrected share. Change: the correction is divided by excess demand; the queue holds up to the limit again, since child calls go first.

--- a/packages/admission/admission.c
+++ b/packages/admission/admission.c
@@ -106,7 +106,7 @@
 {
 	int32_t limit = (int32_t)admission->limit.limit;
 
-	return limit / 2 > QUEUE_LENGTH_MIN ? limit / 2 : QUEUE_LENGTH_MIN;
+	return limit > QUEUE_LENGTH_MIN ? limit : QUEUE_LENGTH_MIN;
 }
 
 /* Makes room for one more in the queue. Returns false when there is none. */
--- a/packages/admission/divide.c
+++ b/packages/admission/divide.c
@@ -82,18 +82,30 @@
 	return wanted / (held + 1);
 }
 
-/* Divides between classes beyond their fair share. */
+/*
+ * Divides between classes beyond their fair share. What the correction takes
+ * away from the fair shares is taken in proportion to the excess demand, so
+ * that it falls on a flooding customer and not on one just beyond its share.
+ */
 static void divide_rest(request_class_t **classes, size_t count, double weights,
 			capacity_t *left)
 {
 	double rest = left->corrected > 0 ? left->corrected : 0;
+	double taken = left->nominal > rest ? left->nominal - rest : 0;
+	double excess = 0;
 
+	for (size_t i = 0; i < count; i++)
+		excess += classes[i]->demand;
+	excess -= left->nominal;
 	for (size_t i = 0; i < count; i++) {
 		request_class_t *class = classes[i];
+		double fair = left->nominal * class->weight / weights;
 		double raised = class->fraction * IDLE_RISE + IDLE_STEP;
 		bool rises = left->idle && (i + 1 < count || count == 1);
 
-		class->granted = rest * class->weight / weights;
+		class->granted = fair - taken * (class->demand - fair) / excess;
+		if (class->granted < 0)
+			class->granted = 0;
 		class->fraction = class->granted / class->demand;
 		if (rises && raised > class->fraction)
 			class->fraction = raised;
