Measure demand without queueing in the upstream

Cause: holds measured above the knee made demand look too high after the limit had come down. Change: base time plus child time; probes at 0.9 of the knee.

--- a/packages/admission/admission.c
+++ b/packages/admission/admission.c
@@ -165,7 +165,7 @@
 		return NULL;
 	class->weight = request->weight > 0 ? request->weight : 1;
 	class->used_us = cas_clock_now(admission->clock);
-	demand_arrived(class, request, kind->held_us);
+	demand_arrived(class, request, latency_held(kind));
 	return class;
 }
 
--- a/packages/admission/latency.c
+++ b/packages/admission/latency.c
@@ -37,9 +37,13 @@
 }
 
 void latency_add(latency_kind_t *kind, int64_t now_us, int64_t total_us,
-		 bool ok)
+		 int64_t own_us, bool ok)
 {
-	smooth(&kind->held_us, &kind->finishes, (double)total_us);
+	int32_t samples = kind->finishes;
+
+	smooth(&kind->own_held_us, &samples, (double)own_us);
+	smooth(&kind->child_held_us, &kind->finishes,
+	       (double)(total_us - own_us));
 	if (!ok)
 		return;
 	smooth(&kind->typical_us, &kind->samples, (double)total_us);
@@ -53,6 +57,15 @@
 	kind->count++;
 }
 
+double latency_held(const latency_kind_t *kind)
+{
+	double own = kind->own_held_us;
+
+	if (kind->base_us > 0 && kind->base_us < own)
+		own = kind->base_us;
+	return own + kind->child_held_us;
+}
+
 int64_t latency_typical(const latency_kind_t *kind, int64_t now_us)
 {
 	int64_t halvings = (now_us - kind->typical_at_us) / STALE_US;
--- a/packages/admission/latency_internal.h
+++ b/packages/admission/latency_internal.h
@@ -16,7 +16,8 @@
 	int32_t finishes; /* any outcome, up to the smoothing window */
 	double typical_us; /* smoothed total of successes */
 	int64_t typical_at_us;
-	double held_us; /* smoothed total, any outcome */
+	double own_held_us; /* smoothed own time, any outcome */
+	double child_held_us; /* smoothed time in child calls, any outcome */
 	double base_us; /* own time without queueing in the upstream */
 	/* Successes of the current period. */
 	double own_us;
@@ -39,9 +40,14 @@
 /* Returns the kind of an id, made on first use. */
 latency_kind_t *latency_kind(latency_t *latency, cas_id_t id);
 
-/* Adds a request that held the upstream for total_us. */
+/* Adds a request that held the upstream for total_us, own_us of it without
+ * child calls. */
 void latency_add(latency_kind_t *kind, int64_t now_us, int64_t total_us,
-		 bool ok);
+		 int64_t own_us, bool ok);
+
+/* Returns how long a request would hold the upstream if nothing queued in
+ * it, 0 when it is not known. */
+double latency_held(const latency_kind_t *kind);
 
 /* Adds a successful request to the current period. own_us is the time that
  * was not spent in child calls. */
--- a/packages/admission/limit.c
+++ b/packages/admission/limit.c
@@ -16,7 +16,7 @@
 #define LIMIT_MIN 2.0
 #define LIMIT_MAX 100000.0
 /* Room above rate times latency, so that noise does not idle the upstream. */
-#define LIMIT_GAIN 1.1
+#define LIMIT_GAIN 1.05
 #define LIMIT_GROWTH 1.08
 #define GROWTH_STEP 0.08
 #define GROWTH_STEP_MAX 0.5
@@ -45,7 +45,7 @@
 /* Requests in flight for those at the knee that call for an early probe. */
 #define PROBE_EARLY_EXCESS 1.4
 /* Part of the estimated knee to which a probe lowers the limit. */
-#define PROBE_STEP 0.8
+#define PROBE_STEP 0.9
 #define PROBE_DEEPEST 0.35
 #define PROBE_REQUESTS_MIN 24.0
 #define PROBE_REQUESTS_MAX 64.0
@@ -195,7 +195,7 @@
 	limit->inflight--;
 	if (end == LIMIT_END_OTHER)
 		return;
-	latency_add(kind, now_us, held->total_us, end == LIMIT_END_OK);
+	latency_add(kind, now_us, held->total_us, own_us, end == LIMIT_END_OK);
 	if (end != LIMIT_END_OK)
 		return;
 	if (counted)
