--- a/packages/admission/demand.c
+++ b/packages/admission/demand.c
@@ -1,27 +1,22 @@
 /*
- * Demand of each class and the division of capacity. Every 100 ms capacity
- * goes to the highest importance first; within one importance it is divided
- * by weighted max-min fairness over customers.
+ * Classes of requests and their demand, measured every 100 ms as the number
+ * of requests that would be in flight if none were shed.
  */
 #include "admission_internal.h"
 
-#include <stdlib.h>
-
 /* Smoothing for each update; demand falls faster than it rises, so that the
  * end of a surge shows within a second. */
 #define DEMAND_RISE 0.3
 #define DEMAND_FALL 0.5
+#define DRAW_RANGE 4294967296.0
+/* Reach for the own fraction below which another service is the limit, and
+ * room for that service to take more. */
+#define ELSEWHERE 0.7
+#define ELSEWHERE_ROOM 1.25
+#define REACH_DECAY 0.85
 #define HELD_WEIGHT 0.05
 #define SURE_MIN 0.02
 #define CLASS_IDLE_US (60 * CAS_USEC_PER_SEC)
-/* Bounds of the correction of capacity by the length of the queue. */
-#define SLACK_LOW 0.85
-#define SLACK_HIGH 1.2
-#define SLACK_GAIN 0.2
-#define STARTUP_GROWTH 2.0
-/* Part of the limit that the queue should hold. */
-#define QUEUE_TARGET 0.15
-#define QUEUE_TARGET_MIN 2.0
 
 static guint class_hash(gconstpointer p)
 {
@@ -81,8 +76,7 @@
 	class->customer = customer;
 	class->weight = 1;
 	class->fraction = 1;
-	class->queue.next = &class->queue;
-	class->queue.prev = &class->queue;
+	queue_init(class);
 	for (int i = 0; i < CLASS_PUBLISHED; i++)
 		class->published[i] = 1;
 	g_hash_table_add(admission->classes, class);
@@ -100,129 +94,72 @@
 	return lowest > SURE_MIN ? lowest : SURE_MIN;
 }
 
-void demand_arrived(request_class_t *class, uint32_t draw, double held_us)
+double demand_highest_fraction(const request_class_t *class)
+{
+	double highest = class->fraction;
+
+	for (int i = 0; i < CLASS_PUBLISHED; i++)
+		if (class->published[i] > highest)
+			highest = class->published[i];
+	return highest;
+}
+
+void demand_arrived(request_class_t *class, const admission_request_t *request,
+		    double held_us)
 {
 	if (class->held_us <= 0)
 		class->held_us = held_us;
 	class->held_us += HELD_WEIGHT * (held_us - class->held_us);
 	class->arrived_us += held_us;
-	if (draw_below(draw, sure_fraction(class)))
+	if (request->draw > class->highest_draw * DRAW_RANGE)
+		class->highest_draw = request->draw / DRAW_RANGE;
+	if (!request->child)
+		return;
+	class->child_us += held_us;
+	if (draw_below(request->draw, sure_fraction(class)))
 		class->sure_us += held_us;
 }
 
+/* Returns whether draws that this daemon would keep do not arrive, because a
+ * service further down the call chain sheds more. */
+static bool limited_elsewhere(const request_class_t *class)
+{
+	return class->reach < sure_fraction(class) * ELSEWHERE;
+}
+
 /*
  * The demand is what arrived and what entry daemons report as rejected. For
  * calls rejected further up the chain there is no report; since draws are
- * uniform, those below the sure fraction tell how many there were.
+ * uniform, those below the sure fraction tell how many there were. Where
+ * another service sheds more, only what arrives asks for capacity here.
  */
-static void update_class_demand(request_class_t *class, double elapsed_us)
+static double class_demand(const request_class_t *class)
 {
-	double reported = class->arrived_us + class->early_us;
 	double inferred = class->sure_us / sure_fraction(class);
-	double demand =
-		(reported > inferred ? reported : inferred) / elapsed_us;
-	double weight = demand > class->demand ? DEMAND_RISE : DEMAND_FALL;
-
-	class->demand += weight * (demand - class->demand);
-	class->arrived_us = 0;
-	class->early_us = 0;
-	class->sure_us = 0;
-}
-
-static int compare_classes(const void *a, const void *b)
-{
-	const request_class_t *left = *(request_class_t *const *)a;
-	const request_class_t *right = *(request_class_t *const *)b;
-	double left_share = left->demand / left->weight;
-	double right_share = right->demand / right->weight;
-
-	if (left->importance != right->importance)
-		return right->importance - left->importance;
-	if (left_share < right_share)
-		return -1;
-	return left_share > right_share;
-}
-
-/* Gives the classes of one importance, sorted by demand for their weight,
- * what they ask for as long as it is below the fair share of what is left.
- * Returns what remains of the capacity. */
-static double divide(request_class_t **classes, size_t count, double capacity)
-{
-	double weights = 0;
-
-	for (size_t i = 0; i < count; i++)
-		weights += classes[i]->weight;
-	for (size_t i = 0; i < count; i++) {
-		request_class_t *class = classes[i];
-		double fair = capacity * class->weight / weights;
 
-		class->granted = class->demand < fair ? class->demand : fair;
-		class->fraction = class->demand > class->granted
-					  ? class->granted / class->demand
-					  : 1;
-		capacity -= class->granted;
-		weights -= class->weight;
-	}
-	return capacity > 0 ? capacity : 0;
-}
-
-static double clamp(double value, double low, double high)
-{
-	if (value < low)
-		return low;
-	return value > high ? high : value;
+	if (limited_elsewhere(class))
+		return class->arrived_us * ELSEWHERE_ROOM;
+	if (inferred < class->child_us)
+		inferred = class->child_us;
+	return class->arrived_us - class->child_us + class->early_us + inferred;
 }
 
-/* Returns 1 for an empty queue of the importance and above, 0 for one of the
- * wanted length, and less for longer ones. */
-static double queue_room(const admission_t *admission, int importance)
-{
-	double wanted = admission->limit.limit * QUEUE_TARGET;
-	double queued = 0;
-
-	if (wanted < QUEUE_TARGET_MIN)
-		wanted = QUEUE_TARGET_MIN;
-	for (int i = importance; i < ADMISSION_IMPORTANCES; i++)
-		queued += admission->queued_at[i];
-	return 1 - queued / wanted;
-}
-
-/* Capacity for one importance and those above it, as requests in flight. A
- * limit that is still growing counts for what it becomes soon. */
-static double capacity_for(const admission_t *admission, int importance)
-{
-	const limit_t *limit = &admission->limit;
-	double room = queue_room(admission, importance);
-	double growth = limit->phase == LIMIT_STARTUP ? STARTUP_GROWTH : 1;
-
-	return limit->limit * growth *
-	       clamp(1 + SLACK_GAIN * room, SLACK_LOW, SLACK_HIGH);
-}
-
-static void publish(request_class_t *class)
-{
-	class->published[class->published_next] = class->fraction;
-	class->published_next = (class->published_next + 1) % CLASS_PUBLISHED;
-}
-
-static void divide_all(admission_t *admission, size_t count)
+static void update_class_demand(request_class_t *class, double elapsed_us)
 {
-	request_class_t **order = admission->order;
-	double used = 0;
-	size_t begin = 0;
-
-	qsort(order, count, sizeof(request_class_t *), compare_classes);
-	while (begin < count) {
-		int32_t importance = order[begin]->importance;
-		double capacity = capacity_for(admission, importance);
-		size_t end = begin;
+	double demand;
+	double weight;
 
-		while (end < count && order[end]->importance == importance)
-			end++;
-		capacity = capacity > used ? capacity - used : 0;
-		used += capacity - divide(order + begin, end - begin, capacity);
-		begin = end;
-	}
+	class->reach *= REACH_DECAY;
+	if (class->highest_draw > class->reach)
+		class->reach = class->highest_draw;
+	demand = class_demand(class) / elapsed_us;
+	weight = demand > class->demand ? DEMAND_RISE : DEMAND_FALL;
+	class->demand += weight * (demand - class->demand);
+	class->arrived_us = 0;
+	class->early_us = 0;
+	class->child_us = 0;
+	class->sure_us = 0;
+	class->highest_draw = 0;
 }
 
 static gboolean forget_idle(gpointer key, gpointer value, gpointer data)
@@ -231,7 +168,8 @@
 	const int64_t *now_us = data;
 
 	(void)value;
-	if (class->queued || *now_us - class->used_us < CLASS_IDLE_US)
+	if (queue_class_count(class) ||
+	    *now_us - class->used_us < CLASS_IDLE_US)
 		return FALSE;
 	talloc_free(class);
 	return TRUE;
@@ -260,6 +198,12 @@
 	return i;
 }
 
+static void publish(request_class_t *class)
+{
+	class->published[class->published_next] = class->fraction;
+	class->published_next = (class->published_next + 1) % CLASS_PUBLISHED;
+}
+
 void demand_update(admission_t *admission, int64_t now_us)
 {
 	double elapsed_us = (double)(now_us - admission->updated_us);
@@ -269,7 +213,7 @@
 	count = list_classes(admission);
 	for (size_t i = 0; i < count; i++)
 		update_class_demand(admission->order[i], elapsed_us);
-	divide_all(admission, count);
+	divide_capacity(admission, count, elapsed_us);
 	for (size_t i = 0; i < count; i++)
 		publish(admission->order[i]);
 	admission->updated_us = now_us;
