membership: widen the fence tests

Cause: changes such as counting a lifetime from the arrival of a message, half quorums or a settle time without the grants' lifetime passed the tests. Change: late waking after calls and after replies, halves, epoch, random runs with longer partitions and hosts cut off as they are replaced.

--- a/packages/membership/tests/test_fence.c
+++ b/packages/membership/tests/test_fence.c
@@ -40,24 +40,29 @@
 	net_destroy(net);
 }
 
-/* Guards against a daemon that adds tokens when it wakes up late, also when
- * it first handles old messages that waited for it. */
-static void test_late_waking_daemon_is_not_fenced_in(void **state)
+/* Pauses a host that has just sent beats, cuts it off after a while, and lets
+ * it handle the waiting calls and replies wake_us after that. */
+static void wake_late(size_t hosts, size_t index, int64_t wake_us)
 {
-	network_t *net = net_create(4, 1, 3);
-	node_t *late = &net->nodes[1];
+	network_t *net = net_create(hosts, 1, 3);
+	node_t *late = &net->nodes[index];
+	int64_t sent;
 
-	(void)state;
 	net_start_all(net);
 	net_run(net, 12 * SEC);
 	assert_true(net_settled(late));
+	net_run(net, 500 * CAS_USEC_PER_MSEC);
+	sent = late->sent_messages;
+	while (late->sent_messages == sent)
+		net_step(net);
 	late->paused = true;
 	net_run(net, 900 * CAS_USEC_PER_MSEC);
 	assert_non_null(late->waiting);
 	late->side = 1;
-	net_run(net, 6 * SEC);
-	assert_false(net_held(late));
+	net_run(net, wake_us);
 	net_resume(late);
+	if (wake_us < 6 * SEC)
+		net_run(net, 6 * SEC - wake_us);
 	assert_false(net_held(late));
 	late->side = 0;
 	net_run(net, 4 * SEC);
@@ -65,6 +70,22 @@
 	net_destroy(net);
 }
 
+/* Guards against a daemon that adds tokens when it wakes up late, because it
+ * counts lifetimes from when it handles a message. */
+static void test_late_waking_daemon_is_not_fenced_in(void **state)
+{
+	(void)state;
+	for (size_t hosts = 4; hosts <= 40; hosts += 36) {
+		for (size_t i = 0; i < 3; i++) {
+			size_t index = i < 2 ? i : hosts - 1;
+
+			wake_late(hosts, index, 6 * SEC);
+			wake_late(hosts, index, 4 * SEC);
+			wake_late(hosts, index, SEC / 2);
+		}
+	}
+}
+
 /* Guards against a restarted host that lends its earlier time at the revision
  * to the quorum. */
 static void test_restart_is_not_settled(void **state)
@@ -108,6 +129,59 @@
 	net_destroy(net);
 }
 
+/* Guards against two halves that both hold the fence. */
+static void test_halves_are_not_fenced_in(void **state)
+{
+	network_t *net = net_create(8, 1, 8);
+
+	(void)state;
+	net_start_all(net);
+	net_run(net, 6 * SEC);
+	assert_int_equal(net_count_held(net), 8);
+	for (size_t i = 0; i < 4; i++)
+		net->nodes[2 * i].side = 1;
+	net_run(net, 6 * SEC);
+	for (int i = 0; i < 10; i++) {
+		net_run(net, SEC);
+		assert_int_equal(net_count_held(net), 0);
+	}
+	net_destroy(net);
+}
+
+/* Guards against a bucket that is kept over a lapse or a skipped list. */
+static void test_epoch_tells_lapses(void **state)
+{
+	network_t *net = net_create(5, 1, 9);
+	node_t *node = &net->nodes[0];
+	uint64_t epoch;
+
+	(void)state;
+	for (int64_t revision = 2; revision <= 4; revision++)
+		net_publish(net, revision, NULL);
+	net_start_all(net);
+	net_run(net, 5 * SEC);
+	epoch = membership_fence_epoch(node->m);
+	node->side = 1;
+	net_run(net, 5 * SEC);
+	node->side = 0;
+	net_run(net, 4 * SEC);
+	assert_true(net_held(node));
+	net_adopt(node, 2);
+	net_run(net, 4 * SEC);
+	assert_true(net_held(node));
+	assert_int_equal(membership_fence_epoch(node->m), epoch);
+	node->side = 1;
+	net_run(net, 9 * SEC);
+	node->side = 0;
+	net_run(net, 4 * SEC);
+	assert_true(net_held(node));
+	assert_int_not_equal(membership_fence_epoch(node->m), epoch);
+	epoch = membership_fence_epoch(node->m);
+	net_adopt(node, 4);
+	assert_int_not_equal(membership_fence_epoch(node->m), epoch);
+	net_destroy(net);
+}
+
 /* Guards against confirmations right after a list that replaces a third. */
 static void test_large_change_is_silent(void **state)
 {
@@ -256,31 +330,49 @@
 	int64_t restarted_us;
 } scenario_t;
 
-/* Replaces one host of the list, at most every 12 s. */
+static uint32_t draw(scenario_t *s, uint32_t limit)
+{
+	return cas_rng_below(s->rng, limit);
+}
+
+static node_t *any_node(scenario_t *s)
+{
+	return &s->net->nodes[draw(s, (uint32_t)s->net->count)];
+}
+
+/* Replaces one host of the list, at most every 12 s. Either one host hears of
+ * it, or all do at once and the replaced host is cut off. */
 static void replace_host(scenario_t *s)
 {
 	network_t *net = s->net;
-	size_t out = cas_rng_below(s->rng, (uint32_t)net->count);
-	size_t in = cas_rng_below(s->rng, (uint32_t)net->count);
+	node_t *out = any_node(s);
+	node_t *in = any_node(s);
 	int64_t now = cas_clock_now(net->clock);
 
-	if (!s->listed[out] || s->listed[in] || now - s->changed_us < 12 * SEC)
+	if (!s->listed[out->index] || s->listed[in->index] ||
+	    now - s->changed_us < 12 * SEC)
 		return;
 	s->changed_us = now;
-	s->listed[out] = false;
-	s->listed[in] = true;
+	s->listed[out->index] = false;
+	s->listed[in->index] = true;
 	net_publish(net, ++s->revision, s->listed);
-	net_start(&net->nodes[in], s->revision);
-	net->nodes[in].side = 0;
-	net_adopt(&net->nodes[cas_rng_below(s->rng, (uint32_t)net->count)],
-		  s->revision);
+	net_start(in, s->revision);
+	if (draw(s, 2)) {
+		net_adopt(any_node(s), s->revision);
+		return;
+	}
+	out->side = 2;
+	for (size_t i = 0; i < net->count; i++) {
+		if (&net->nodes[i] != out && !net->nodes[i].paused)
+			net_adopt(&net->nodes[i], s->revision);
+	}
 }
 
 /* Restarts one host, at the list in use or the one before it. */
 static void restart_host(scenario_t *s, node_t *node)
 {
 	int64_t now = cas_clock_now(s->net->clock);
-	int64_t stale = cas_rng_below(s->rng, 2);
+	int64_t stale = draw(s, 2);
 
 	if (!node->m || now - s->restarted_us < 10 * SEC)
 		return;
@@ -288,39 +380,57 @@
 	net_start(node, s->revision > stale ? s->revision - stale : 1);
 }
 
-static void disturb(scenario_t *s)
+static void part(scenario_t *s)
 {
-	node_t *node =
-		&s->net->nodes[cas_rng_below(s->rng, (uint32_t)s->net->count)];
+	uint32_t kind = draw(s, 4);
 
-	switch (cas_rng_below(s->rng, 12)) {
+	for (size_t i = 0; i < s->net->count; i++)
+		s->net->nodes[i].side = kind == 0 ? (int)draw(s, 2) : 0;
+	if (kind == 1)
+		any_node(s)->side = 1;
+}
+
+static void toggle_pause(scenario_t *s)
+{
+	node_t *node = any_node(s);
+
+	if (node->paused)
+		net_resume(node);
+	else
+		node->paused = node->m && draw(s, 2);
+}
+
+static void heal(scenario_t *s)
+{
+	s->net->loss_permille = 0;
+	for (size_t i = 0; i < s->net->count; i++) {
+		s->net->nodes[i].side = 0;
+		if (s->net->nodes[i].paused)
+			net_resume(&s->net->nodes[i]);
+	}
+}
+
+static void disturb(scenario_t *s)
+{
+	switch (draw(s, 10)) {
 	case 0:
+		part(s);
+		break;
 	case 1:
-		if (node->paused)
-			net_resume(node);
-		else
-			node->paused = node->m && cas_rng_below(s->rng, 2);
+		restart_host(s, any_node(s));
 		break;
 	case 2:
-		node->side = !node->side;
+		s->net->loss_permille = draw(s, 300);
 		break;
 	case 3:
-		restart_host(s, node);
-		break;
 	case 4:
-		s->net->loss_permille = cas_rng_below(s->rng, 300);
+		replace_host(s);
 		break;
 	case 5:
-	case 6:
-		replace_host(s);
+		heal(s);
 		break;
 	default:
-		for (size_t i = 0; i < s->net->count; i++) {
-			if (s->net->nodes[i].paused)
-				net_resume(&s->net->nodes[i]);
-			s->net->nodes[i].side = 0;
-		}
-		s->net->loss_permille = 0;
+		toggle_pause(s);
 		break;
 	}
 }
@@ -344,9 +454,12 @@
 	net_publish(s.net, 1, s.listed);
 	for (size_t i = 0; i < 8; i++)
 		net_start(&s.net->nodes[i], 1);
-	for (int i = 0; i < 120; i++) {
+	for (int i = 0; i < 200; i++) {
 		disturb(&s);
-		for (int k = 0; k < 100; k++) {
+		if (i % 8 == 7)
+			heal(&s);
+		for (uint32_t k = draw(&s, i % 8 == 7 ? 800 : 200); k > 0;
+		     k--) {
 			net_run(s.net, 20 * CAS_USEC_PER_MSEC);
 			served += check_buckets(s.net, buckets);
 			steps++;
@@ -360,7 +473,7 @@
 static void test_one_holder_adds(void **state)
 {
 	(void)state;
-	for (uint32_t seed = 1; seed <= 12; seed++)
+	for (uint32_t seed = 1; seed <= 16; seed++)
 		run_scenario(seed);
 }
 
@@ -372,6 +485,8 @@
 		cmocka_unit_test(test_late_waking_daemon_is_not_fenced_in),
 		cmocka_unit_test(test_restart_is_not_settled),
 		cmocka_unit_test(test_partition_inside_data_centre),
+		cmocka_unit_test(test_halves_are_not_fenced_in),
+		cmocka_unit_test(test_epoch_tells_lapses),
 		cmocka_unit_test(test_large_change_is_silent),
 		cmocka_unit_test(test_kept_fence_has_no_lapse),
 		cmocka_unit_test(test_one_holder_adds),
