membership: test leaders, watchers and the spread of revisions

Cause: the tests found members that kept lost leaders alive by telling each other, a draining leader that stayed in use, a returned leader that was not noticed, and members without a fence when both leaders are lost. Change: only leaders tell who is alive; a host's own state counts even when other news of it is older; both leaders call after silence; a member without an answer asks another group's leader.

--- a/packages/membership/beat.c
+++ b/packages/membership/beat.c
@@ -179,28 +179,37 @@
 	return 0;
 }
 
+static void take_reply(membership_t *m, size_t index,
+		       const membership_reply *reply, int64_t now)
+{
+	member_t *member = &m->members[index];
+	int64_t sent_us;
+
+	if (!time_of_stamp(m, reply->echo_ms, now, &sent_us))
+		return;
+	member->stamp_ms = reply->stamp_ms;
+	member->stamp_at_us = now;
+	if (reply->summary)
+		membership_merge_summary(m, index, reply->roster_revision,
+					 reply->summary, sent_us, now);
+	membership_merge_runs(m, reply->roster_revision, reply->runs.runs_val,
+			      reply->runs.runs_len, sent_us, now);
+}
+
 void membership_on_reply(membership_t *m, cas_id_t from, uint64_t incarnation,
 			 const membership_reply *reply)
 {
 	int64_t now = cas_clock_now(m->clock);
-	int64_t sent_us;
-	member_t *member;
 	int index;
 
 	(void)incarnation;
 	membership_note_revisions(m, from, reply->roster_revision,
 				  reply->table_revision);
-	mark_heard(m, from, now);
 	membership_exchange_replied(m, from);
 	index = membership_view_find(m->view, from);
-	if (index < 0 || !time_of_stamp(m, reply->echo_ms, now, &sent_us))
-		return;
-	member = &m->members[index];
-	member->stamp_ms = reply->stamp_ms;
-	member->stamp_at_us = now;
-	if (reply->summary)
-		membership_merge_summary(m, reply->roster_revision,
-					 reply->summary, sent_us, now);
-	membership_merge_runs(m, reply->roster_revision, reply->runs.runs_val,
-			      reply->runs.runs_len, sent_us, now);
+	if (index >= 0)
+		take_reply(m, (size_t)index, reply, now);
+	/* Last, since an entry that is older than the last word of its host is
+	 * passed over, and the sender's own state comes as an entry. */
+	mark_heard(m, from, now);
 }
--- a/packages/membership/exchange.c
+++ b/packages/membership/exchange.c
@@ -14,6 +14,7 @@
  * revision is held before the confirmations of the earlier one end. */
 #define FAST_PERIOD_US (300 * CAS_USEC_PER_MSEC)
 /* A leader that is silent for this long is called by both sides. */
+#define SIBLING_SILENT_US (1500 * CAS_USEC_PER_MSEC)
 #define LEADER_SILENT_US (2500 * CAS_USEC_PER_MSEC)
 
 static void add_target(membership_t *m, cas_id_t to, uint32_t kind, bool probe)
@@ -36,6 +37,32 @@
 	return start + cas_rng_below(m->rng, (uint32_t)(end - start));
 }
 
+static bool was_answered(const membership_t *m)
+{
+	for (size_t i = 0; i < m->target_count; i++) {
+		if (m->targets[i].replied)
+			return true;
+	}
+	return m->target_count == 0;
+}
+
+/* Without an answer in the last period, any live host elsewhere may serve a
+ * member until its group has leaders again. */
+static void add_substitute(membership_t *m, int64_t now)
+{
+	size_t groups = membership_group_count(m->view->count);
+	size_t group = cas_rng_below(m->rng, (uint32_t)groups);
+	leaders_t leaders;
+
+	membership_leaders(m, group, now, &leaders);
+	if (groups > 1 && leaders.count > 0)
+		add_target(m, m->view->ids[leaders.index[0]],
+			   MEMBERSHIP_KIND_MEMBER, false);
+	else
+		add_target(m, m->view->ids[any_of_group(m, group)],
+			   MEMBERSHIP_KIND_MEMBER, true);
+}
+
 static void add_member_targets(membership_t *m, const leaders_t *leaders)
 {
 	size_t self = m->view->self >= 0 ? (size_t)m->view->self : 0;
@@ -128,15 +155,26 @@
 		add_other_target(m, &m->others[i]);
 }
 
+static void add_sibling(membership_t *m, const leaders_t *own, size_t rank,
+			int64_t now)
+{
+	size_t index;
+
+	if (own->count < LEADER_COUNT)
+		return;
+	index = own->index[1 - rank];
+	if (rank == 0 || now - m->members[index].direct_us > SIBLING_SILENT_US)
+		add_target(m, m->view->ids[index], MEMBERSHIP_KIND_SIBLING,
+			   false);
+}
+
 static void add_leader_targets(membership_t *m, const leaders_t *own,
 			       size_t rank, int64_t now)
 {
 	size_t groups = membership_group_count(m->view->count);
 	size_t group = membership_own_group(m);
 
-	if (rank == 0 && own->count > 1)
-		add_target(m, m->view->ids[own->index[1]],
-			   MEMBERSHIP_KIND_SIBLING, false);
+	add_sibling(m, own, rank, now);
 	for (size_t i = 0; i < groups; i++) {
 		bool mine =
 			own->count == 1 || (group + i) % LEADER_COUNT == rank;
@@ -154,6 +192,7 @@
 {
 	size_t group = membership_own_group(m);
 	int rank = membership_rank(m, now);
+	bool answered = was_answered(m);
 	leaders_t leaders;
 
 	m->target_count = 0;
@@ -164,8 +203,11 @@
 		add_leader_targets(m, &leaders, (size_t)rank, now);
 	else
 		add_member_targets(m, &leaders);
-	if (m->target_count == 0)
+	if (rank < 0 && !answered)
+		add_substitute(m, now);
+	if (m->target_count == 0 || m->misdirected)
 		add_probe(m, group, now);
+	m->misdirected = false;
 }
 
 static void beat_all(membership_t *m, int64_t now)
--- a/packages/membership/membership_internal.h
+++ b/packages/membership/membership_internal.h
@@ -116,6 +116,7 @@
 	size_t target_count;
 	size_t relay_first;
 	bool other_turn;
+	bool misdirected; /* a host that was taken for a leader does not lead */
 	relay_buffer_t beat_buffer;
 	relay_buffer_t reply_buffer;
 
@@ -164,7 +165,7 @@
 void membership_merge_runs(membership_t *m, int64_t revision,
 			   const membership_run *runs, size_t count,
 			   int64_t base_us, int64_t now);
-void membership_merge_summary(membership_t *m, int64_t revision,
+void membership_merge_summary(membership_t *m, size_t from, int64_t revision,
 			      const membership_summary *summary,
 			      int64_t base_us, int64_t now);
 
--- a/packages/membership/messages/membership.x
+++ b/packages/membership/messages/membership.x
@@ -50,6 +50,7 @@
 	unsigned int life_ms; /* shortest remaining lifetime of confirming */
 	unsigned int held_ms; /* shortest time at the revision of confirming */
 	opaque confirming<MEMBERSHIP_BITMAP_MAX>;
+	bool leads; /* else only its own bit of draining counts */
 	opaque alive<MEMBERSHIP_BITMAP_MAX>; /* empty: all */
 	opaque draining<MEMBERSHIP_BITMAP_MAX>; /* empty: none */
 };
--- a/packages/membership/relay.c
+++ b/packages/membership/relay.c
@@ -195,6 +195,9 @@
 	u_int len = (u_int)((hosts + 7) / 8);
 	choice_t choice;
 	bool chosen = choose(m, &choice, now);
+	/* What a member takes for alive is no lifetime, so members that told it
+	 * each other would keep lost hosts alive. */
+	bool leads = membership_rank(m, now) >= 0;
 	bool any_dead = false;
 	bool any_draining = false;
 
@@ -216,7 +219,8 @@
 		.life_ms = chosen ? (u_int)(choice.least_life_us / 1000) : 0,
 		.held_ms = chosen ? (u_int)(choice.least_held_us / 1000) : 0,
 		.confirming = { chosen ? len : 0, bitmaps[0] },
-		.alive = { any_dead ? len : 0, bitmaps[1] },
+		.leads = leads,
+		.alive = { leads && any_dead ? len : 0, bitmaps[1] },
 		.draining = { any_draining ? len : 0, bitmaps[2] },
 	};
 	reply->summary = summary;
@@ -302,7 +306,17 @@
 				   summary->draining.draining_len, index);
 }
 
-void membership_merge_summary(membership_t *m, int64_t revision,
+/* A host that does not lead is believed only about itself. */
+static void take_own_state(membership_t *m, const membership_summary *summary,
+			   size_t from)
+{
+	m->members[from].draining =
+		get_bit(summary->draining.draining_val,
+			summary->draining.draining_len, from);
+	m->misdirected = true;
+}
+
+void membership_merge_summary(membership_t *m, size_t from, int64_t revision,
 			      const membership_summary *summary,
 			      int64_t base_us, int64_t now)
 {
@@ -318,7 +332,9 @@
 		if (get_bit(summary->confirming.confirming_val,
 			    summary->confirming.confirming_len, i))
 			membership_view_confirm(view, i, since_us, expire_us);
-		if (view == m->view)
+		if (view == m->view && summary->leads)
 			merge_alive(m, summary, i, now);
 	}
+	if (view == m->view && !summary->leads)
+		take_own_state(m, summary, from);
 }
--- /dev/null
+++ b/packages/membership/tests/test_membership.c
@@ -0,0 +1,259 @@
+/* Tests of live hosts, leaders, watchers and the spread of revisions. */
+#include "cassia/test.h"
+
+#include "network.h"
+
+#define SEC CAS_USEC_PER_SEC
+
+static size_t count_leaders(const network_t *net, size_t first, size_t end)
+{
+	size_t leaders = 0;
+
+	for (size_t i = first; i < end; i++)
+		leaders += net->nodes[i].m &&
+			   membership_is_leader(net->nodes[i].m);
+	return leaders;
+}
+
+static size_t count_state(const network_t *net, size_t of,
+			  membership_state_t state)
+{
+	size_t count = 0;
+
+	for (size_t i = 0; i < net->count; i++) {
+		const node_t *node = &net->nodes[i];
+
+		count += node->m && i != of &&
+			 membership_state_of(node->m, of + 1) == state;
+	}
+	return count;
+}
+
+/* Guards against a group without leaders after both are lost, and against the
+ * fence ending meanwhile. */
+static void test_lost_leaders_are_replaced(void **state)
+{
+	network_t *net = net_create(40, 1, 1);
+
+	(void)state;
+	net_start_all(net);
+	net_run(net, 5 * SEC);
+	assert_true(membership_is_leader(net->nodes[0].m));
+	assert_true(membership_is_leader(net->nodes[1].m));
+	assert_int_equal(count_leaders(net, 0, 40), 12);
+	net_stop(&net->nodes[0]);
+	net_run(net, SEC);
+	net_stop(&net->nodes[1]);
+	for (int i = 0; i < 8; i++) {
+		net_run(net, SEC);
+		assert_int_equal(net_count_held(net), 38);
+	}
+	assert_true(membership_is_leader(net->nodes[2].m));
+	assert_true(membership_is_leader(net->nodes[3].m));
+	assert_int_equal(count_leaders(net, 0, 40), 12);
+	assert_int_equal(count_state(net, 0, MEMBERSHIP_SUSPECT), 38);
+	net_start(&net->nodes[0], 1);
+	net_run(net, 6 * SEC);
+	assert_true(membership_is_leader(net->nodes[0].m));
+	assert_int_equal(count_leaders(net, 0, 40), 12);
+	assert_int_equal(count_state(net, 0, MEMBERSHIP_ALIVE), 38);
+	net_destroy(net);
+}
+
+/* Guards against a single group that stalls when its first leader is lost. */
+static void test_small_group_loses_leader(void **state)
+{
+	network_t *net = net_create(4, 1, 2);
+
+	(void)state;
+	net_start_all(net);
+	net_run(net, 5 * SEC);
+	net_stop(&net->nodes[0]);
+	for (int i = 0; i < 100; i++) {
+		net_run(net, SEC / 10);
+		assert_int_equal(net_count_held(net), 3);
+	}
+	net_destroy(net);
+}
+
+/* Guards against a draining host that keeps leading, or is not known as
+ * draining in the whole data centre. */
+static void test_draining_is_known(void **state)
+{
+	network_t *net = net_create(30, 1, 3);
+
+	(void)state;
+	net_start_all(net);
+	net_run(net, 5 * SEC);
+	membership_set_draining(net->nodes[0].m, true);
+	assert_int_equal(membership_state_of(net->nodes[0].m, 1),
+			 MEMBERSHIP_DRAINING);
+	net_run(net, 5 * SEC);
+	assert_int_equal(count_state(net, 0, MEMBERSHIP_DRAINING), 29);
+	assert_false(membership_is_leader(net->nodes[0].m));
+	assert_int_equal(membership_state_of(net->nodes[0].m, 999),
+			 MEMBERSHIP_UNKNOWN);
+	net_destroy(net);
+}
+
+static size_t count_watchers(const network_t *net)
+{
+	size_t watchers = 0;
+
+	for (size_t i = 0; i < net->count; i++)
+		watchers += net->nodes[i].m &&
+			    membership_is_watcher(net->nodes[i].m);
+	return watchers;
+}
+
+/* Guards against a data centre without watchers after they are lost. */
+static void test_watchers(void **state)
+{
+	network_t *net = net_create(60, 2, 4);
+
+	(void)state;
+	net_start_all(net);
+	net_run(net, 5 * SEC);
+	assert_int_equal(count_watchers(net), 4);
+	for (size_t i = 0; i < net->count; i++) {
+		if (membership_is_watcher(net->nodes[i].m))
+			net_stop(&net->nodes[i]);
+	}
+	net_run(net, 10 * SEC);
+	assert_int_equal(count_watchers(net), 4);
+	net_destroy(net);
+}
+
+/* Guards against a host list that alternates between two contents taking the
+ * fence down, and against an older list replacing a newer one. */
+static void test_flapping_host_list(void **state)
+{
+	bool listed[9];
+	network_t *net = net_create(9, 1, 5);
+	int64_t revision = 1;
+
+	(void)state;
+	memset(listed, 1, sizeof(listed));
+	net_start_all(net);
+	net_run(net, 12 * SEC);
+	for (int i = 0; i < 20; i++) {
+		listed[4] = !listed[4];
+		net_publish(net, ++revision, listed);
+		net_adopt(&net->nodes[i % 3], revision);
+		for (int k = 0; k < 15; k++) {
+			net_run(net, SEC / 10);
+			for (size_t n = 0; n < 9; n++) {
+				const node_t *node = &net->nodes[n];
+				int64_t used = node->roster_revision;
+
+				assert_true(n == 4 || net_held(node) ||
+					    membership_fence_held(node->m,
+								  used - 1));
+			}
+		}
+		assert_int_equal(
+			membership_set_roster(net->nodes[0].m,
+					      net->rosters[revision - 1]),
+			MEMBERSHIP_EREVISION);
+	}
+	net_destroy(net);
+}
+
+static size_t count_table(const network_t *net, int64_t revision)
+{
+	size_t count = 0;
+
+	for (size_t i = 0; i < net->count; i++)
+		count += net->nodes[i].table_revision == revision;
+	return count;
+}
+
+/* Guards against a table that is not in force everywhere within 2 s: 680
+ * daemons, a tenth of the messages lost, one watcher that sees it. */
+static void test_table_spreads_within_two_seconds(void **state)
+{
+	network_t *net = net_create(680, 5, 6);
+
+	(void)state;
+	net_start_all(net);
+	net_run(net, 5 * SEC);
+	net->loss_permille = 100;
+	for (int64_t revision = 1; revision <= 10; revision++) {
+		size_t from = 67 * (size_t)revision;
+
+		net_run(net, SEC);
+		net_set_table(&net->nodes[from], revision);
+		if (!membership_is_leader(net->nodes[from].m) &&
+		    !membership_is_watcher(net->nodes[from].m))
+			membership_notice_held(net->nodes[from].m);
+		net_run(net, 2 * SEC);
+		assert_int_equal(count_table(net, revision), 680);
+	}
+	net_destroy(net);
+}
+
+/* Guards against a revision that stays unknown to a daemon that was cut off,
+ * restarted without memory, or is in another data centre. */
+static void test_missed_revision_is_learned(void **state)
+{
+	network_t *net = net_create(60, 3, 7);
+	membership_newest_t newest;
+
+	(void)state;
+	net_publish(net, 2, NULL);
+	net_start_all(net);
+	net_run(net, 5 * SEC);
+	for (size_t i = 20; i < 40; i++)
+		net->nodes[i].side = 1;
+	net_set_table(&net->nodes[0], 7);
+	net_adopt(&net->nodes[0], 2);
+	net_run(net, 5 * SEC);
+	assert_int_equal(count_table(net, 7), 40);
+	for (size_t i = 20; i < 40; i++)
+		net->nodes[i].side = 0;
+	net_run(net, 5 * SEC);
+	assert_int_equal(count_table(net, 7), 60);
+	net_start(&net->nodes[45], 1);
+	net_run(net, 2 * SEC);
+	assert_int_equal(count_table(net, 7), 60);
+	assert_int_equal(net->nodes[45].roster_revision, 2);
+	newest = membership_newest(net->nodes[45].m);
+	assert_int_equal(newest.table_revision, 7);
+	assert_int_equal(newest.table_host, 0);
+	net_destroy(net);
+}
+
+/* Guards against lost messages ending the fence: a tenth are lost for 60 s. */
+static void test_fence_outlasts_loss(void **state)
+{
+	network_t *net = net_create(136, 1, 8);
+	size_t held = 0;
+
+	(void)state;
+	net_start_all(net);
+	net_run(net, 10 * SEC);
+	net->loss_permille = 100;
+	for (int i = 0; i < 600; i++) {
+		net_run(net, SEC / 10);
+		held += net_count_held(net);
+	}
+	/* Allows one in 10,000. */
+	assert_in_range(held, 600 * 136 - 8, 600 * 136);
+	net_destroy(net);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_lost_leaders_are_replaced),
+		cmocka_unit_test(test_small_group_loses_leader),
+		cmocka_unit_test(test_draining_is_known),
+		cmocka_unit_test(test_watchers),
+		cmocka_unit_test(test_flapping_host_list),
+		cmocka_unit_test(test_table_spreads_within_two_seconds),
+		cmocka_unit_test(test_missed_revision_is_learned),
+		cmocka_unit_test(test_fence_outlasts_loss),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
