membership: keep lost leaders from delaying the fence

Change: what a leader tells is kept apart from relayed lifetimes; a leader whose sibling is silent does its work; the other leader is called 100 ms after the groups, so that it gets their news a period earlier.

--- a/packages/membership/exchange.c
+++ b/packages/membership/exchange.c
@@ -13,7 +13,10 @@
 /* Period for a short time after a new list, so that the fence at the new
  * revision is held before the confirmations of the earlier one end. */
 #define FAST_PERIOD_US (300 * CAS_USEC_PER_MSEC)
-/* A leader that is silent for this long is called by both sides. */
+/* A leader that is silent for this long is called by both sides, and its
+ * group's other leader does its work. */
+/* The other leader is called after the groups, so that it gets their news. */
+#define SIBLING_DELAY_US (100 * CAS_USEC_PER_MSEC)
 #define SIBLING_SILENT_US (1500 * CAS_USEC_PER_MSEC)
 #define LEADER_SILENT_US (2500 * CAS_USEC_PER_MSEC)
 
@@ -97,6 +100,12 @@
 	return ((((a + b) >> 1) & 1) == 1) == (a < b);
 }
 
+static bool is_silent(const membership_t *m, size_t index, int64_t now,
+		      int64_t limit_us)
+{
+	return now - m->members[index].direct_us > limit_us;
+}
+
 static void add_group_target(membership_t *m, size_t own, size_t other,
 			     int64_t now)
 {
@@ -109,8 +118,7 @@
 		index = leaders.index[rank < leaders.count ? rank : 0];
 	else
 		index = any_of_group(m, other);
-	if (is_caller(own, other) ||
-	    now - m->members[index].direct_us > LEADER_SILENT_US)
+	if (is_caller(own, other) || is_silent(m, index, now, LEADER_SILENT_US))
 		add_target(m, m->view->ids[index], MEMBERSHIP_KIND_GROUP,
 			   leaders.count == 0);
 }
@@ -173,11 +181,12 @@
 {
 	size_t groups = membership_group_count(m->view->count);
 	size_t group = membership_own_group(m);
+	bool alone = own->count < LEADER_COUNT ||
+		     is_silent(m, own->index[1 - rank], now, LEADER_SILENT_US);
 
 	add_sibling(m, own, rank, now);
 	for (size_t i = 0; i < groups; i++) {
-		bool mine =
-			own->count == 1 || (group + i) % LEADER_COUNT == rank;
+		bool mine = alone || (group + i) % LEADER_COUNT == rank;
 
 		if (i != group && mine)
 			add_group_target(m, group, i, now);
@@ -210,6 +219,17 @@
 	m->misdirected = false;
 }
 
+static void send_targets(membership_t *m, bool sibling, int64_t now)
+{
+	/* Sending may call back and replace the targets. */
+	for (size_t i = 0; i < m->target_count; i++) {
+		const target_t *target = &m->targets[i];
+
+		if ((target->kind == MEMBERSHIP_KIND_SIBLING) == sibling)
+			membership_send_beat(m, target->to, target->kind, now);
+	}
+}
+
 static void beat_all(membership_t *m, int64_t now)
 {
 	size_t count = m->view->count;
@@ -219,10 +239,7 @@
 	if (m->relay_first >= count)
 		m->relay_first = 0;
 	choose_targets(m, now);
-	/* Sending may call back and replace the targets. */
-	for (size_t i = 0; i < m->target_count; i++)
-		membership_send_beat(m, m->targets[i].to, m->targets[i].kind,
-				     now);
+	send_targets(m, false, now);
 }
 
 /* A member without a reply also tries the other leader. */
@@ -293,7 +310,11 @@
 			m->next_beat_us = now + period_us;
 		m->last_beat_us = now;
 		m->retry_us = now + RETRY_US;
+		m->sibling_us = now + SIBLING_DELAY_US;
 		beat_all(m, now);
+	} else if (now >= m->sibling_us) {
+		m->sibling_us = INT64_MAX;
+		send_targets(m, true, now);
 	} else if (now >= m->retry_us) {
 		m->retry_us = INT64_MAX;
 		retry(m, now);
--- a/packages/membership/leader.c
+++ b/packages/membership/leader.c
@@ -17,7 +17,8 @@
 	bool own = membership_group_of(m->view->count, index) ==
 		   membership_own_group(m);
 
-	if ((int)index == m->view->self)
+	if ((int)index == m->view->self ||
+	    m->members[index].told_until_us > now)
 		return true;
 	return left_us >
 	       MEMBERSHIP_LEASE_US - (own ? LIVE_GROUP_US : LIVE_OTHER_US);
--- a/packages/membership/membership.c
+++ b/packages/membership/membership.c
@@ -26,6 +26,7 @@
 	m->incarnation = self_incarnation;
 	m->stamp_offset_ms = (uint32_t)cas_rng_u64(rng);
 	m->last_held_us = INT64_MIN / 2;
+	m->sibling_us = INT64_MAX;
 	m->retry_us = INT64_MAX;
 	m->notice_us = INT64_MAX;
 	m->next_beat_us = cas_clock_now(clock);
@@ -237,6 +238,8 @@
 {
 	int64_t due = m->view ? m->next_beat_us : INT64_MAX;
 
+	if (m->sibling_us < due)
+		due = m->sibling_us;
 	if (m->retry_us < due)
 		due = m->retry_us;
 	return m->notice_us < due ? m->notice_us : due;
--- a/packages/membership/membership_internal.h
+++ b/packages/membership/membership_internal.h
@@ -11,7 +11,7 @@
 #define LIVE_GROUP_US (3 * MEMBERSHIP_PERIOD_US)
 #define LIVE_OTHER_US (5 * MEMBERSHIP_PERIOD_US)
 /* A member takes a host that its leader calls alive as heard this long. */
-#define LIVE_SUMMARY_US (2500 * CAS_USEC_PER_MSEC)
+#define LIVE_TOLD_US (2500 * CAS_USEC_PER_MSEC)
 #define SINGLE_GROUP_MAX 16
 /* Hosts in one run, so that a message stays below its largest size. */
 #define MEMBERSHIP_RUN_HOSTS 400
@@ -40,6 +40,7 @@
 /* What is known of a host of this data centre, by index in the view. */
 typedef struct member {
 	int64_t heard_until_us; /* a lease after it was last heard */
+	int64_t told_until_us; /* a leader calls it alive; not relayed */
 	int64_t direct_us; /* when it last sent something to this host */
 	int64_t stamp_at_us; /* when stamp_ms came, 0: never */
 	uint32_t stamp_ms; /* of its last reply, on its clock */
@@ -111,6 +112,7 @@
 	int64_t next_beat_us;
 	int64_t last_beat_us;
 	int64_t fast_until_us;
+	int64_t sibling_us; /* INT64_MAX: none */
 	int64_t retry_us; /* INT64_MAX: none */
 	target_t *targets;
 	size_t target_count;
--- a/packages/membership/relay.c
+++ b/packages/membership/relay.c
@@ -195,8 +195,6 @@
 	u_int len = (u_int)((hosts + 7) / 8);
 	choice_t choice;
 	bool chosen = choose(m, &choice, now);
-	/* What a member takes for alive is no lifetime, so members that told it
-	 * each other would keep lost hosts alive. */
 	bool leads = membership_rank(m, now) >= 0;
 	bool any_dead = false;
 	bool any_draining = false;
@@ -281,26 +279,21 @@
 		merge_run(m, view, &runs[i], base_us, now);
 }
 
+/* What a leader tells is no lifetime. It is kept apart from what is relayed,
+ * else hosts that told it each other would keep a lost host alive. */
 static void merge_alive(membership_t *m, const membership_summary *summary,
 			size_t index, int64_t now)
 {
 	member_t *member = &m->members[index];
-	bool own = membership_group_of(m->view->count, index) ==
-		   membership_own_group(m);
-	int64_t limit_us = now + MEMBERSHIP_LEASE_US -
-			   (own ? LIVE_GROUP_US : LIVE_OTHER_US);
-	int64_t until_us =
-		min64(limit_us + LIVE_SUMMARY_US, now + MEMBERSHIP_LEASE_US);
 
 	if (summary->alive.alive_len == 0 ||
 	    get_bit(summary->alive.alive_val, summary->alive.alive_len,
 		    index)) {
-		if (until_us > member->heard_until_us)
-			member->heard_until_us = until_us;
+		member->told_until_us = now + LIVE_TOLD_US;
 		member->known = true;
-	} else if (member->known && now - member->direct_us > LIVE_GROUP_US &&
-		   member->heard_until_us > limit_us) {
-		member->heard_until_us = limit_us;
+	} else if (member->known && now - member->direct_us > LIVE_GROUP_US) {
+		member->told_until_us = now;
+		member->heard_until_us = now;
 	}
 	member->draining = get_bit(summary->draining.draining_val,
 				   summary->draining.draining_len, index);
