--- a/packages/membership/exchange.c
+++ b/packages/membership/exchange.c
@@ -13,7 +13,11 @@
 /* Period for a short time after a new list, so that the fence at the new
  * revision is held before the confirmations of the earlier one end. */
 #define FAST_PERIOD_US (300 * CAS_USEC_PER_MSEC)
-/* A leader that is silent for this long is called by both sides. */
+/* A leader that is silent for this long is called by both sides, and its
+ * group's other leader does its work. */
+/* The other leader is called after the groups, so that it gets their news. */
+#define SIBLING_DELAY_US (100 * CAS_USEC_PER_MSEC)
+#define SIBLING_SILENT_US (1500 * CAS_USEC_PER_MSEC)
 #define LEADER_SILENT_US (2500 * CAS_USEC_PER_MSEC)
 
 static void add_target(membership_t *m, cas_id_t to, uint32_t kind, bool probe)
@@ -36,6 +40,32 @@
 	return start + cas_rng_below(m->rng, (uint32_t)(end - start));
 }
 
+static bool was_answered(const membership_t *m)
+{
+	for (size_t i = 0; i < m->target_count; i++) {
+		if (m->targets[i].replied)
+			return true;
+	}
+	return m->target_count == 0;
+}
+
+/* Without an answer in the last period, any live host elsewhere may serve a
+ * member until its group has leaders again. */
+static void add_substitute(membership_t *m, int64_t now)
+{
+	size_t groups = membership_group_count(m->view->count);
+	size_t group = cas_rng_below(m->rng, (uint32_t)groups);
+	leaders_t leaders;
+
+	membership_leaders(m, group, now, &leaders);
+	if (groups > 1 && leaders.count > 0)
+		add_target(m, m->view->ids[leaders.index[0]],
+			   MEMBERSHIP_KIND_MEMBER, false);
+	else
+		add_target(m, m->view->ids[any_of_group(m, group)],
+			   MEMBERSHIP_KIND_MEMBER, true);
+}
+
 static void add_member_targets(membership_t *m, const leaders_t *leaders)
 {
 	size_t self = m->view->self >= 0 ? (size_t)m->view->self : 0;
@@ -70,6 +100,12 @@
 	return ((((a + b) >> 1) & 1) == 1) == (a < b);
 }
 
+static bool is_silent(const membership_t *m, size_t index, int64_t now,
+		      int64_t limit_us)
+{
+	return now - m->members[index].direct_us > limit_us;
+}
+
 static void add_group_target(membership_t *m, size_t own, size_t other,
 			     int64_t now)
 {
@@ -82,8 +118,7 @@
 		index = leaders.index[rank < leaders.count ? rank : 0];
 	else
 		index = any_of_group(m, other);
-	if (is_caller(own, other) ||
-	    now - m->members[index].direct_us > LEADER_SILENT_US)
+	if (is_caller(own, other) || is_silent(m, index, now, LEADER_SILENT_US))
 		add_target(m, m->view->ids[index], MEMBERSHIP_KIND_GROUP,
 			   leaders.count == 0);
 }
@@ -128,18 +163,30 @@
 		add_other_target(m, &m->others[i]);
 }
 
+static void add_sibling(membership_t *m, const leaders_t *own, size_t rank,
+			int64_t now)
+{
+	size_t index;
+
+	if (own->count < LEADER_COUNT)
+		return;
+	index = own->index[1 - rank];
+	if (rank == 0 || now - m->members[index].direct_us > SIBLING_SILENT_US)
+		add_target(m, m->view->ids[index], MEMBERSHIP_KIND_SIBLING,
+			   false);
+}
+
 static void add_leader_targets(membership_t *m, const leaders_t *own,
 			       size_t rank, int64_t now)
 {
 	size_t groups = membership_group_count(m->view->count);
 	size_t group = membership_own_group(m);
+	bool alone = own->count < LEADER_COUNT ||
+		     is_silent(m, own->index[1 - rank], now, LEADER_SILENT_US);
 
-	if (rank == 0 && own->count > 1)
-		add_target(m, m->view->ids[own->index[1]],
-			   MEMBERSHIP_KIND_SIBLING, false);
+	add_sibling(m, own, rank, now);
 	for (size_t i = 0; i < groups; i++) {
-		bool mine =
-			own->count == 1 || (group + i) % LEADER_COUNT == rank;
+		bool mine = alone || (group + i) % LEADER_COUNT == rank;
 
 		if (i != group && mine)
 			add_group_target(m, group, i, now);
@@ -154,6 +201,7 @@
 {
 	size_t group = membership_own_group(m);
 	int rank = membership_rank(m, now);
+	bool answered = was_answered(m);
 	leaders_t leaders;
 
 	m->target_count = 0;
@@ -164,8 +212,22 @@
 		add_leader_targets(m, &leaders, (size_t)rank, now);
 	else
 		add_member_targets(m, &leaders);
-	if (m->target_count == 0)
+	if (rank < 0 && !answered)
+		add_substitute(m, now);
+	if (m->target_count == 0 || m->misdirected)
 		add_probe(m, group, now);
+	m->misdirected = false;
+}
+
+static void send_targets(membership_t *m, bool sibling, int64_t now)
+{
+	/* Sending may call back and replace the targets. */
+	for (size_t i = 0; i < m->target_count; i++) {
+		const target_t *target = &m->targets[i];
+
+		if ((target->kind == MEMBERSHIP_KIND_SIBLING) == sibling)
+			membership_send_beat(m, target->to, target->kind, now);
+	}
 }
 
 static void beat_all(membership_t *m, int64_t now)
@@ -177,10 +239,7 @@
 	if (m->relay_first >= count)
 		m->relay_first = 0;
 	choose_targets(m, now);
-	/* Sending may call back and replace the targets. */
-	for (size_t i = 0; i < m->target_count; i++)
-		membership_send_beat(m, m->targets[i].to, m->targets[i].kind,
-				     now);
+	send_targets(m, false, now);
 }
 
 /* A member without a reply also tries the other leader. */
@@ -251,7 +310,11 @@
 			m->next_beat_us = now + period_us;
 		m->last_beat_us = now;
 		m->retry_us = now + RETRY_US;
+		m->sibling_us = now + SIBLING_DELAY_US;
 		beat_all(m, now);
+	} else if (now >= m->sibling_us) {
+		m->sibling_us = INT64_MAX;
+		send_targets(m, true, now);
 	} else if (now >= m->retry_us) {
 		m->retry_us = INT64_MAX;
 		retry(m, now);
