Check the sum of all tokens in the soak run

Cause: broken variants passed the window check, because a surplus shows there only when a flood follows at once. Change: quota_tokens() and a check that the tokens of all daemons together stay within the burst; hosts may pause right after a send.

--- a/packages/quota/quota.c
+++ b/packages/quota/quota.c
@@ -281,3 +281,37 @@
 	}
 	return count;
 }
+
+static int64_t bucket_tokens(const quota_bucket_t *bucket, int64_t now)
+{
+	int64_t tokens = bucket->lent_level;
+
+	if ((bucket->state == QUOTA_ADDING || bucket->state == QUOTA_FROZEN) &&
+	    now - bucket->held_us <= QUOTA_KEEP_TIME)
+		tokens += bucket->level;
+	for (size_t i = 0; i < bucket->lender_count; i++) {
+		const quota_lots_t *lots = &bucket->lenders[i].lots;
+
+		for (size_t j = 0; j < lots->count; j++) {
+			if (lots->items[j].expires_us > now)
+				return tokens;
+		}
+	}
+	return tokens - bucket->lent_level;
+}
+
+int64_t quota_tokens(quota_t *quota, cas_id_t id, int64_t now)
+{
+	quota_customer_t *customer = quota_customer_find(quota, id);
+	int64_t tokens = 0;
+
+	if (!customer)
+		return 0;
+	for (size_t i = 0; i < customer->link.lots.count; i++) {
+		if (customer->link.lots.items[i].expires_us > now)
+			tokens += customer->link.lots.items[i].amount;
+	}
+	for (quota_bucket_t *b = customer->buckets; b; b = b->next)
+		tokens += bucket_tokens(b, now);
+	return tokens;
+}
--- a/soak/check_windows.c
+++ b/soak/check_windows.c
@@ -121,6 +121,19 @@
 		admit(windows, &customer->meters[i], now);
 }
 
+double check_windows_burst(const check_windows_t *windows, size_t index)
+{
+	const customer_t *customer = &windows->customers[index];
+	double burst = 0;
+
+	/* The latest meter that has started covers the changes since then. */
+	for (size_t i = 0; i < customer->count; i++) {
+		if (customer->meters[i].starts_us <= sim_now(windows->sim))
+			burst = customer->meters[i].burst;
+	}
+	return burst;
+}
+
 uint64_t check_windows_admissions(const check_windows_t *windows)
 {
 	return windows->admissions;
--- a/soak/check_windows.h
+++ b/soak/check_windows.h
@@ -19,6 +19,9 @@
 void check_windows_limit(check_windows_t *windows, size_t customer,
 			 int64_t rate, int64_t burst);
 
+/* Returns the burst (tokens) that holds now for a customer. */
+double check_windows_burst(const check_windows_t *windows, size_t customer);
+
 /* Counts one admission now. */
 void check_windows_admit(check_windows_t *windows, size_t customer);
 
--- a/soak/fake_network.c
+++ b/soak/fake_network.c
@@ -7,6 +7,7 @@
 #include "fleet_internal.h"
 
 #define HELD_MAX 64
+#define PAUSE_AFTER_SEND 6000000 /* microseconds */
 
 typedef struct datagram {
 	cas_id_t from;
@@ -102,6 +103,18 @@
 	return true;
 }
 
+/* A process may stop between any two steps; the ones after a send matter most,
+ * because the answer arrives meanwhile. */
+static void maybe_pause(fleet_host_t *from)
+{
+	fleet_t *fleet = from->fleet;
+
+	if (fleet->faults.pause_after_send > 0 && !from->paused &&
+	    sim_chance(fleet->sim, fleet->faults.pause_after_send))
+		fleet_pause_host(from, 1 + cas_rng_below(sim_rng(fleet->sim),
+							 PAUSE_AFTER_SEND));
+}
+
 void fleet_send(fleet_host_t *from, cas_id_t to_id, size_t part, int kind,
 		const void *bytes, size_t size, size_t wire_bytes)
 {
@@ -109,6 +122,7 @@
 	fleet_host_t *to = fleet_find(fleet, to_id);
 	int copies = 1;
 
+	maybe_pause(from);
 	fleet->messages++;
 	fleet->bytes += wire_bytes;
 	if (!to || !passes(fleet, from, to))
--- a/soak/faults.c
+++ b/soak/faults.c
@@ -42,15 +42,6 @@
 		rng_of(faults), (uint32_t)faults->fleet->host_count)];
 }
 
-static void on_resume(void *owner, void *data)
-{
-	fleet_host_t *host = owner;
-
-	(void)data;
-	if (host->running && host->paused)
-		fleet_resume_host(host);
-}
-
 static void pause_host(faults_t *faults)
 {
 	fleet_host_t *host = any_host(faults);
@@ -60,9 +51,7 @@
 		return;
 	if (cas_rng_below(rng_of(faults), 3) == 0)
 		longest = 20 * CAS_USEC_PER_SEC;
-	fleet_pause_host(host);
-	sim_after(faults->fleet->sim, time_below(faults, longest), on_resume,
-		  host, NULL);
+	fleet_pause_host(host, time_below(faults, longest));
 }
 
 static void on_restart(void *owner, void *data)
@@ -150,6 +139,7 @@
 		.repetition = 0.5 * cas_rng_double(rng),
 		.late = 0.3 * cas_rng_double(rng),
 		.late_us = 1 + cas_rng_below(rng, 3000000),
+		.pause_after_send = 0.0005 * cas_rng_double(rng),
 	};
 	sim_after(faults->fleet->sim, time_below(faults, 10 * CAS_USEC_PER_SEC),
 		  on_calm, faults->fleet, NULL);
--- a/soak/fleet.c
+++ b/soak/fleet.c
@@ -80,16 +80,21 @@
 	return fleet->part_count++;
 }
 
+int64_t fleet_host_time(const fleet_host_t *host)
+{
+	int64_t elapsed = sim_now(host->fleet->sim) - host->true_base_us;
+
+	return host->clock_base_us +
+	       (int64_t)((double)elapsed * (1 + host->drift));
+}
+
 bool fleet_host_enter(fleet_host_t *host)
 {
-	int64_t elapsed = 0;
 	int64_t local = 0;
 
 	if (!host->running || host->paused)
 		return false;
-	elapsed = sim_now(host->fleet->sim) - host->true_base_us;
-	local = host->clock_base_us +
-		(int64_t)((double)elapsed * (1 + host->drift));
+	local = fleet_host_time(host);
 	if (local > cas_clock_now(host->clock))
 		cas_clock_advance(host->clock,
 				  local - cas_clock_now(host->clock));
@@ -164,26 +169,36 @@
 	TALLOC_FREE(host->process);
 }
 
-void fleet_pause_host(fleet_host_t *host)
-{
-	host->paused = true;
-	host->pause_count++;
-}
-
-void fleet_resume_host(fleet_host_t *host)
+static void resume(void *owner, void *data)
 {
-	cas_rng_t *rng = sim_rng(host->fleet->sim);
+	fleet_host_t *host = owner;
+	const uint64_t *incarnation = data;
 
+	if (host->incarnation != *incarnation)
+		return;
 	host->paused = false;
 	if (!fleet_host_enter(host))
 		return;
 	/* The first thing after a pause may be a message or the timer. */
-	if (cas_rng_below(rng, 2))
+	if (cas_rng_below(sim_rng(host->fleet->sim), 2))
 		fleet_deliver_held(host);
 	plan_tick(host, 0);
 	sim_after(host->fleet->sim, 1, fleet_deliver_later, host, NULL);
 }
 
+void fleet_pause_host(fleet_host_t *host, int64_t length_us)
+{
+	uint64_t *incarnation = talloc(NULL, uint64_t);
+
+	if (!incarnation)
+		abort();
+	*incarnation = host->incarnation;
+	host->paused = true;
+	host->pause_count++;
+	host->fleet->pauses++;
+	sim_after(host->fleet->sim, length_us, resume, host, incarnation);
+}
+
 void fleet_set_view(fleet_host_t *host, const table_t *table,
 		    const roster_t *roster)
 {
--- a/soak/fleet.h
+++ b/soak/fleet.h
@@ -56,6 +56,7 @@
 	double repetition;
 	double late; /* delayed by up to late_us */
 	int64_t late_us;
+	double pause_after_send; /* the sender pauses for up to 6 s */
 } fleet_faults_t;
 
 typedef struct fleet_config {
@@ -85,6 +86,7 @@
 	uint64_t repeated;
 	uint64_t delayed;
 	uint64_t held;
+	uint64_t pauses;
 };
 
 fleet_t *fleet_create(TALLOC_CTX *ctx, sim_t *sim,
@@ -96,12 +98,15 @@
 void fleet_start_host(fleet_host_t *host, const table_t *table,
 		      const roster_t *roster);
 void fleet_stop_host(fleet_host_t *host);
-void fleet_pause_host(fleet_host_t *host);
-void fleet_resume_host(fleet_host_t *host);
+/* Pauses a running host; it resumes after length_us. */
+void fleet_pause_host(fleet_host_t *host, int64_t length_us);
 
 /* True when the host runs and is not paused; its clock is then up to date. */
 bool fleet_host_enter(fleet_host_t *host);
 
+/* Returns the time on the host's clock, also while it is paused. */
+int64_t fleet_host_time(const fleet_host_t *host);
+
 /* Gives a running host a table and a roster. */
 void fleet_set_view(fleet_host_t *host, const table_t *table,
 		    const roster_t *roster);
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -4,9 +4,11 @@
  * same run. Prints one line with counts; exits with 1 on a violation.
  */
 #include <glib.h>
+#include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
 
+#include "check_tokens.h"
 #include "fake_fence.h"
 #include "faults.h"
 #include "load.h"
@@ -66,59 +68,74 @@
 	return (uint64_t)(lent / QUOTA_TOKEN);
 }
 
+typedef struct checks {
+	check_windows_t *windows;
+	check_tokens_t *tokens;
+} checks_t;
+
 static void print_result(fleet_t *fleet, const faults_t *faults,
-			 const check_windows_t *windows)
+			 const checks_t *checks)
 {
 	uint64_t sent = 0;
 
 	for (size_t i = 0; i < CUSTOMERS; i++)
 		sent += part_quota_totals(fleet, i)->sent;
-	printf("soak seed=%d steps=%d faults=%llu requests=%llu admitted=%llu "
-	       "messages=%llu lost=%llu repeated=%llu delayed=%llu "
-	       "held=%llu lent_tokens=%llu violations=%llu excess=%.6f "
-	       "digest=%016llx\n",
-	       seed, steps, (unsigned long long)faults_count(faults),
-	       (unsigned long long)sent,
-	       (unsigned long long)check_windows_admissions(windows),
-	       (unsigned long long)fleet->messages,
-	       (unsigned long long)fleet->lost,
-	       (unsigned long long)fleet->repeated,
-	       (unsigned long long)fleet->delayed,
-	       (unsigned long long)fleet->held,
-	       (unsigned long long)lent_tokens(fleet),
-	       (unsigned long long)check_windows_violations(windows),
-	       check_windows_excess(windows),
-	       (unsigned long long)check_windows_digest(windows));
+	printf("soak seed=%d steps=%d faults=%" PRIu64 " pauses=%" PRIu64
+	       " lost=%" PRIu64 " repeated=%" PRIu64 " delayed=%" PRIu64
+	       " held=%" PRIu64 " messages=%" PRIu64 "\n",
+	       seed, steps, faults_count(faults), fleet->pauses, fleet->lost,
+	       fleet->repeated, fleet->delayed, fleet->held, fleet->messages);
+	printf("soak requests=%" PRIu64 " admitted=%" PRIu64
+	       " lent_tokens=%" PRIu64 " window_violations=%" PRIu64
+	       " window_excess=%.6f token_violations=%" PRIu64
+	       " token_excess=%.6f digest=%016" PRIx64 "\n",
+	       sent, check_windows_admissions(checks->windows),
+	       lent_tokens(fleet), check_windows_violations(checks->windows),
+	       check_windows_excess(checks->windows),
+	       check_tokens_violations(checks->tokens),
+	       check_tokens_excess(checks->tokens),
+	       check_windows_digest(checks->windows));
 }
 
-static int run(void)
+static fleet_t *start_fleet(TALLOC_CTX *ctx, sim_t *sim, checks_t *checks)
 {
-	TALLOC_CTX *ctx = talloc_new(NULL);
-	sim_t *sim = sim_create(ctx, (uint32_t)seed);
 	fleet_t *fleet = fleet_create(ctx, sim, &config);
-	check_windows_t *windows =
-		check_windows_create(ctx, sim, CUSTOMERS, DRIFT);
-	faults_t *faults = NULL;
-	load_t *loads[CUSTOMERS];
-	int status = 0;
 
+	checks->windows = check_windows_create(ctx, sim, CUSTOMERS, DRIFT);
 	fake_platform_add(fleet, customers, CUSTOMERS);
 	fake_fence_add(fleet);
-	part_quota_add(fleet, customers, CUSTOMERS, windows);
+	part_quota_add(fleet, customers, CUSTOMERS, checks->windows);
 	for (size_t i = 0; i < CUSTOMERS; i++)
-		check_windows_limit(windows, i, customers[i].rate,
+		check_windows_limit(checks->windows, i, customers[i].rate,
 				    customers[i].burst);
+	checks->tokens = check_tokens_create(ctx, fleet, customers, CUSTOMERS,
+					     checks->windows);
 	for (size_t i = 0; i < fleet->host_count; i++)
 		fake_platform_start(&fleet->hosts[i]);
+	return fleet;
+}
+
+static int run(void)
+{
+	TALLOC_CTX *ctx = talloc_new(NULL);
+	sim_t *sim = sim_create(ctx, (uint32_t)seed);
+	checks_t checks = { 0 };
+	fleet_t *fleet = start_fleet(ctx, sim, &checks);
+	faults_t *faults = NULL;
+	load_t *loads[CUSTOMERS];
+	int status = 0;
+
 	start_loads(ctx, fleet, loads);
-	faults =
-		faults_create(ctx, fleet, customers, CUSTOMERS, windows, loads);
+	faults = faults_create(ctx, fleet, customers, CUSTOMERS, checks.windows,
+			       loads);
 	for (int i = 0; i < steps; i++) {
 		sim_run(sim, sim_now(sim) + STEP);
 		faults_step(faults);
+		check_tokens_step(checks.tokens);
 	}
-	print_result(fleet, faults, windows);
-	status = check_windows_violations(windows) > 0;
+	print_result(fleet, faults, &checks);
+	status = check_windows_violations(checks.windows) > 0 ||
+		 check_tokens_violations(checks.tokens) > 0;
 	talloc_free(ctx);
 	return status;
 }
