Count only covered lent tokens in quota_tokens

Cause: lent tokens of a paused holder were counted after part of their loans had ended; the holder drops them before it uses any. Change: quota_tokens() limits lent tokens to the loans that still run.

--- a/packages/quota/quota.c
+++ b/packages/quota/quota.c
@@ -282,22 +282,28 @@
 	return count;
 }
 
+static int64_t unexpired(const quota_lots_t *lots, int64_t now)
+{
+	int64_t total = 0;
+
+	for (size_t i = 0; i < lots->count; i++) {
+		if (lots->items[i].expires_us > now)
+			total += lots->items[i].amount;
+	}
+	return total;
+}
+
 static int64_t bucket_tokens(const quota_bucket_t *bucket, int64_t now)
 {
-	int64_t tokens = bucket->lent_level;
+	int64_t own = 0;
+	int64_t loans = 0;
 
 	if ((bucket->state == QUOTA_ADDING || bucket->state == QUOTA_FROZEN) &&
 	    now - bucket->held_us <= QUOTA_KEEP_TIME)
-		tokens += bucket->level;
-	for (size_t i = 0; i < bucket->lender_count; i++) {
-		const quota_lots_t *lots = &bucket->lenders[i].lots;
-
-		for (size_t j = 0; j < lots->count; j++) {
-			if (lots->items[j].expires_us > now)
-				return tokens;
-		}
-	}
-	return tokens - bucket->lent_level;
+		own = bucket->level;
+	for (size_t i = 0; i < bucket->lender_count; i++)
+		loans += unexpired(&bucket->lenders[i].lots, now);
+	return own + quota_min(bucket->lent_level, loans);
 }
 
 int64_t quota_tokens(quota_t *quota, cas_id_t id, int64_t now)
@@ -307,10 +313,7 @@
 
 	if (!customer)
 		return 0;
-	for (size_t i = 0; i < customer->link.lots.count; i++) {
-		if (customer->link.lots.items[i].expires_us > now)
-			tokens += customer->link.lots.items[i].amount;
-	}
+	tokens = unexpired(&customer->link.lots, now);
 	for (quota_bucket_t *b = customer->buckets; b; b = b->next)
 		tokens += bucket_tokens(b, now);
 	return tokens;
