--- a/programs/cassiad/daemon.h
+++ b/programs/cassiad/daemon.h
@@ -26,6 +26,7 @@
 
 typedef struct control control_t;
 typedef struct explain explain_t;
+typedef struct pack pack_t;
 typedef struct stats stats_t;
 typedef struct entry_request entry_request_t;
 
@@ -59,6 +60,7 @@
 	const roster_t *roster;
 	keys_t *keys;
 	bool fetches[CONFIG_DOCUMENT_COUNT]; /* running */
+	pack_t *packs[CONFIG_DOCUMENT_COUNT]; /* made on first use */
 	int64_t next_seed_us;
 	cas_timer_t *tick_timer;
 
--- a/programs/cassiad/fetch.c
+++ b/programs/cassiad/fetch.c
@@ -10,6 +10,7 @@
 
 #include "cassia/http_error.h"
 #include "control.h"
+#include "pack.h"
 
 #define DOCUMENT_MAX_BYTES ((size_t)2 * 1024 * 1024)
 #define FETCH_TIMEOUT_US (5 * CAS_USEC_PER_SEC)
@@ -23,7 +24,7 @@
 	config_document_t document;
 	http_call_t *call;
 	http_pipe_t *pipe;
-	char *text;
+	char *text; /* compressed */
 	size_t len;
 	int status;
 	char mac[MAC_TEXT_BYTES]; /* of the text, as the peer signed it */
@@ -35,16 +36,6 @@
 					: CAS_STR("/.cassia/hosts");
 }
 
-static cas_str_t held_text(const cassiad_t *daemon, config_document_t document)
-{
-	const table_t *table = config_store_table(daemon->store);
-	const roster_t *roster = config_store_roster(daemon->store);
-
-	if (document == CONFIG_TABLE)
-		return table ? table->source : CAS_STR("");
-	return roster ? roster->source : CAS_STR("");
-}
-
 static int sign_text(const cassiad_t *daemon, config_document_t document,
 		     cas_str_t text, char mac_text[MAC_TEXT_BYTES])
 {
@@ -102,9 +93,10 @@
 }
 
 static void answer(cassiad_t *daemon, http_exchange_t *exchange,
-		   config_document_t document, cas_str_t text)
+		   config_document_t document)
 {
 	http_headers_t *headers = http_headers_create(exchange);
+	cas_str_t text = pack_held(daemon, document);
 	char mac[MAC_TEXT_BYTES];
 
 	if (!text.len) {
@@ -125,13 +117,12 @@
 
 	for (int i = 0; i < CONFIG_DOCUMENT_COUNT; i++) {
 		config_document_t document = (config_document_t)i;
-		cas_str_t text = held_text(daemon, document);
 
 		if (!cas_str_equal(target, target_of(document)))
 			continue;
 		if (!is_signed(daemon, exchange, target))
 			return false;
-		answer(daemon, exchange, document, text);
+		answer(daemon, exchange, document);
 		return true;
 	}
 	return false;
@@ -180,11 +171,14 @@
 
 	append(fetch);
 	text = (cas_str_t){ fetch->text, fetch->len };
-	if (verify_text(daemon, fetch->document, text, fetch->mac))
-		config_store_offer(daemon->store, fetch->document, text);
-	else
+	if (!verify_text(daemon, fetch->document, text, fetch->mac)) {
 		cas_log(CAS_LOG_WARN, "document_unsigned",
 			CAS_LOG_STR("document", target_of(fetch->document)));
+		return;
+	}
+	text = pack_open(fetch, text);
+	if (text.len)
+		config_store_offer(daemon->store, fetch->document, text);
 }
 
 static void on_done(void *private, const http_result_t *result)
