--- a/packages/admission/limit_internal.h
+++ b/packages/admission/limit_internal.h
@@ -15,21 +15,26 @@
 	limit_phase_t phase;
 	double limit;
 	double effective; /* the limit in force, lower while probing */
+	double step; /* of the next growth, as a part of the limit */
 	double ceiling; /* above it the upstream sheds, 0: not known */
 	/* Smoothed over all kinds, for the length of periods. */
 	double typical_us;
 	double own_us;
+	int64_t probe_start_us;
 	int64_t next_probe_us;
 	int64_t early_probe_us; /* not before, when latency is high */
 	int64_t next_shed_us;
+	double startup_limit; /* at the start of the current period */
 	double startup_inflation; /* smoothed over single requests */
 	double probe_inflight; /* before the probe */
 	latency_period_t probe_before;
-	/* Requests whose latency the probe takes: those that started from
-	 * start_us to marked_to_us. */
+	/* A probe takes the latency of the requests that it marks. */
+	bool probe_settled;
+	uint32_t probe_number;
 	int marked;
+	int marks_wanted;
 	int marked_done;
-	int64_t marked_to_us;
+	double held_time; /* integral of requests over microseconds, ever */
 	/* The period that is being measured. */
 	int64_t start_us;
 	int64_t changed_us;
@@ -43,7 +48,8 @@
 
 /* Returns whether one more request may start. */
 bool limit_allows(const limit_t *limit);
-void limit_start(limit_t *limit, int64_t now_us);
+/* Counts a request as started. Returns its mark, to be passed back. */
+uint32_t limit_start(limit_t *limit, int64_t now_us);
 
 /* How a request ended, as far as the limit is concerned. */
 typedef enum limit_end {
@@ -52,8 +58,15 @@
 	LIMIT_END_OTHER, /* cancelled or rejected by the upstream */
 } limit_end_t;
 
+/* How long a request held the upstream. */
+typedef struct limit_held {
+	int64_t total_us;
+	int64_t child_us; /* of that, waiting for child calls */
+	uint32_t mark; /* from limit_start */
+} limit_held_t;
+
 void limit_finish(limit_t *limit, latency_kind_t *kind, int64_t now_us,
-		  int64_t total_us, int64_t child_us, limit_end_t end);
+		  const limit_held_t *held, limit_end_t end);
 
 /* Lowers the limit after the upstream rejected a request. */
 void limit_shed(limit_t *limit, int64_t now_us);
--- a/packages/quota/quota.c
+++ b/packages/quota/quota.c
@@ -214,6 +214,7 @@
 
 void quota_tick(quota_t *quota)
 {
+	quota->ticked_us = cas_clock_now(quota->clock);
 	for (size_t i = 0; i < quota->customer_count; i++) {
 		quota_customer_t *customer = quota->customers[i];
 
@@ -228,7 +229,6 @@
 
 int64_t quota_next_due(const quota_t *quota)
 {
-	int64_t now = cas_clock_now(quota->clock);
 	int64_t due = QUOTA_NEVER;
 
 	for (size_t i = 0; i < quota->customer_count; i++) {
@@ -238,7 +238,8 @@
 		for (const quota_bucket_t *b = customer->buckets; b;
 		     b = b->next) {
 			due = quota_min(due, quota_borrow_due(b));
-			due = quota_min(due, now + FENCE_CHECK_PERIOD);
+			due = quota_min(due,
+					quota->ticked_us + FENCE_CHECK_PERIOD);
 		}
 	}
 	return due;
@@ -281,3 +282,40 @@
 	}
 	return count;
 }
+
+static int64_t unexpired(const quota_lots_t *lots, int64_t now)
+{
+	int64_t total = 0;
+
+	for (size_t i = 0; i < lots->count; i++) {
+		if (lots->items[i].expires_us > now)
+			total += lots->items[i].amount;
+	}
+	return total;
+}
+
+static int64_t bucket_tokens(const quota_bucket_t *bucket, int64_t now)
+{
+	int64_t own = 0;
+	int64_t loans = 0;
+
+	if ((bucket->state == QUOTA_ADDING || bucket->state == QUOTA_FROZEN) &&
+	    now - bucket->held_us <= QUOTA_KEEP_TIME)
+		own = bucket->level;
+	for (size_t i = 0; i < bucket->lender_count; i++)
+		loans += unexpired(&bucket->lenders[i].lots, now);
+	return own + quota_min(bucket->lent_level, loans);
+}
+
+int64_t quota_tokens(quota_t *quota, cas_id_t id, int64_t now)
+{
+	quota_customer_t *customer = quota_customer_find(quota, id);
+	int64_t tokens = 0;
+
+	if (!customer)
+		return 0;
+	tokens = unexpired(&customer->link.lots, now);
+	for (quota_bucket_t *b = customer->buckets; b; b = b->next)
+		tokens += bucket_tokens(b, now);
+	return tokens;
+}
--- a/programs/cassiad/control.c
+++ b/programs/cassiad/control.c
@@ -15,7 +15,6 @@
 	membership_t *membership;
 	quota_t *quota;
 	config_boot_t *boot;
-	int64_t quota_due_us; /* as quota said behind its last tick */
 };
 
 struct control_wait {
@@ -206,7 +205,7 @@
 	.fetch = boot_fetch,
 };
 
-static void make_secrets(const settings_t *settings, fleet_secrets_t *secrets)
+void control_fleet_secrets(const settings_t *settings, fleet_secrets_t *secrets)
 {
 	memset(secrets, 0, sizeof(*secrets));
 	for (size_t i = 0; i < settings->secret_count; i++) {
@@ -222,7 +221,7 @@
 {
 	fleet_secrets_t secrets;
 
-	make_secrets(daemon->settings, &secrets);
+	control_fleet_secrets(daemon->settings, &secrets);
 	peer_set_secrets(daemon->control->peer, &secrets);
 }
 
@@ -237,7 +236,7 @@
 	};
 	int error = 0;
 
-	make_secrets(daemon->settings, &settings.secrets);
+	control_fleet_secrets(daemon->settings, &settings.secrets);
 	control->peer = peer_create(control, daemon->ev, daemon->clock,
 				    &settings, &error);
 	return error;
@@ -295,11 +294,8 @@
 
 	if (membership_next_due(control->membership) <= now)
 		membership_tick(control->membership);
-	if (control->quota_due_us <= now ||
-	    quota_next_due(control->quota) <= now) {
+	if (quota_next_due(control->quota) <= now)
 		quota_tick(control->quota);
-		control->quota_due_us = quota_next_due(control->quota);
-	}
 	if (daemon->ready)
 		return;
 	config_boot_tick(control->boot);
