membership: bound the faster beats after new lists

Cause: beats come three times as fast for 2 s after a new list; a list that changes all the time would keep leaders at 6 KB/s. Change: at least 4 s between two such times.

--- a/packages/membership/membership.c
+++ b/packages/membership/membership.c
@@ -7,6 +7,9 @@
 #define ADOPT_BEAT_MS 200
 /* How long beats come faster after a new list. */
 #define ADOPT_FAST_US (2 * CAS_USEC_PER_SEC)
+/* Least time between two such times, so that a list that changes all the time
+ * does not triple the messages. */
+#define ADOPT_REST_US (4 * CAS_USEC_PER_SEC)
 
 membership_t *membership_create(TALLOC_CTX *ctx, const cas_clock_t *clock,
 				cas_rng_t *rng, const membership_ops_t *ops,
@@ -26,6 +29,7 @@
 	m->incarnation = self_incarnation;
 	m->stamp_offset_ms = (uint32_t)cas_rng_u64(rng);
 	m->last_held_us = INT64_MIN / 2;
+	m->fast_until_us = INT64_MIN / 2;
 	m->sibling_us = INT64_MAX;
 	m->retry_us = INT64_MAX;
 	m->notice_us = INT64_MAX;
@@ -196,7 +200,8 @@
 		m->newest.roster_revision = roster->revision;
 		m->newest.roster_host = 0;
 	}
-	m->fast_until_us = now + ADOPT_FAST_US;
+	if (now >= m->fast_until_us + ADOPT_REST_US)
+		m->fast_until_us = now + ADOPT_FAST_US;
 	if (m->next_beat_us > beat_us)
 		m->next_beat_us = beat_us;
 	if (resize_targets(m))
