--- a/soak/fake_platform.c
+++ b/soak/fake_platform.c
@@ -5,6 +5,8 @@
 #include <stdlib.h>
 
 #define REVISIONS_MAX 1024
+#define STALE_ONE_IN 6 /* hosts that learn of a roster late */
+#define STALE_TIME (30 * CAS_USEC_PER_SEC)
 
 typedef struct platform {
 	fake_customer_t *customers;
@@ -14,7 +16,8 @@
 	int64_t table_revision;
 	int64_t roster_revision;
 	fake_listing_t *listing; /* by host index */
-	int64_t *due_us; /* when the host reads the service, true time */
+	int64_t *table_due_us; /* when the host reads it, true time */
+	int64_t *roster_due_us;
 } platform_t;
 
 static size_t part_index;
@@ -99,26 +102,37 @@
 	}
 }
 
-static void spread(fleet_t *fleet, int64_t spread_us)
+static void spread(fleet_t *fleet, int64_t *due_us, int64_t spread_us,
+		   int64_t stale_us)
 {
-	platform_t *platform = platform_of(fleet);
 	cas_rng_t *rng = sim_rng(fleet->sim);
 
-	for (size_t i = 0; i < fleet->host_count; i++)
-		platform->due_us[i] =
-			sim_now(fleet->sim) +
-			cas_rng_below(rng, (uint32_t)spread_us + 1);
+	for (size_t i = 0; i < fleet->host_count; i++) {
+		int64_t most = spread_us;
+
+		if (cas_rng_below(rng, STALE_ONE_IN) == 0)
+			most += stale_us;
+		due_us[i] = sim_now(fleet->sim) +
+			    cas_rng_below(rng, (uint32_t)most + 1);
+	}
 }
 
+/* An isolated host does not reach the service either. */
 static void tick(fleet_host_t *host)
 {
 	platform_t *platform = platform_of(host->fleet);
+	int64_t now = sim_now(host->fleet->sim);
+	const table_t *table = host->table;
+	const roster_t *roster = host->roster;
 
-	if (sim_now(host->fleet->sim) < platform->due_us[host->index])
+	if (host->fleet->isolated[host->index])
 		return;
-	platform->due_us[host->index] = INT64_MAX;
-	fleet_set_view(host, platform->tables[platform->table_revision],
-		       platform->rosters[platform->roster_revision]);
+	if (now >= platform->table_due_us[host->index])
+		table = platform->tables[platform->table_revision];
+	if (now >= platform->roster_due_us[host->index])
+		roster = platform->rosters[platform->roster_revision];
+	if (table != host->table || roster != host->roster)
+		fleet_set_view(host, table, roster);
 }
 
 static const fleet_part_t platform_part = {
@@ -139,12 +153,13 @@
 	platform->customer_count = count;
 	platform->listing =
 		talloc_zero_array(platform, fake_listing_t, fleet->host_count);
-	platform->due_us =
+	platform->table_due_us =
+		talloc_zero_array(platform, int64_t, fleet->host_count);
+	platform->roster_due_us =
 		talloc_zero_array(platform, int64_t, fleet->host_count);
-	if (!platform->listing || !platform->due_us)
+	if (!platform->listing || !platform->table_due_us ||
+	    !platform->roster_due_us)
 		abort();
-	for (size_t i = 0; i < fleet->host_count; i++)
-		platform->due_us[i] = INT64_MAX;
 	for (size_t i = 0; i < count; i++)
 		customers[i].id = cas_id_of(cas_str_from(customers[i].name));
 	make_table(fleet);
@@ -163,7 +178,7 @@
 void fake_platform_change_table(fleet_t *fleet, int64_t spread_us)
 {
 	make_table(fleet);
-	spread(fleet, spread_us);
+	spread(fleet, platform_of(fleet)->table_due_us, spread_us, 0);
 }
 
 void fake_platform_list(fleet_t *fleet, size_t host, fake_listing_t listing)
@@ -179,7 +194,7 @@
 void fake_platform_change_roster(fleet_t *fleet, int64_t spread_us)
 {
 	make_roster(fleet);
-	spread(fleet, spread_us);
+	spread(fleet, platform_of(fleet)->roster_due_us, spread_us, STALE_TIME);
 }
 
 const roster_t *fake_platform_roster(fleet_t *fleet, int64_t revision)
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -16,18 +16,30 @@
 #define STEP (10 * CAS_USEC_PER_MSEC)
 #define DRIFT 0.001
 
-static const fleet_config_t config = {
-	.regions = 3,
-	.dcs = 6,
-	.hosts = 6,
-	.drift = DRIFT,
-	.region_delay_us = 500,
-	.far_delay_us = 8000,
+/* The two sites in turn: small data centres, and large ones where customers
+ * have two slots whenever 17 hosts are listed. */
+static const fleet_config_t configs[] = {
+	{
+		.regions = 2,
+		.dcs = 3,
+		.hosts = 17,
+		.drift = DRIFT,
+		.region_delay_us = 500,
+		.far_delay_us = 8000,
+	},
+	{
+		.regions = 3,
+		.dcs = 6,
+		.hosts = 6,
+		.drift = DRIFT,
+		.region_delay_us = 500,
+		.far_delay_us = 8000,
+	},
 };
 
 static fake_customer_t customers[] = {
 	{ .name = "small", .rate = 5, .burst = 5 },
-	{ .name = "medium", .rate = 120, .burst = 60 },
+	{ .name = "medium", .rate = 160, .burst = 100 },
 	{ .name = "large", .rate = 600, .burst = 900 },
 	{ .name = "flood", .rate = 40, .burst = 40 },
 };
@@ -99,7 +111,7 @@
 
 static fleet_t *start_fleet(TALLOC_CTX *ctx, sim_t *sim, checks_t *checks)
 {
-	fleet_t *fleet = fleet_create(ctx, sim, &config);
+	fleet_t *fleet = fleet_create(ctx, sim, &configs[seed & 1]);
 
 	checks->windows = check_windows_create(ctx, sim, CUSTOMERS, DRIFT);
 	fake_platform_add(fleet, customers, CUSTOMERS);
