--- a/packages/quota/client.c
+++ b/packages/quota/client.c
@@ -27,6 +27,8 @@
 	link->to = customer->holders[target];
 	link->to_slot = (uint16_t)slot;
 	link->wait_until_us = 0;
+	link->refuse_until_us = 0;
+	link->round_trip_us = 0;
 	link->counted = quota_link_left(link);
 }
 
@@ -163,7 +165,10 @@
 	int64_t one = (int64_t)((double)QUOTA_TOKEN * CAS_USEC_PER_SEC /
 				(double)quota_max(customer->rate, 1));
 
-	return quota_max(customer->link.wait_until_us - now, one);
+	return quota_max(quota_max(customer->link.wait_until_us,
+				   customer->link.refuse_until_us) -
+				 now,
+			 one);
 }
 
 void quota_client_run(quota_t *quota, quota_customer_t *customer)
@@ -231,6 +236,18 @@
 	report(quota, customer, now);
 }
 
+static void refuse_newest(quota_t *quota, quota_customer_t *customer,
+			  uint32_t count)
+{
+	int64_t now = cas_clock_now(quota->clock);
+
+	for (; count > 0 && customer->last; count--) {
+		quota->stats.refused++;
+		finish(customer->last, QUOTA_REFUSED,
+		       retry_after(customer, now));
+	}
+}
+
 void quota_client_reply(quota_t *quota, quota_customer_t *customer,
 			cas_id_t from, uint64_t incarnation,
 			const quota_reply *reply)
@@ -242,6 +259,7 @@
 		return;
 	if (reply->report == QUOTA_NOT_HOLDER)
 		fail_over(quota, customer);
+	refuse_newest(quota, customer, reply->refused);
 	quota_client_run(quota, customer);
 }
 
@@ -289,14 +307,19 @@
 		      (double)QUOTA_WAIT_LIMIT / CAS_USEC_PER_SEC;
 
 	return give_up_us > now && customer->link.wait_until_us < give_up_us &&
+	       customer->link.refuse_until_us <= now &&
 	       (double)customer->pending_count < most + PENDING_SPARE;
 }
 
-static quota_verdict_t try_now(quota_t *quota, quota_customer_t *customer)
+static quota_verdict_t try_now(quota_t *quota, quota_customer_t *customer,
+			       int64_t now)
 {
 	if (customer->pending_count > 0)
 		return QUOTA_PENDING;
 	if (!take_token(quota, customer)) {
+		if (customer->link.refuse_until_us > now)
+			return QUOTA_PENDING;
+		customer->arrived_us = now;
 		ask(quota, customer, 1);
 		return take_token(quota, customer) ? QUOTA_GRANTED
 						   : QUOTA_PENDING;
@@ -320,11 +343,12 @@
 		return QUOTA_ECUSTOMER;
 	}
 	note_demand(customer, now);
-	if (try_now(quota, customer) == QUOTA_GRANTED) {
+	if (try_now(quota, customer, now) == QUOTA_GRANTED) {
 		*retry_after_us = 0;
 		return QUOTA_GRANTED;
 	}
 	*retry_after_us = retry_after(customer, now);
+	customer->arrived_us = now;
 	if (may_wait(customer, now, give_up_us))
 		*pending = enqueue(quota, customer, give_up_us);
 	if (!*pending) {
--- a/packages/quota/grant.c
+++ b/packages/quota/grant.c
@@ -36,6 +36,7 @@
 /* Moves tokens that the asker will not use from outstanding to the level. */
 static void give_back(quota_bucket_t *bucket, int64_t amount, int64_t lent)
 {
+	quota_ideal_add(bucket, amount);
 	bucket->out_own -= amount - lent;
 	bucket->out_lent -= lent;
 	bucket->lent_level += lent;
@@ -154,18 +155,24 @@
 	int64_t now = cas_clock_now(quota->clock);
 	int64_t own = own_usable(bucket);
 	int64_t lent = lent_usable(bucket, now);
-	int64_t need = quota_min(ask->need, whole_tokens(own + lent));
+	int64_t wanted = bucket->main
+				 ? quota_ideal_admit(bucket, account, ask,
+						     own + lent, now, reply)
+				 : ask->need;
+	int64_t need = quota_min(wanted, whole_tokens(own + lent));
 	int64_t from_lent = split(bucket, need, own, lent);
 	int64_t from_own = need - from_lent;
 	int64_t ahead = quota_min(ask->ahead, (own - from_own) / 2);
 
+	ahead = whole_tokens(quota_max(ahead, 0));
 	bucket->asked_us = now;
 	note_need(bucket, ask->need + ahead, now);
-	if (ahead > 0)
-		from_own += whole_tokens(ahead);
+	from_own += ahead;
 	if (from_own + from_lent > 0)
 		hand_out(quota, bucket, account, from_own, from_lent, reply);
-	account->unmet = ask->need - need;
+	quota_ideal_add(bucket, -ahead);
+	account->promised -= quota_min(account->promised, need);
+	account->unmet = wanted - need;
 }
 
 /* Two short holders would each keep a part of a token; the one with the
--- a/packages/quota/link.c
+++ b/packages/quota/link.c
@@ -41,6 +41,7 @@
 		     int64_t returned)
 {
 	int64_t now = cas_clock_now(quota->clock);
+	int64_t age_us = now - customer->arrived_us + link->round_trip_us / 2;
 
 	link->message = (quota_ask){
 		.customer = customer->id,
@@ -51,6 +52,7 @@
 		.ahead = ahead,
 		.left = quota_link_left(link),
 		.returned = returned,
+		.age = (uint32_t)quota_clamp(age_us, 0, QUOTA_WAIT_LIMIT),
 	};
 	link->in_flight = true;
 	link->first_sent_us = now;
@@ -80,6 +82,19 @@
 	return true;
 }
 
+/* A resent ask does not tell which copy was answered. */
+static void note_round_trip(quota_link_t *link, int64_t now)
+{
+	int64_t fresh = now - link->first_sent_us;
+
+	if (link->last_sent_us != link->first_sent_us)
+		return;
+	if (link->round_trip_us == 0)
+		link->round_trip_us = fresh;
+	else
+		link->round_trip_us = (3 * link->round_trip_us + fresh) / 4;
+}
+
 bool quota_link_accept(quota_t *quota, quota_link_t *link, cas_id_t from,
 		       uint64_t incarnation, const quota_reply *reply,
 		       int64_t *granted)
@@ -93,6 +108,9 @@
 	    reply->sequence != link->message.sequence)
 		return false;
 	link->in_flight = false;
+	note_round_trip(link, now);
+	link->refuse_until_us = now - link->round_trip_us / 2 +
+				quota_min(reply->refuse, QUOTA_GRANT_LIFE);
 	link->received = reply->sequence;
 	link->incarnation = incarnation;
 	link->wait_until_us = now + quota_min(reply->wait, QUOTA_WAIT_LIMIT);
--- a/packages/quota/messages/quota.x
+++ b/packages/quota/messages/quota.x
@@ -24,6 +24,7 @@
 				 * not 0: delegate the whole share */
 	hyper left;		/* granted by this bucket and not yet used */
 	hyper returned;		/* given back unused */
+	unsigned int age;	/* since the newest waiting request came */
 };
 
 struct quota_reply {
@@ -37,4 +38,6 @@
 	unsigned int life;	/* of the grant, from the sending of the ask */
 	unsigned int wait;	/* no further ask before this time */
 	unsigned int report;	/* use is to be reported by this time */
+	unsigned int refused;	/* so many of the newest waiting requests */
+	unsigned int refuse;	/* new requests for this time */
 };
--- a/packages/quota/quota_internal.h
+++ b/packages/quota/quota_internal.h
@@ -50,6 +50,8 @@
 	int64_t rate_until_us;
 	int64_t renew_at_us;
 	int64_t counted; /* outstanding at the target, by its last reply */
+	int64_t refuse_until_us;
+	int64_t round_trip_us; /* 0: not known */
 	uint64_t incarnation; /* of the last replier */
 	uint32_t distance; /* 0 same data centre, 1 same region, 2 other */
 	quota_lots_t lots;
@@ -64,6 +66,7 @@
 	uint32_t sequence; /* latest handled */
 	quota_reply reply; /* repeated for a repeated ask */
 	int64_t touched_us;
+	int64_t promised; /* tokens that waiting requests will get */
 	int64_t unmet; /* tokens wanted by a daemon and not granted */
 	int64_t unmet_until_us;
 	quota_lots_t lots;
@@ -118,6 +121,8 @@
 	uint16_t delegate_slot;
 	int64_t asked_us; /* by a daemon, last time */
 
+	int64_t ideal_level; /* see ideal.c */
+	int64_t ideal_us;
 	double need_rate; /* micro-tokens a second wanted by daemons */
 	int64_t need_seen_us;
 	quota_account_t *accounts;
@@ -151,6 +156,7 @@
 	quota_pending_t *first;
 	quota_pending_t *last;
 	size_t pending_count;
+	int64_t arrived_us; /* latest request */
 	int64_t give_up_us; /* of the pending requests, or earlier */
 	quota_bucket_t *buckets;
 } quota_customer_t;
@@ -280,6 +286,15 @@
 		      uint64_t incarnation, const quota_ask *ask,
 		      quota_reply *reply);
 
+/* ideal.c */
+/* Returns the tokens to grant to the waiting requests of an ask, and fills in
+ * which requests are refused. */
+int64_t quota_ideal_admit(quota_bucket_t *bucket, quota_account_t *account,
+			  const quota_ask *ask, int64_t usable, int64_t now,
+			  quota_reply *reply);
+/* Counts tokens granted ahead (negative) or given back. */
+void quota_ideal_add(quota_bucket_t *bucket, int64_t amount);
+
 /* borrow.c */
 int quota_borrow_place(quota_t *quota, quota_bucket_t *bucket);
 void quota_borrow(quota_t *quota, quota_bucket_t *bucket);
--- a/soak/part_quota.c
+++ b/soak/part_quota.c
@@ -8,8 +8,8 @@
 /* RPC and authentication of a call and a reply, UDP and IP headers. */
 #define WIRE_CALL (84 + 28)
 #define WIRE_REPLY (72 + 28)
-#define ASK_BYTES 52
-#define REPLY_BYTES 36
+#define ASK_BYTES 56
+#define REPLY_BYTES 60
 #define DEADLINE CAS_USEC_PER_SEC
 
 enum kind { KIND_ASK, KIND_REPLY };
