Follow an ideal bucket at the main holder

Change: the main holder keeps the level that one central bucket would have, refuses what that bucket refuses, and serves promises in order of arrival; asks carry the age of the newest request; a lot is considered for return once.

--- a/packages/quota/client.c
+++ b/packages/quota/client.c
@@ -220,27 +220,12 @@
 	quota_link_send(quota, customer, link, 0, 0, returned);
 }
 
-void quota_client_tick(quota_t *quota, quota_customer_t *customer)
-{
-	quota_link_t *link = &customer->link;
-	int64_t now = cas_clock_now(quota->clock);
-
-	balance_of(quota, customer);
-	if (link->in_flight && !quota_link_resend(quota, link, HOLDER_SILENT))
-		fail_over(quota, customer);
-	if (customer->target != customer->home && !link->in_flight &&
-	    now >= customer->home_at_us)
-		set_target(quota, customer, customer->home);
-	quota_client_run(quota, customer);
-	give_up(quota, customer, now);
-	report(quota, customer, now);
-}
-
 static void refuse_newest(quota_t *quota, quota_customer_t *customer,
 			  uint32_t count)
 {
 	int64_t now = cas_clock_now(quota->clock);
 
+	customer->refused_now = count > customer->pending_count;
 	for (; count > 0 && customer->last; count--) {
 		quota->stats.refused++;
 		finish(customer->last, QUOTA_REFUSED,
@@ -261,6 +246,23 @@
 		fail_over(quota, customer);
 	refuse_newest(quota, customer, reply->refused);
 	quota_client_run(quota, customer);
+	report(quota, customer, cas_clock_now(quota->clock));
+}
+
+void quota_client_tick(quota_t *quota, quota_customer_t *customer)
+{
+	quota_link_t *link = &customer->link;
+	int64_t now = cas_clock_now(quota->clock);
+
+	balance_of(quota, customer);
+	if (link->in_flight && !quota_link_resend(quota, link, HOLDER_SILENT))
+		fail_over(quota, customer);
+	if (customer->target != customer->home && !link->in_flight &&
+	    now >= customer->home_at_us)
+		set_target(quota, customer, customer->home);
+	quota_client_run(quota, customer);
+	give_up(quota, customer, now);
+	report(quota, customer, now);
 }
 
 int64_t quota_client_due(const quota_customer_t *customer)
@@ -307,18 +309,18 @@
 		      (double)QUOTA_WAIT_LIMIT / CAS_USEC_PER_SEC;
 
 	return give_up_us > now && customer->link.wait_until_us < give_up_us &&
-	       customer->link.refuse_until_us <= now &&
 	       (double)customer->pending_count < most + PENDING_SPARE;
 }
 
 static quota_verdict_t try_now(quota_t *quota, quota_customer_t *customer,
 			       int64_t now)
 {
+	bool closed = now < customer->link.refuse_until_us;
+
+	customer->refused_now = false;
 	if (customer->pending_count > 0)
-		return QUOTA_PENDING;
+		return closed ? QUOTA_REFUSED : QUOTA_PENDING;
 	if (!take_token(quota, customer)) {
-		if (customer->link.refuse_until_us > now)
-			return QUOTA_PENDING;
 		customer->arrived_us = now;
 		ask(quota, customer, 1);
 		return take_token(quota, customer) ? QUOTA_GRANTED
@@ -335,6 +337,7 @@
 	quota_customer_t *customer = quota_customer_find(quota, customer_id);
 	int64_t now = cas_clock_now(quota->clock);
 	int64_t give_up_us = quota_min(deadline_us, now + QUOTA_WAIT_LIMIT);
+	quota_verdict_t verdict = QUOTA_REFUSED;
 
 	*pending = NULL;
 	*retry_after_us = CAS_USEC_PER_SEC;
@@ -343,13 +346,14 @@
 		return QUOTA_ECUSTOMER;
 	}
 	note_demand(customer, now);
-	if (try_now(quota, customer, now) == QUOTA_GRANTED) {
+	verdict = try_now(quota, customer, now);
+	if (verdict == QUOTA_GRANTED) {
 		*retry_after_us = 0;
 		return QUOTA_GRANTED;
 	}
 	*retry_after_us = retry_after(customer, now);
 	customer->arrived_us = now;
-	if (may_wait(customer, now, give_up_us))
+	if (verdict == QUOTA_PENDING && may_wait(customer, now, give_up_us))
 		*pending = enqueue(quota, customer, give_up_us);
 	if (!*pending) {
 		quota->stats.refused++;
--- a/packages/quota/grant.c
+++ b/packages/quota/grant.c
@@ -5,6 +5,7 @@
 
 #define NEED_WINDOW 500000.0 /* averaging time of the demand, microseconds */
 #define KEEP_WINDOW (20 * CAS_USEC_PER_MSEC)
+#define REPORT_TRANSIT (40 * CAS_USEC_PER_MSEC)
 #define UNMET_SLACK (30 * CAS_USEC_PER_MSEC)
 #define LENT_LIFE_MIN (20 * CAS_USEC_PER_MSEC)
 
@@ -159,7 +160,8 @@
 				 ? quota_ideal_admit(bucket, account, ask,
 						     own + lent, now, reply)
 				 : ask->need;
-	int64_t need = quota_min(wanted, whole_tokens(own + lent));
+	int64_t free = own + lent - quota_ideal_before(bucket, account, now);
+	int64_t need = quota_clamp(whole_tokens(free), 0, wanted);
 	int64_t from_lent = split(bucket, need, own, lent);
 	int64_t from_own = need - from_lent;
 	int64_t ahead = quota_min(ask->ahead, (own - from_own) / 2);
@@ -226,23 +228,29 @@
 		QUOTA_RESEND_PERIOD, QUOTA_WAIT_LIMIT);
 }
 
+static int64_t fill_time(int64_t room, int64_t rate)
+{
+	return (int64_t)((double)room * CAS_USEC_PER_SEC /
+			 (double)quota_max(rate, 1));
+}
+
 /* When unreported use would keep the level from growing. */
 static int64_t report_hint(const quota_bucket_t *bucket)
 {
 	int64_t room = bucket->burst - bucket->level - bucket->out_own;
-	int64_t rate = quota_max(bucket->rate, 1);
 	int64_t tolerance = quota_report_tolerance(bucket->customer);
 
 	if (bucket->main) {
 		room += bucket->lent_total - bucket->lent_level -
 			bucket->out_lent;
-		rate = quota_max(bucket->customer->rate, 1);
-	} else if (bucket->state != QUOTA_ADDING) {
-		return tolerance;
+		return quota_clamp(fill_time(room, bucket->customer->rate) -
+					   REPORT_TRANSIT,
+				   0, QUOTA_GRANT_LIFE / 2);
 	}
-	return quota_clamp(
-		(int64_t)((double)room * CAS_USEC_PER_SEC / (double)rate),
-		tolerance, QUOTA_GRANT_LIFE / 2);
+	if (bucket->state != QUOTA_ADDING)
+		return tolerance;
+	return quota_clamp(fill_time(room, bucket->rate), tolerance,
+			   QUOTA_GRANT_LIFE / 2);
 }
 
 static void answer(quota_t *quota, quota_bucket_t *bucket,
--- a/packages/quota/link.c
+++ b/packages/quota/link.c
@@ -55,6 +55,12 @@
 		.age = (uint32_t)quota_clamp(age_us, 0, QUOTA_WAIT_LIMIT),
 	};
 	link->in_flight = true;
+	/* Lots that are kept now are not considered for return again. */
+	for (size_t i = 0; i < link->lots.count; i++) {
+		if (link->lots.items[i].expires_us - RETURN_BEFORE_EXPIRY <=
+		    now)
+			link->looked_at_us = link->lots.items[i].expires_us;
+	}
 	link->first_sent_us = now;
 	link->last_sent_us = now;
 	link->report_due_us = QUOTA_NEVER;
@@ -169,7 +175,8 @@
 		const quota_lot_t *lot = &link->lots.items[i];
 
 		if (lot->host == link->to &&
-		    lot->incarnation == link->incarnation)
+		    lot->incarnation == link->incarnation &&
+		    lot->expires_us > link->looked_at_us)
 			return quota_min(due, lot->expires_us -
 						      RETURN_BEFORE_EXPIRY);
 	}
--- a/packages/quota/quota_internal.h
+++ b/packages/quota/quota_internal.h
@@ -6,6 +6,7 @@
 
 #define QUOTA_LOTS_MAX 16
 #define QUOTA_ACCOUNTS_MAX 512
+#define QUOTA_CHARGES 8
 #define QUOTA_NEVER INT64_MAX
 
 /* Rate of one slot; up to it one holder serves the whole fleet. */
@@ -49,6 +50,7 @@
 	int64_t rate; /* delegated by the target, micro-tokens a second */
 	int64_t rate_until_us;
 	int64_t renew_at_us;
+	int64_t looked_at_us; /* expiry of the last lot considered for return */
 	int64_t counted; /* outstanding at the target, by its last reply */
 	int64_t refuse_until_us;
 	int64_t round_trip_us; /* 0: not known */
@@ -67,6 +69,7 @@
 	quota_reply reply; /* repeated for a repeated ask */
 	int64_t touched_us;
 	int64_t promised; /* tokens that waiting requests will get */
+	int64_t promised_us; /* since when */
 	int64_t unmet; /* tokens wanted by a daemon and not granted */
 	int64_t unmet_until_us;
 	quota_lots_t lots;
@@ -123,6 +126,8 @@
 
 	int64_t ideal_level; /* see ideal.c */
 	int64_t ideal_us;
+	int64_t charged_us[QUOTA_CHARGES]; /* arrival times, a ring */
+	size_t charge_count;
 	double need_rate; /* micro-tokens a second wanted by daemons */
 	int64_t need_seen_us;
 	quota_account_t *accounts;
@@ -157,6 +162,7 @@
 	quota_pending_t *last;
 	size_t pending_count;
 	int64_t arrived_us; /* latest request */
+	bool refused_now; /* the reply refused a request not yet waiting */
 	int64_t give_up_us; /* of the pending requests, or earlier */
 	quota_bucket_t *buckets;
 } quota_customer_t;
@@ -292,6 +298,9 @@
 int64_t quota_ideal_admit(quota_bucket_t *bucket, quota_account_t *account,
 			  const quota_ask *ask, int64_t usable, int64_t now,
 			  quota_reply *reply);
+/* Returns the tokens promised before those of this account. */
+int64_t quota_ideal_before(const quota_bucket_t *bucket,
+			   const quota_account_t *account, int64_t now);
 /* Counts tokens granted ahead (negative) or given back. */
 void quota_ideal_add(quota_bucket_t *bucket, int64_t amount);
 
--- a/packages/quota/tests/test_quota.c
+++ b/packages/quota/tests/test_quota.c
@@ -290,7 +290,8 @@
 			      .sequence = sequence,
 			      .granted = granted * QUOTA_TOKEN,
 			      .filled = granted * QUOTA_TOKEN,
-			      .life = QUOTA_GRANT_LIFE };
+			      .life = QUOTA_GRANT_LIFE,
+			      .report = QUOTA_GRANT_LIFE };
 
 	quota_on_reply(f->quota, OTHER_HOST, 9, &reply);
 }
@@ -312,18 +313,22 @@
 static void test_receiver_counts_from_ask(void **state)
 {
 	fixture_t *f = setup_asker();
+	int64_t sent_us = cas_clock_now(f->clock);
+	int64_t end_us = sent_us + QUOTA_GRANT_LIFE;
+	uint32_t sequence = 0;
 
 	(void)state;
 	assert_int_equal(acquire(f), QUOTA_PENDING);
-	cas_clock_advance(f->clock, QUOTA_GRANT_LIFE - 10);
-	reply_to(f, f->ask.sequence, 3);
-	reply_to(f, f->ask.sequence, 3);
+	sequence = f->ask.sequence;
+	cas_clock_advance(f->clock, CAS_USEC_PER_SEC);
+	reply_to(f, sequence, 3);
+	reply_to(f, sequence, 3);
 	assert_int_equal(f->verdict, QUOTA_GRANTED);
 	assert_int_equal(f->done, 1);
-	assert_int_equal(
-		quota_tokens(f->quota, CUSTOMER, cas_clock_now(f->clock)),
-		2 * QUOTA_TOKEN);
-	cas_clock_advance(f->clock, 10);
+	assert_int_equal(quota_tokens(f->quota, CUSTOMER, end_us - 1),
+			 2 * QUOTA_TOKEN);
+	assert_int_equal(quota_tokens(f->quota, CUSTOMER, end_us), 0);
+	cas_clock_advance(f->clock, CAS_USEC_PER_SEC);
 	assert_int_equal(acquire(f), QUOTA_PENDING);
 	talloc_free(f);
 }
