--- a/packages/routing/routing.c
+++ b/packages/routing/routing.c
@@ -74,13 +74,13 @@
 	return false;
 }
 
-/* Work outstanding for what the upstream is known to take. */
-static double load_of(const routing_t *routing, const upstream_t *upstream)
+/* Work outstanding for what the upstream is known to take. Slow start only
+ * lowers the chance to be drawn: an idle new upstream would never win here. */
+static double load_of(const upstream_t *upstream)
 {
 	int32_t limit = upstream->limit > 0 ? upstream->limit : LIMIT_ASSUMED;
 
-	return (upstream->outstanding + 1.0) /
-	       (limit * routing_share(routing, upstream));
+	return (upstream->outstanding + 1.0) / limit;
 }
 
 static bool is_saturated(const routing_t *routing, const upstream_t *upstream)
@@ -148,7 +148,7 @@
 	if (!first)
 		return NULL;
 	second = draw_one(routing, from, first);
-	if (second && load_of(routing, second) < load_of(routing, first))
+	if (second && load_of(second) < load_of(first))
 		return second;
 	return first;
 }
