--- a/packages/admission/tests/test_admission.c
+++ b/packages/admission/tests/test_admission.c
@@ -7,7 +7,7 @@
 #define CALLS 4096
 #define SLOTS 20
 #define SERVICE_US (20 * MS)
-#define FULL_RATE (SLOTS * 1000 / 20) /* requests a second */
+#define FULL_RATE 1000 /* requests a second of all slots */
 
 typedef struct call {
 	admission_ticket_t *ticket;
