--- a/packages/admission/admission.c
+++ b/packages/admission/admission.c
@@ -5,7 +5,7 @@
 #define UPDATE_US (100 * CAS_USEC_PER_MSEC)
 #define QUEUE_TIME_MIN_US (20 * CAS_USEC_PER_MSEC)
 #define QUEUE_TIME_LATENCIES 2
-#define QUEUE_LENGTH_MIN 8
+#define QUEUE_LENGTH_MIN 32
 
 const char *admission_reason_name(admission_reason_t reason)
 {
@@ -165,6 +165,7 @@
 		return NULL;
 	class->weight = request->weight > 0 ? request->weight : 1;
 	class->used_us = cas_clock_now(admission->clock);
+	admission->arrivals++;
 	demand_arrived(class, request, latency_held(kind));
 	return class;
 }
--- a/packages/admission/admission_internal.h
+++ b/packages/admission/admission_internal.h
@@ -85,6 +85,7 @@
 	request_class_t **order; /* scratch space of the division */
 	size_t order_size;
 	int64_t updated_us;
+	uint32_t arrivals; /* since the last update */
 	double held_time; /* of the limit at the last update */
 };
 
--- a/packages/admission/demand.c
+++ b/packages/admission/demand.c
@@ -8,6 +8,9 @@
  * end of a surge shows within a second. */
 #define DEMAND_RISE 0.3
 #define DEMAND_FALL 0.5
+/* Arrivals in one update from which its demand is taken as it is. */
+#define CERTAIN_ARRIVALS 20
+#define CERTAINTY_MIN 0.2
 #define DRAW_RANGE 4294967296.0
 /* Reach for the own fraction below which another service is the limit, and
  * room for that service to take more. */
@@ -144,7 +147,9 @@
 	return class->arrived_us - class->child_us + class->early_us + inferred;
 }
 
-static void update_class_demand(request_class_t *class, double elapsed_us)
+/* certainty is below 1 when few requests arrived since the last update. */
+static void update_class_demand(request_class_t *class, double elapsed_us,
+				double certainty)
 {
 	double demand;
 	double weight;
@@ -154,7 +159,7 @@
 		class->reach = class->highest_draw;
 	demand = class_demand(class) / elapsed_us;
 	weight = demand > class->demand ? DEMAND_RISE : DEMAND_FALL;
-	class->demand += weight * (demand - class->demand);
+	class->demand += weight * certainty * (demand - class->demand);
 	class->arrived_us = 0;
 	class->early_us = 0;
 	class->child_us = 0;
@@ -207,12 +212,18 @@
 void demand_update(admission_t *admission, int64_t now_us)
 {
 	double elapsed_us = (double)(now_us - admission->updated_us);
+	double certainty = (double)admission->arrivals / CERTAIN_ARRIVALS;
 	size_t count;
 
+	if (certainty < CERTAINTY_MIN)
+		certainty = CERTAINTY_MIN;
+	if (certainty > 1)
+		certainty = 1;
+	admission->arrivals = 0;
 	g_hash_table_foreach_remove(admission->classes, forget_idle, &now_us);
 	count = list_classes(admission);
 	for (size_t i = 0; i < count; i++)
-		update_class_demand(admission->order[i], elapsed_us);
+		update_class_demand(admission->order[i], elapsed_us, certainty);
 	divide_capacity(admission, count, elapsed_us);
 	for (size_t i = 0; i < count; i++)
 		publish(admission->order[i]);
