--- a/packages/admission/admission.c
+++ b/packages/admission/admission.c
@@ -3,8 +3,8 @@
 
 #define TICK_US (10 * CAS_USEC_PER_MSEC)
 #define UPDATE_US (100 * CAS_USEC_PER_MSEC)
-#define QUEUE_TIME_MIN_US (20 * CAS_USEC_PER_MSEC)
-#define QUEUE_TIME_LATENCIES 2
+#define QUEUE_TIME_MIN_US (50 * CAS_USEC_PER_MSEC)
+#define QUEUE_TIME_LATENCIES 4
 #define QUEUE_LENGTH_MIN 32
 
 const char *admission_reason_name(admission_reason_t reason)
--- a/packages/admission/divide.c
+++ b/packages/admission/divide.c
@@ -12,7 +12,7 @@
 #define SLACK_GAIN 0.2
 /* Part of the limit that the queue should hold. */
 #define QUEUE_TARGET 0.1
-#define QUEUE_TARGET_MIN 8.0
+#define QUEUE_TARGET_MIN 4.0
 #define STARTUP_GROWTH 1.3
 /* Most by which an unused part of the limit raises the capacity. */
 #define UNUSED_MAX 1.1
