Drive the real membership and its fence in the soak run

Cause: the soak run drove quota with a fake fence only. Violations are printed one a line with time, daemon and seed.

--- /dev/null
+++ b/soak/part_membership.c
@@ -0,0 +1,271 @@
+/* Wires membership to the simulated network; messages travel encoded. */
+#include "part_membership.h"
+
+#include <stdlib.h>
+
+#define BYTES_MAX 1200
+#define FETCH_TIME (20 * CAS_USEC_PER_MSEC)
+
+enum kind { KIND_BEAT, KIND_BEAT_REPLY, KIND_NOTICE, KIND_NOTICE_REPLY };
+
+/* A reply is for the incarnation that called, as in peer. */
+typedef struct envelope {
+	uint64_t to_incarnation;
+	uint32_t len;
+	char bytes[BYTES_MAX];
+} envelope_t;
+
+typedef struct state {
+	membership_t *membership;
+	bool fetching;
+} state_t;
+
+typedef struct fetch {
+	uint64_t incarnation;
+	cas_id_t from;
+} fetch_t;
+
+static size_t part_index;
+static part_membership_newer_fn newer_table;
+
+static state_t *state_of(fleet_host_t *host)
+{
+	return host->parts[part_index];
+}
+
+membership_t *part_membership_of(fleet_host_t *host)
+{
+	return state_of(host)->membership;
+}
+
+part_membership_totals_t *part_membership_totals(fleet_t *fleet)
+{
+	return fleet->shared[part_index];
+}
+
+static void send_encoded(fleet_host_t *host, cas_id_t to, int kind,
+			 uint64_t to_incarnation, xdrproc_t xdr,
+			 const void *body)
+{
+	envelope_t envelope = { .to_incarnation = to_incarnation };
+	XDR stream;
+
+	xdrmem_create(&stream, envelope.bytes, BYTES_MAX, XDR_ENCODE);
+	if (!xdr(&stream, (void *)body))
+		abort();
+	envelope.len = xdr_getpos(&stream);
+	fleet_send(host, to, part_index, kind, &envelope,
+		   offsetof(envelope_t, bytes) + envelope.len, envelope.len);
+}
+
+static void send_beat(cas_id_t to, const membership_beat *beat,
+		      void *private_data)
+{
+	fleet_host_t *host = private_data;
+
+	part_membership_totals(host->fleet)->beats++;
+	send_encoded(host, to, KIND_BEAT, 0, (xdrproc_t)xdr_membership_beat,
+		     beat);
+}
+
+static void send_notice(cas_id_t to, const membership_notice *notice,
+			void *private_data)
+{
+	fleet_host_t *host = private_data;
+
+	part_membership_totals(host->fleet)->notices++;
+	send_encoded(host, to, KIND_NOTICE, 0, (xdrproc_t)xdr_membership_notice,
+		     notice);
+}
+
+static bool reaches(const fleet_host_t *a, const fleet_host_t *b)
+{
+	const fleet_t *fleet = a->fleet;
+	size_t dcs = fleet->config.dcs;
+
+	return b->running && !b->paused && !fleet->isolated[a->index] &&
+	       !fleet->isolated[b->index] && !fleet->cut[a->dc * dcs + b->dc] &&
+	       !fleet->cut[b->dc * dcs + a->dc];
+}
+
+static void on_fetched(void *owner, void *data)
+{
+	fleet_host_t *host = owner;
+	const fetch_t *fetch = data;
+	const fleet_host_t *from = fleet_find(host->fleet, fetch->from);
+
+	if (!host->running || host->incarnation != fetch->incarnation)
+		return;
+	state_of(host)->fetching = false;
+	if (!fleet_host_enter(host) || !from || !reaches(host, from))
+		return;
+	part_membership_totals(host->fleet)->fetches++;
+	fleet_set_view(host, host->table, from->roster);
+}
+
+static void on_newer_roster(int64_t revision, cas_id_t from, void *private_data)
+{
+	fleet_host_t *host = private_data;
+	fetch_t *fetch = NULL;
+
+	(void)revision;
+	if (state_of(host)->fetching)
+		return;
+	fetch = talloc(NULL, fetch_t);
+	if (!fetch)
+		abort();
+	*fetch = (fetch_t){ host->incarnation, from };
+	state_of(host)->fetching = true;
+	sim_after(host->fleet->sim, FETCH_TIME, on_fetched, host, fetch);
+}
+
+static void on_newer_table(int64_t revision, cas_id_t from, void *private_data)
+{
+	if (newer_table)
+		newer_table(private_data, revision, from);
+}
+
+static const membership_ops_t ops = {
+	.send_beat = send_beat,
+	.send_notice = send_notice,
+	.on_newer_table = on_newer_table,
+	.on_newer_roster = on_newer_roster,
+};
+
+static void *start(TALLOC_CTX *ctx, fleet_host_t *host)
+{
+	state_t *state = talloc_zero(ctx, state_t);
+
+	if (!state)
+		abort();
+	state->membership = membership_create(
+		state, host->clock, sim_rng(host->fleet->sim), &ops, host,
+		host->id, host->incarnation, fleet_dc_id(host->dc));
+	if (!state->membership)
+		abort();
+	return state;
+}
+
+static void tick(fleet_host_t *host)
+{
+	membership_tick(part_membership_of(host));
+}
+
+static void set_view(fleet_host_t *host)
+{
+	int error =
+		membership_set_roster(part_membership_of(host), host->roster);
+
+	if (error && error != MEMBERSHIP_EREVISION)
+		abort();
+}
+
+static bool decode(fleet_host_t *host, const envelope_t *envelope,
+		   xdrproc_t xdr, void *body)
+{
+	XDR stream;
+
+	xdrmem_create(&stream, (char *)envelope->bytes, envelope->len,
+		      XDR_DECODE);
+	if (xdr(&stream, body))
+		return true;
+	part_membership_totals(host->fleet)->undecoded++;
+	return false;
+}
+
+static void take_beat(fleet_host_t *host, cas_id_t from, uint64_t incarnation,
+		      const envelope_t *envelope)
+{
+	xdrproc_t xdr = (xdrproc_t)xdr_membership_beat;
+	membership_beat beat = { 0 };
+	membership_reply reply = { 0 };
+
+	if (decode(host, envelope, xdr, &beat) &&
+	    !membership_on_beat(part_membership_of(host), from, incarnation,
+				&beat, &reply))
+		send_encoded(host, from, KIND_BEAT_REPLY, incarnation,
+			     (xdrproc_t)xdr_membership_reply, &reply);
+	xdr_free(xdr, &beat);
+}
+
+static void take_notice(fleet_host_t *host, cas_id_t from, uint64_t incarnation,
+			const envelope_t *envelope)
+{
+	membership_notice notice = { 0 };
+	membership_notice_reply reply = { 0 };
+
+	if (decode(host, envelope, (xdrproc_t)xdr_membership_notice, &notice) &&
+	    !membership_on_notice(part_membership_of(host), from, incarnation,
+				  &notice, &reply))
+		send_encoded(host, from, KIND_NOTICE_REPLY, incarnation,
+			     (xdrproc_t)xdr_membership_notice_reply, &reply);
+}
+
+static void take_reply(fleet_host_t *host, cas_id_t from, uint64_t incarnation,
+		       int kind, const envelope_t *envelope)
+{
+	xdrproc_t xdr = (xdrproc_t)xdr_membership_reply;
+	membership_t *m = part_membership_of(host);
+	membership_reply reply = { 0 };
+	membership_notice_reply notice = { 0 };
+
+	if (envelope->to_incarnation != host->incarnation)
+		return;
+	if (kind == KIND_BEAT_REPLY) {
+		if (decode(host, envelope, xdr, &reply))
+			membership_on_reply(m, from, incarnation, &reply);
+		xdr_free(xdr, &reply);
+	} else if (decode(host, envelope,
+			  (xdrproc_t)xdr_membership_notice_reply, &notice)) {
+		membership_on_notice_reply(m, from, incarnation, &notice);
+	}
+}
+
+static void message(fleet_host_t *host, const fleet_host_t *from,
+		    uint64_t incarnation, int kind, const void *bytes)
+{
+	if (kind == KIND_BEAT)
+		take_beat(host, from->id, incarnation, bytes);
+	else if (kind == KIND_NOTICE)
+		take_notice(host, from->id, incarnation, bytes);
+	else
+		take_reply(host, from->id, incarnation, kind, bytes);
+}
+
+static const fleet_part_t membership_part = {
+	.name = "membership",
+	.start = start,
+	.tick = tick,
+	.set_view = set_view,
+	.message = message,
+};
+
+size_t part_membership_add(fleet_t *fleet)
+{
+	part_index = fleet_add_part(fleet, &membership_part);
+	fleet->shared[part_index] =
+		talloc_zero(fleet, part_membership_totals_t);
+	if (!fleet->shared[part_index])
+		abort();
+	return part_index;
+}
+
+void part_membership_on_newer_table(part_membership_newer_fn fn)
+{
+	newer_table = fn;
+}
+
+static bool is_held(fleet_host_t *host, int64_t revision)
+{
+	return membership_fence_held(part_membership_of(host), revision);
+}
+
+static bool is_settled(fleet_host_t *host, int64_t revision)
+{
+	return membership_fence_settled(part_membership_of(host), revision);
+}
+
+const fence_ops_t part_membership_fence = {
+	.held = is_held,
+	.settled = is_settled,
+};
--- a/soak/part_quota.c
+++ b/soak/part_quota.c
@@ -3,7 +3,7 @@
 
 #include <stdlib.h>
 
-#include "fake_fence.h"
+#include "fence.h"
 
 /* RPC and authentication of a call and a reply, UDP and IP headers. */
 #define WIRE_CALL (84 + 28)
@@ -53,20 +53,20 @@
 		   WIRE_CALL + ASK_BYTES);
 }
 
-static bool fence_held(void *private_data, int64_t revision)
+static bool is_held(void *private_data, int64_t revision)
 {
-	return fake_fence_held(private_data, revision);
+	return fence_held(private_data, revision);
 }
 
-static bool fence_settled(void *private_data, int64_t revision)
+static bool is_settled(void *private_data, int64_t revision)
 {
-	return fake_fence_settled(private_data, revision);
+	return fence_settled(private_data, revision);
 }
 
 static const quota_ops_t quota_ops = {
 	.send_ask = send_ask,
-	.fence_held = fence_held,
-	.fence_settled = fence_settled,
+	.fence_held = is_held,
+	.fence_settled = is_settled,
 };
 
 static void *start(TALLOC_CTX *ctx, fleet_host_t *host)
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -1,20 +1,26 @@
 /*
  * Randomised run: many daemons' modules in one process on manual clocks, with
  * faults in combination, and every invariant checked. The same seed gives the
- * same run. Prints one line with counts; exits with 1 on a violation.
+ * same run. Prints one line of counts for each part and one line for each
+ * violation; exits with 1 on a violation.
  */
 #include <glib.h>
 #include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
+#include "check_holders.h"
 #include "check_tokens.h"
 #include "fake_fence.h"
 #include "faults.h"
 #include "load.h"
+#include "part_membership.h"
+#include "violations.h"
 
 #define STEP (10 * CAS_USEC_PER_MSEC)
 #define DRIFT 0.001
+#define HOLDERS_STEPS 5 /* between comparisons of the holders */
 
 static const fleet_config_t config = {
 	.regions = 3,
@@ -38,13 +44,21 @@
 
 static int seed = 1;
 static int steps = 90000;
+static gchar *fence = NULL;
 
 static const GOptionEntry options[] = {
 	{ "seed", 0, 0, G_OPTION_ARG_INT, &seed, "Seed of the run", "N" },
 	{ "steps", 0, 0, G_OPTION_ARG_INT, &steps, "Steps of 10 ms", "N" },
+	{ "fence", 0, 0, G_OPTION_ARG_STRING, &fence,
+	  "Fence of the quota part, real by default", "real|fake" },
 	{ 0 },
 };
 
+static bool fence_is_fake(void)
+{
+	return fence && strcmp(fence, "fake") == 0;
+}
+
 static void start_loads(TALLOC_CTX *ctx, fleet_t *fleet, load_t **loads)
 {
 	for (size_t i = 0; i < CUSTOMERS; i++) {
@@ -71,6 +85,7 @@
 typedef struct checks {
 	check_windows_t *windows;
 	check_tokens_t *tokens;
+	check_holders_t *holders;
 } checks_t;
 
 static void print_result(fleet_t *fleet, const faults_t *faults,
@@ -97,19 +112,47 @@
 	       check_windows_digest(checks->windows));
 }
 
+static void print_membership(fleet_t *fleet, const checks_t *checks)
+{
+	const part_membership_totals_t *totals = part_membership_totals(fleet);
+
+	printf("soak part=membership beats=%" PRIu64 " notices=%" PRIu64
+	       " roster_fetches=%" PRIu64 " undecoded=%" PRIu64
+	       " checks=%" PRIu64 "\n",
+	       totals->beats, totals->notices, totals->fetches,
+	       totals->undecoded, check_holders_checks(checks->holders));
+}
+
+/* Windows and tokens count their violations themselves. */
+static bool has_violations(fleet_t *fleet, const checks_t *checks)
+{
+	if (check_windows_violations(checks->windows) > 0)
+		violations_add(fleet, NULL, "check=windows excess=%.6f",
+			       check_windows_excess(checks->windows));
+	if (check_tokens_violations(checks->tokens) > 0)
+		violations_add(fleet, NULL, "check=tokens excess=%.6f",
+			       check_tokens_excess(checks->tokens));
+	return violations_count() > 0;
+}
+
 static fleet_t *start_fleet(TALLOC_CTX *ctx, sim_t *sim, checks_t *checks)
 {
 	fleet_t *fleet = fleet_create(ctx, sim, &config);
 
 	checks->windows = check_windows_create(ctx, sim, CUSTOMERS, DRIFT);
 	fake_platform_add(fleet, customers, CUSTOMERS);
-	fake_fence_add(fleet);
+	part_membership_add(fleet);
+	if (fence_is_fake())
+		fake_fence_add(fleet);
+	else
+		fence_use(&part_membership_fence);
 	part_quota_add(fleet, customers, CUSTOMERS, checks->windows);
 	for (size_t i = 0; i < CUSTOMERS; i++)
 		check_windows_limit(checks->windows, i, customers[i].rate,
 				    customers[i].burst);
 	checks->tokens = check_tokens_create(ctx, fleet, customers, CUSTOMERS,
 					     checks->windows);
+	checks->holders = check_holders_create(ctx, fleet);
 	for (size_t i = 0; i < fleet->host_count; i++)
 		fake_platform_start(&fleet->hosts[i]);
 	return fleet;
@@ -132,10 +175,12 @@
 		sim_run(sim, sim_now(sim) + STEP);
 		faults_step(faults);
 		check_tokens_step(checks.tokens);
+		if (i % HOLDERS_STEPS == 0)
+			check_holders_step(checks.holders);
 	}
 	print_result(fleet, faults, &checks);
-	status = check_windows_violations(checks.windows) > 0 ||
-		 check_tokens_violations(checks.tokens) > 0;
+	print_membership(fleet, &checks);
+	status = has_violations(fleet, &checks);
 	talloc_free(ctx);
 	return status;
 }
@@ -153,5 +198,11 @@
 		return 2;
 	}
 	g_option_context_free(context);
+	if (fence && !fence_is_fake() && strcmp(fence, "real") != 0) {
+		fprintf(stderr, "soak: --fence is real or fake, not %s\n",
+			fence);
+		return 2;
+	}
+	violations_set_seed(seed);
 	return run();
 }
