Soak attempts and retries; tell late duplicates from expired attempts

Cause: nothing checked attempts and retries under faults. Change: part_attempt runs roots over a chain of 6 services with signed contexts, table, escrow, brake and resends; check_attempts keeps what really ran. attempt_table_begin looks for a duplicate before the deadline and remembers attempts for 4 s behind it.

--- a/packages/attempt/include/cassia/attempt.h
+++ b/packages/attempt/include/cassia/attempt.h
@@ -75,7 +75,8 @@
 /* Reads hexadecimal text. Returns 0 or ATTEMPT_EFORMAT. */
 int attempt_parse_id(cas_str_t text, char *id);
 
-/* Attempts seen by this incarnation, each remembered until its deadline. */
+/* Attempts seen by this incarnation, each remembered until 4 s behind its
+ * deadline. */
 typedef struct attempt_table attempt_table_t;
 
 /* Returns a new table for at most limit attempts, or NULL. clock is
@@ -86,7 +87,8 @@
 /*
  * Remembers an attempt until its deadline. Returns 0 when it may run,
  * ATTEMPT_EDUPLICATE, ATTEMPT_EEXPIRED, ATTEMPT_EFULL or ATTEMPT_ENOMEM.
- * Only for a duplicate it is unknown whether the attempt has run.
+ * Only for a duplicate it is unknown whether the attempt has run, also when
+ * its deadline has passed.
  */
 int attempt_table_begin(attempt_table_t *table, const char *id,
 			int64_t deadline_us);
--- a/packages/attempt/table.c
+++ b/packages/attempt/table.c
@@ -1,13 +1,18 @@
 /*
  * Attempts seen: a hash table of identifiers, and a wheel of one-second slots
- * that forgets them behind their deadline.
+ * that forgets them some time behind their deadline.
  */
 #include <glib.h>
 
 #include "cassia/attempt.h"
 #include "id_hash_internal.h"
 
-#define WHEEL_SLOTS 128 /* more seconds than ATTEMPT_LIFE_MAX */
+/* Seconds for which an attempt is remembered behind its deadline. Its sender
+ * may still wait for an outcome then: it learnt the clock offset from a response
+ * that took time, so it reads the deadline later by up to that time. */
+#define LINGER_S 4
+/* More seconds than ATTEMPT_LIFE_MAX and LINGER_S together. */
+#define WHEEL_SLOTS 128
 
 typedef struct seen {
 	struct seen *next;
@@ -45,6 +50,14 @@
 	return 0;
 }
 
+/* The latest second of deadlines that is forgotten, -1 on a young clock. */
+static int64_t last_done_s(int64_t now_us)
+{
+	int64_t done_s = now_us / CAS_USEC_PER_SEC - 1 - LINGER_S;
+
+	return done_s > -1 ? done_s : -1;
+}
+
 attempt_table_t *attempt_table_create(TALLOC_CTX *ctx, const cas_clock_t *clock,
 				      size_t limit)
 {
@@ -54,16 +67,16 @@
 		return NULL;
 	table->clock = clock;
 	table->limit = limit;
-	table->swept_s = cas_clock_now(clock) / CAS_USEC_PER_SEC - 1;
+	table->swept_s = last_done_s(cas_clock_now(clock));
 	table->by_id = g_hash_table_new(id_hash, id_equal);
 	talloc_set_destructor(table, table_destroy);
 	return table;
 }
 
-/* Empties the slots of all whole seconds before now. */
+/* Empties the slots of all seconds up to the last one that is done. */
 static void sweep(attempt_table_t *table, int64_t now_us)
 {
-	int64_t done_s = now_us / CAS_USEC_PER_SEC - 1;
+	int64_t done_s = last_done_s(now_us);
 
 	if (done_s - table->swept_s > WHEEL_SLOTS)
 		table->swept_s = done_s - WHEEL_SLOTS;
@@ -79,10 +92,10 @@
 	size_t slot;
 
 	sweep(table, now_us);
-	if (deadline_us <= now_us || deadline_us > now_us + ATTEMPT_LIFE_MAX)
-		return ATTEMPT_EEXPIRED;
 	if (g_hash_table_contains(table->by_id, id))
 		return ATTEMPT_EDUPLICATE;
+	if (deadline_us <= now_us || deadline_us > now_us + ATTEMPT_LIFE_MAX)
+		return ATTEMPT_EEXPIRED;
 	if (table->count >= table->limit)
 		return ATTEMPT_EFULL;
 	seen = g_try_malloc(sizeof(*seen));
--- /dev/null
+++ b/soak/part_attempt.c
@@ -0,0 +1,150 @@
+/* State on each host, messages and arrivals of the attempt part. */
+#include "part_attempt_internal.h"
+
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define ATTEMPTS_MAX 4096
+#define MEAN_GAP 33000.0 /* microseconds between root requests */
+#define DEADLINE (2 * CAS_USEC_PER_SEC)
+#define BOUND_MAX 6
+#define FAILING_SHARE 0.2 /* of the roots */
+#define IDEMPOTENT_SHARE 0.6
+#define TRIES 20
+
+typedef struct shared {
+	attempt_secrets_t secrets;
+	part_attempt_totals_t totals;
+} shared_t;
+
+static size_t part_index;
+
+static shared_t *shared_of(fleet_t *fleet)
+{
+	return fleet->shared[part_index];
+}
+
+part_attempt_state_t *part_attempt_state_of(fleet_host_t *host)
+{
+	return host->parts[part_index];
+}
+
+part_attempt_totals_t *part_attempt_totals_of(fleet_t *fleet)
+{
+	return &shared_of(fleet)->totals;
+}
+
+const part_attempt_totals_t *part_attempt_totals(fleet_t *fleet)
+{
+	shared_of(fleet)->totals.checks = check_attempts_checks();
+	return &shared_of(fleet)->totals;
+}
+
+const attempt_secrets_t *part_attempt_secrets(fleet_t *fleet)
+{
+	return &shared_of(fleet)->secrets;
+}
+
+void part_attempt_post(fleet_host_t *from, const fleet_host_t *to, int kind,
+		       part_attempt_message_t *message, cas_str_t text)
+{
+	if (!text.ptr || text.len > PART_ATTEMPT_TEXT_MAX)
+		abort();
+	message->len = (uint32_t)text.len;
+	memcpy(message->text, text.ptr, text.len);
+	fleet_send(from, to->id, part_index, kind, message,
+		   offsetof(part_attempt_message_t, text) + text.len, text.len);
+}
+
+static void *start(TALLOC_CTX *ctx, fleet_host_t *host)
+{
+	part_attempt_state_t *state = talloc_zero(ctx, part_attempt_state_t);
+
+	if (!state)
+		abort();
+	state->table = attempt_table_create(state, host->clock, ATTEMPTS_MAX);
+	state->live = attempt_live_create(state);
+	state->brake = retry_brake_create(state, host->clock);
+	state->bindings = talloc_zero_array(state, attempt_outcome,
+					    host->fleet->host_count);
+	if (!state->table || !state->live || !state->brake || !state->bindings)
+		abort();
+	return state;
+}
+
+static void tick(fleet_host_t *host)
+{
+	part_attempt_serve_tick(host);
+	part_attempt_call_tick(host);
+}
+
+static void message(fleet_host_t *host, const fleet_host_t *from,
+		    uint64_t incarnation, int kind, const void *bytes)
+{
+	const part_attempt_message_t *message = bytes;
+
+	if (message->process != host->incarnation)
+		return;
+	if (kind == PART_ATTEMPT_CALL)
+		part_attempt_on_call(host, from, incarnation, message);
+	else
+		part_attempt_on_response(host, from, message);
+}
+
+static const fleet_part_t attempt_part = {
+	.name = "attempt",
+	.start = start,
+	.tick = tick,
+	.message = message,
+};
+
+size_t part_attempt_add(fleet_t *fleet)
+{
+	static const uint8_t secret[] = "secret of the soak run";
+	shared_t *shared = talloc_zero(fleet, shared_t);
+
+	if (!shared || sodium_init() < 0)
+		abort();
+	attempt_secrets_add(&shared->secrets, secret, sizeof(secret));
+	part_index = fleet_add_part(fleet, &attempt_part);
+	fleet->shared[part_index] = shared;
+	return part_index;
+}
+
+static void start_root(fleet_host_t *host)
+{
+	sim_t *sim = host->fleet->sim;
+	int32_t bound = (int32_t)cas_rng_below(sim_rng(sim), BOUND_MAX + 1);
+	bool idempotent = sim_chance(sim, IDEMPOTENT_SHARE);
+	check_root_t *root = check_root_create(host->fleet, bound, idempotent);
+
+	root->failing = sim_chance(sim, FAILING_SHARE);
+	part_attempt_totals_of(host->fleet)->roots++;
+	part_attempt_call(host, NULL, root, 0,
+			  cas_clock_now(host->clock) + DEADLINE);
+}
+
+static void on_arrival(void *owner, void *data)
+{
+	fleet_t *fleet = owner;
+	cas_rng_t *rng = sim_rng(fleet->sim);
+
+	(void)data;
+	for (int i = 0; i < TRIES; i++) {
+		fleet_host_t *host = &fleet->hosts[cas_rng_below(
+			rng, (uint32_t)fleet->host_count)];
+
+		if (!fleet_host_enter(host))
+			continue;
+		start_root(host);
+		break;
+	}
+	sim_after(fleet->sim, (int64_t)cas_rng_exponential(rng, MEAN_GAP),
+		  on_arrival, fleet, NULL);
+}
+
+void part_attempt_start(fleet_t *fleet)
+{
+	sim_after(fleet->sim, 0, on_arrival, fleet, NULL);
+}
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -15,6 +15,7 @@
 #include "fake_fence.h"
 #include "faults.h"
 #include "load.h"
+#include "part_attempt.h"
 #include "part_membership.h"
 #include "violations.h"
 
@@ -123,6 +124,21 @@
 	       totals->undecoded, check_holders_checks(checks->holders));
 }
 
+static void print_attempts(fleet_t *fleet)
+{
+	const part_attempt_totals_t *totals = part_attempt_totals(fleet);
+
+	printf("soak part=attempt roots=%" PRIu64 " attempts=%" PRIu64
+	       " runs=%" PRIu64 " retries=%" PRIu64 " resent=%" PRIu64
+	       " duplicates=%" PRIu64 " served=%" PRIu64 " not_run=%" PRIu64
+	       " unknown=%" PRIu64 " spent_up=%" PRIu64 " checks=%" PRIu64
+	       " digest=%016" PRIx64 "\n",
+	       totals->roots, totals->attempts, totals->runs, totals->retries,
+	       totals->resent, totals->duplicates, totals->served,
+	       totals->not_run, totals->unknown, totals->spent_up,
+	       totals->checks, totals->digest);
+}
+
 /* Windows and tokens count their violations themselves. */
 static bool has_violations(fleet_t *fleet, const checks_t *checks)
 {
@@ -152,6 +168,7 @@
 				    customers[i].burst);
 	checks->tokens = check_tokens_create(ctx, fleet, customers, CUSTOMERS,
 					     checks->windows);
+	part_attempt_add(fleet);
 	checks->holders = check_holders_create(ctx, fleet);
 	for (size_t i = 0; i < fleet->host_count; i++)
 		fake_platform_start(&fleet->hosts[i]);
@@ -169,6 +186,7 @@
 	int status = 0;
 
 	start_loads(ctx, fleet, loads);
+	part_attempt_start(fleet);
 	faults = faults_create(ctx, fleet, customers, CUSTOMERS, checks.windows,
 			       loads);
 	for (int i = 0; i < steps; i++) {
@@ -180,7 +198,10 @@
 	}
 	print_result(fleet, faults, &checks);
 	print_membership(fleet, &checks);
+	print_attempts(fleet);
 	status = has_violations(fleet, &checks);
+	for (size_t i = 0; i < fleet->host_count; i++)
+		fleet_stop_host(&fleet->hosts[i]);
 	talloc_free(ctx);
 	return status;
 }
