Soak the config store and the boot rule with an unreliable platform

Cause: revision order, the boot rule and the spread of tables were only tested without faults in combination.

--- /dev/null
+++ b/soak/part_config.c
@@ -0,0 +1,298 @@
+/*
+ * Wires config_store and config_boot to the service and the network, as the
+ * daemon does it: watchers watch, others read once a minute, and what
+ * membership hears of is fetched from the daemon that has it.
+ */
+#include "part_config.h"
+
+#include <stdlib.h>
+
+#include "cassia/config_boot.h"
+#include "part_membership.h"
+#include "violations.h"
+
+#define READ_PERIOD (60 * CAS_USEC_PER_SEC)
+#define FETCH_PERIOD (200 * CAS_USEC_PER_MSEC)
+
+enum kind { KIND_ASK, KIND_ANSWER, KIND_FETCH, KIND_DOCUMENT };
+
+typedef struct body {
+	config_document_t document;
+	int64_t revisions[CONFIG_DOCUMENT_COUNT];
+} body_t;
+
+typedef struct state {
+	fleet_host_t *host;
+	config_store_t *store;
+	config_boot_t *boot;
+	bool ready;
+	bool *asked; /* by host index */
+	int64_t highest[CONFIG_DOCUMENT_COUNT];
+	int64_t answered[CONFIG_DOCUMENT_COUNT]; /* by the service, last */
+	int64_t next_read_us;
+	int64_t next_fetch_us;
+} state_t;
+
+typedef struct shared {
+	documents_t *documents;
+	part_config_totals_t totals;
+} shared_t;
+
+static size_t part_index;
+
+static shared_t *shared_of(fleet_t *fleet)
+{
+	return fleet->shared[part_index];
+}
+
+static state_t *state_of(fleet_host_t *host)
+{
+	return host->parts[part_index];
+}
+
+const part_config_totals_t *part_config_totals(fleet_t *fleet)
+{
+	return &shared_of(fleet)->totals;
+}
+
+const config_store_t *part_config_store(fleet_host_t *host)
+{
+	return state_of(host)->store;
+}
+
+bool part_config_ready(fleet_host_t *host)
+{
+	return state_of(host)->ready;
+}
+
+bool part_config_asked(fleet_host_t *host, size_t peer)
+{
+	return state_of(host)->asked[peer];
+}
+
+/* The revision in force never goes down and has no faults. */
+static void check_revision(state_t *state, config_document_t document,
+			   int64_t revision)
+{
+	shared_t *shared = shared_of(state->host->fleet);
+
+	if (revision <= state->highest[document])
+		violations_add(state->host->fleet, state->host,
+			       "check=revision_order document=%d from=%lld "
+			       "to=%lld",
+			       document, (long long)state->highest[document],
+			       (long long)revision);
+	if (!documents_valid(shared->documents, document, revision))
+		violations_add(state->host->fleet, state->host,
+			       "check=faulty_document document=%d "
+			       "revision=%lld",
+			       document, (long long)revision);
+	state->highest[document] = revision;
+	shared->totals.digest =
+		shared->totals.digest * UINT64_C(6364136223846793005) +
+		(uint64_t)sim_now(state->host->fleet->sim) * 31 +
+		(uint64_t)revision * 64 + state->host->index;
+}
+
+static void table_changed(void *private_data, const table_t *table)
+{
+	state_t *state = private_data;
+
+	check_revision(state, CONFIG_TABLE, table->revision);
+	membership_set_table_revision(part_membership_of(state->host),
+				      table->revision);
+}
+
+static void hosts_changed(void *private_data, const roster_t *roster)
+{
+	check_revision(private_data, CONFIG_HOSTS, roster->revision);
+}
+
+static const config_store_ops_t store_ops = {
+	.table_changed = table_changed,
+	.hosts_changed = hosts_changed,
+};
+
+static void offer(state_t *state, config_document_t document, int64_t revision)
+{
+	shared_t *shared = shared_of(state->host->fleet);
+	int error = 0;
+
+	if (!revision)
+		return;
+	error = config_store_offer(
+		state->store, document,
+		documents_text(shared->documents, document, revision));
+	shared->totals.offers++;
+	shared->totals.accepted += !error;
+	shared->totals.stale += error == CONFIG_ESTALE;
+	shared->totals.refused += error == CONFIG_EFAULTS;
+	if (error && error != CONFIG_ESTALE && error != CONFIG_EFAULTS)
+		violations_add(state->host->fleet, state->host,
+			       "check=offer error=%d", error);
+}
+
+static void send_body(fleet_host_t *host, cas_id_t to, int kind, body_t body)
+{
+	fleet_send(host, to, part_index, kind, &body, sizeof(body), 0);
+}
+
+static void ask(void *private_data, cas_id_t peer)
+{
+	state_t *state = private_data;
+	fleet_host_t *host = state->host;
+
+	state->asked[fleet_find(host->fleet, peer)->index] = true;
+	shared_of(host->fleet)->totals.asks++;
+	send_body(host, peer, KIND_ASK, (body_t){ 0 });
+}
+
+static void fetch(void *private_data, cas_id_t peer, config_document_t document,
+		  int64_t revision)
+{
+	state_t *state = private_data;
+
+	(void)revision;
+	shared_of(state->host->fleet)->totals.fetches++;
+	send_body(state->host, peer, KIND_FETCH,
+		  (body_t){ .document = document });
+}
+
+static const config_boot_ops_t boot_ops = { .ask = ask, .fetch = fetch };
+
+static void *start(TALLOC_CTX *ctx, fleet_host_t *host)
+{
+	state_t *state = talloc_zero(ctx, state_t);
+
+	if (!state)
+		abort();
+	state->host = host;
+	state->asked = talloc_zero_array(state, bool, host->fleet->host_count);
+	state->store = config_store_create(state, &store_ops, state);
+	if (!state->asked || !state->store)
+		abort();
+	state->boot = config_boot_create(state, host->clock, state->store,
+					 &boot_ops, state);
+	if (!state->boot)
+		abort();
+	shared_of(host->fleet)->totals.boots++;
+	return state;
+}
+
+static void read_service(fleet_host_t *host, bool changed_only)
+{
+	state_t *state = state_of(host);
+	documents_t *documents = shared_of(host->fleet)->documents;
+
+	if (host->fleet->isolated[host->index])
+		return;
+	for (int i = 0; i < CONFIG_DOCUMENT_COUNT; i++) {
+		config_document_t document = (config_document_t)i;
+		int64_t revision = documents_answer(documents, document);
+
+		if (changed_only && revision == state->answered[i])
+			continue;
+		state->answered[i] = revision;
+		offer(state, document, revision);
+	}
+}
+
+static void tick(fleet_host_t *host)
+{
+	state_t *state = state_of(host);
+	int64_t now = cas_clock_now(host->clock);
+
+	if (now >= state->next_read_us) {
+		state->next_read_us =
+			now + READ_PERIOD / 2 +
+			cas_rng_below(sim_rng(host->fleet->sim), READ_PERIOD);
+		read_service(host, false);
+	} else if (membership_is_watcher(part_membership_of(host))) {
+		read_service(host, true);
+	}
+	if (state->ready)
+		return;
+	config_boot_tick(state->boot);
+	state->ready = config_boot_ready(state->boot);
+}
+
+static void set_view(fleet_host_t *host)
+{
+	config_boot_set_roster(state_of(host)->boot, host->roster, host->id);
+}
+
+static void answer_ask(fleet_host_t *host, cas_id_t to)
+{
+	const state_t *state = state_of(host);
+	body_t body = { 0 };
+
+	body.revisions[CONFIG_TABLE] =
+		membership_newest(part_membership_of(host)).table_revision;
+	body.revisions[CONFIG_HOSTS] =
+		config_store_revision(state->store, CONFIG_HOSTS);
+	send_body(host, to, KIND_ANSWER, body);
+}
+
+static void answer_fetch(fleet_host_t *host, cas_id_t to, body_t body)
+{
+	body.revisions[body.document] =
+		config_store_revision(state_of(host)->store, body.document);
+	send_body(host, to, KIND_DOCUMENT, body);
+}
+
+static void message(fleet_host_t *host, const fleet_host_t *from,
+		    uint64_t incarnation, int kind, const void *bytes)
+{
+	const body_t *body = bytes;
+	state_t *state = state_of(host);
+
+	(void)incarnation;
+	switch (kind) {
+	case KIND_ASK:
+		answer_ask(host, from->id);
+		break;
+	case KIND_ANSWER:
+		config_boot_answer(state->boot, from->id,
+				   body->revisions[CONFIG_TABLE],
+				   body->revisions[CONFIG_HOSTS]);
+		break;
+	case KIND_FETCH:
+		answer_fetch(host, from->id, *body);
+		break;
+	default:
+		offer(state, body->document, body->revisions[body->document]);
+		break;
+	}
+}
+
+static const fleet_part_t config_part = {
+	.name = "config",
+	.start = start,
+	.tick = tick,
+	.set_view = set_view,
+	.message = message,
+};
+
+static void on_newer_table(fleet_host_t *host, int64_t revision, cas_id_t from)
+{
+	state_t *state = state_of(host);
+	int64_t now = cas_clock_now(host->clock);
+
+	if (now < state->next_fetch_us)
+		return;
+	state->next_fetch_us = now + FETCH_PERIOD;
+	fetch(state, from, CONFIG_TABLE, revision);
+}
+
+size_t part_config_add(fleet_t *fleet, documents_t *documents)
+{
+	shared_t *shared = talloc_zero(fleet, shared_t);
+
+	if (!shared)
+		abort();
+	shared->documents = documents;
+	part_index = fleet_add_part(fleet, &config_part);
+	fleet->shared[part_index] = shared;
+	part_membership_on_newer_table(on_newer_table);
+	return part_index;
+}
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -10,6 +10,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "check_config.h"
 #include "check_holders.h"
 #include "check_tokens.h"
 #include "fake_fence.h"
@@ -87,6 +88,8 @@
 	check_windows_t *windows;
 	check_tokens_t *tokens;
 	check_holders_t *holders;
+	documents_t *documents;
+	check_config_t *config;
 } checks_t;
 
 static void print_result(fleet_t *fleet, const faults_t *faults,
@@ -124,6 +127,26 @@
 	       totals->undecoded, check_holders_checks(checks->holders));
 }
 
+static void print_config(fleet_t *fleet, const checks_t *checks)
+{
+	const part_config_totals_t *totals = part_config_totals(fleet);
+	const check_config_totals_t *checked =
+		check_config_totals(checks->config);
+
+	printf("soak part=config tables=%" PRId64 " platform_faults=%" PRIu64
+	       " offers=%" PRIu64 " accepted=%" PRIu64 " stale=%" PRIu64
+	       " refused=%" PRIu64 " boots=%" PRIu64 " asks=%" PRIu64
+	       " fetches=%" PRIu64 " boot_checks=%" PRIu64
+	       " boot_peer_checks=%" PRIu64 " table_checks=%" PRIu64
+	       " key_checks=%" PRIu64 " digest=%016" PRIx64 "\n",
+	       documents_newest(checks->documents, CONFIG_TABLE),
+	       documents_faults(checks->documents), totals->offers,
+	       totals->accepted, totals->stale, totals->refused, totals->boots,
+	       totals->asks, totals->fetches, checked->boots,
+	       checked->boot_peers, checked->tables, checked->keys,
+	       totals->digest);
+}
+
 static void print_attempts(fleet_t *fleet)
 {
 	const part_attempt_totals_t *totals = part_attempt_totals(fleet);
@@ -168,6 +191,9 @@
 				    customers[i].burst);
 	checks->tokens = check_tokens_create(ctx, fleet, customers, CUSTOMERS,
 					     checks->windows);
+	checks->documents = documents_create(ctx, fleet);
+	part_config_add(fleet, checks->documents);
+	checks->config = check_config_create(ctx, fleet, checks->documents);
 	part_attempt_add(fleet);
 	checks->holders = check_holders_create(ctx, fleet);
 	for (size_t i = 0; i < fleet->host_count; i++)
@@ -192,12 +218,15 @@
 	for (int i = 0; i < steps; i++) {
 		sim_run(sim, sim_now(sim) + STEP);
 		faults_step(faults);
+		documents_step(checks.documents);
+		check_config_step(checks.config);
 		check_tokens_step(checks.tokens);
 		if (i % HOLDERS_STEPS == 0)
 			check_holders_step(checks.holders);
 	}
 	print_result(fleet, faults, &checks);
 	print_membership(fleet, &checks);
+	print_config(fleet, &checks);
 	print_attempts(fleet);
 	status = has_violations(fleet, &checks);
 	for (size_t i = 0; i < fleet->host_count; i++)
