Test at-most-once execution with real processes

Cause: nothing showed with real processes that a non-idempotent request runs at most once while daemons and connections fail.

--- a/standins/upstream.c
+++ b/standins/upstream.c
@@ -3,6 +3,8 @@
  * behaviour is chosen by options and, for each request, by X- fields:
  * X-Delay-Ms, X-Size (bytes of the body), X-Status, X-Truncate, X-Silent,
  * X-Shed, X-Cross, X-Child (target of a call through the local daemon).
+ * GET /_delay/MICROSECONDS changes the delay. The run log has one line for each
+ * request that ran: Cassia-Request-Id, X-Run-Id.
  */
 #include <arpa/inet.h>
 #include <errno.h>
@@ -30,6 +32,8 @@
 	int slots;
 	int queue_max; /* beyond it requests are refused; -1: no limit */
 	int local_port;
+	const char *run_log_path;
+	FILE *run_log; /* NULL: none */
 	int running;
 	int most_running;
 	GQueue *queue; /* of conn_t that wait for a slot */
@@ -76,6 +80,8 @@
 	{ "queue", 0, 0, G_OPTION_ARG_INT, &self.queue_max, "", NULL },
 	{ "local-port", 0, 0, G_OPTION_ARG_INT, &self.local_port,
 	  "Port of the daemon for child calls", NULL },
+	{ "run-log", 0, 0, G_OPTION_ARG_FILENAME, &self.run_log_path, "",
+	  NULL },
 	{ NULL, 0, 0, 0, NULL, NULL, NULL },
 };
 
@@ -345,13 +351,24 @@
 		on_delay, conn);
 }
 
+static void log_run(conn_t *conn, const char *run_id)
+{
+	char *root = field(conn, conn, "Cassia-Request-Id");
+
+	if (conn->upstream->run_log)
+		fprintf(conn->upstream->run_log, "%s %s\n", root ? root : "-",
+			run_id ? run_id : "-");
+	talloc_free(root);
+}
+
 static void count_request(conn_t *conn)
 {
 	upstream_t *up = conn->upstream;
-	char *run_id = field(conn, up, "X-Run-Id");
+	char *run_id = field(conn, up->ev, "X-Run-Id");
 	char *key = field(conn, conn, "Authorization");
 
 	up->requests++;
+	log_run(conn, run_id);
 	if (run_id && !g_hash_table_add(up->run_ids, run_id))
 		up->repeated++;
 	if (key || g_strstr_len(conn->in, (gssize)conn->head_len, "csk_"))
@@ -371,6 +388,11 @@
 		respond(conn, 200, "", stats, strlen(stats));
 		return;
 	}
+	if (strncmp(conn->in, "GET /_delay/", 12) == 0) {
+		up->delay_us = (int)strtol(conn->in + 12, NULL, 10);
+		respond(conn, 200, "", "", 0);
+		return;
+	}
 	if (field_number(conn, "X-Shed", 0) ||
 	    (up->queue_max >= 0 && up->running >= up->slots &&
 	     (int)g_queue_get_length(up->queue) >= up->queue_max)) {
@@ -529,6 +551,12 @@
 	self.back = http_back_create(NULL, self.ev, &back);
 	self.queue = g_queue_new();
 	self.run_ids = g_hash_table_new(g_str_hash, g_str_equal);
+	if (self.run_log_path) {
+		self.run_log = fopen(self.run_log_path, "w");
+		if (!self.run_log)
+			return 1;
+		setvbuf(self.run_log, NULL, _IOLBF, 0);
+	}
 	listen_fd = open_port();
 	if (listen_fd < 0)
 		return 1;
--- /dev/null
+++ b/tests/test_at_most_once.sh
@@ -0,0 +1,100 @@
+# Guards against a non-idempotent request that runs twice and against a refusal
+# that says not-run although the request ran, while upstreams' daemons are
+# killed, paused beyond the deadline, restarted and reached over connections
+# that are reset or go silent. Counts what the upstreams themselves ran.
+set -u
+BUILD=${1:-build}
+NET=127.$((75 + $$ % 100)).$(($$ / 100 % 250))
+FAILED=0
+RELAY_PORT=18091
+. tools/site.sh
+trap site_stop EXIT
+trap 'exit 1' INT TERM
+
+cat > "$SITE/table.rows" <<END
+[[data_centre]]
+name = "m1"
+region = "marmara"
+[[service]]
+name = "edge"
+connections = 100
+[[service]]
+name = "booking"
+connections = 100
+[[route]]
+name = "book"
+path = "/book"
+service = "booking"
+importance = 12
+open = true
+timeout_ms = 1500
+END
+write_table 1
+for row in e1:edge:11 e2:edge:12 b1:booking:13 b2:booking:14 b3:booking:15; do
+	service=${row#*:}
+	start_host "${row%%:*}" "${service%:*}" m1 "${row##*:}" \
+		--delay-us 20000 --slots 3 --queue 3
+done
+# Connections from other hosts to b1 go through a path with faults.
+"$BUILD/standins/relay" --address "$NET.13" --port $RELAY_PORT \
+	--to-port $PEER &
+RELAY=$!
+PIDS="$PIDS $RELAY"
+awk -v port=$RELAY_PORT '/^name/ { own = /"b1"/ }
+	/^peer_port/ && own { $3 = port } { print }' \
+	"$SITE/hosts.rows" > "$SITE/hosts.relayed"
+mv "$SITE/hosts.relayed" "$SITE/hosts.rows"
+write_hosts 1
+wait_ready 11 12 13 14 15 || exit 1
+
+start_caller load nobody /book "11 12" --method POST --rate 400 \
+	--duration-ms 20000 --timeout-ms 4000
+LOAD=$PID
+for i in 1 2 3 4 5 6 7 8 9 10; do
+	sleep 0.3
+	kill -USR2 $RELAY
+done
+# shellcheck disable=SC2154 # the ids are set by start_host
+end "$PID_14"
+sleep 1
+start_daemon b2
+PID_14=$PID
+sleep 1
+kill -USR1 $RELAY
+kill -STOP "$PID_15"
+sleep 2.5
+kill -CONT "$PID_15"
+sleep 1
+# Pauses shorter than the deadline, and a kill while connections are silent.
+for i in 1 2 3; do
+	kill -STOP "$PID_14"
+	sleep 0.4
+	kill -CONT "$PID_14"
+	sleep 0.4
+	kill -USR2 $RELAY
+done
+end "$PID_13"
+start_daemon b1
+kill -USR1 $RELAY
+sleep 2
+end "$PID_15"
+start_daemon b3
+join "$LOAD"
+
+cat "$SITE"/b?.runs | cut -d' ' -f2 | sort > "$SITE/ran"
+awk '$3 == "not-run" || $3 == "unsent" { print $1 }' "$SITE/load" | sort \
+	> "$SITE/not_run"
+awk '$3 == "served" { print $1 }' "$SITE/load" | sort > "$SITE/served"
+check "requests that ran twice" "$(uniq -d "$SITE/ran" | wc -l)" 0
+check "requests that ran after not-run was said" \
+	"$(comm -12 "$SITE/ran" "$SITE/not_run" | wc -l)" 0
+check "requests served without a run" \
+	"$(comm -13 "$SITE/ran" "$SITE/served" | wc -l)" 0
+echo "figure: sent=$(count load .) served=$(count load served)" \
+	"unknown=$(count load unknown) not_run=$(count load not-run)" \
+	"cut=$(count load cut)"
+# Without these the faults did not reach a running request.
+check_least "requests with an unknown outcome" "$(count load unknown)" 1
+check_least "requests served" "$(count load served)" 4000
+check_least "requests refused as not-run" "$(count load not-run)" 1
+[ $FAILED -eq 0 ]
--- a/tests/test_configuration.sh
+++ b/tests/test_configuration.sh
@@ -10,15 +10,6 @@
 trap site_stop EXIT
 trap 'exit 1' INT TERM
 
-check() {
-	if [ "$2" = "$3" ]; then
-		echo "ok: $1"
-	else
-		echo "WRONG: $1: expected $3, got $2"
-		FAILED=1
-	fi
-}
-
 revision() {
 	curl -s --max-time 1 "http://$NET.$1:$OPERATORS/status" |
 		sed -n 's/.*"table_revision": *\([0-9]*\).*/\1/p'
--- /dev/null
+++ b/tests/test_drain.sh
@@ -0,0 +1,82 @@
+# Guards against requests that are cut by a planned stop, and against new work
+# at an upstream 3 s after it was listed as leaving. Under load an upstream is
+# listed as leaving, another upstream's daemon gets SIGTERM, and an entry
+# daemon with open connections of callers gets SIGTERM.
+set -u
+BUILD=${1:-build}
+NET=127.$((76 + $$ % 100)).$(($$ / 100 % 250))
+FAILED=0
+. tools/site.sh
+trap site_stop EXIT
+trap 'exit 1' INT TERM
+
+cat > "$SITE/table.rows" <<END
+[[data_centre]]
+name = "m1"
+region = "marmara"
+[[service]]
+name = "edge"
+connections = 100
+[[service]]
+name = "booking"
+connections = 100
+[[route]]
+name = "book"
+path = "/book"
+service = "booking"
+importance = 12
+open = true
+timeout_ms = 8000
+END
+write_table 1
+for row in e1:edge:11 e2:edge:12 b1:booking:13 b2:booking:14 b3:booking:15; do
+	service=${row#*:}
+	start_host "${row%%:*}" "${service%:*}" m1 "${row##*:}" \
+		--delay-us 20000 --slots 500
+done
+write_hosts 1
+wait_ready 11 12 13 14 15 || exit 1
+
+# Short requests, and long ones that run while their host is to stop.
+start_caller short nobody /book "11 12" --method POST --rate 200 \
+	--duration-ms 18000 --retries 1
+SHORT=$PID
+start_caller long nobody /book "11 12" --method POST --rate 20 \
+	--duration-ms 18000 --retries 1 --header "X-Delay-Ms: 2500"
+LONG=$PID
+sleep 4
+sed -i 's/^name = "b1"/leaving = true\n&/' "$SITE/hosts.rows"
+write_hosts 2
+before=$(upstream_stat 13 requests)
+sleep 3
+at_3_s=$(upstream_stat 13 requests)
+sleep 2
+check "new work 3 s after the upstream is listed as leaving" \
+	$(($(upstream_stat 13 requests) - at_3_s)) 0
+check_least "work at the leaving upstream before" "$before" 100
+# shellcheck disable=SC2154 # the ids are set by start_host
+kill -TERM "$PID_14"
+join "$PID_14"
+check "exit status of an upstream's daemon" $? 0
+kill -TERM "$PID_12"
+join "$PID_12"
+check "exit status of an entry daemon" $? 0
+join "$SHORT"
+join "$LONG"
+for load in short long; do
+	check "$load requests cut" "$(count $load cut)" 0
+	check "$load requests with an unknown outcome" \
+		"$(count $load unknown)" 0
+	# What a stopping daemon does not take is sent to the other one.
+	check "$load requests not served in the end" "$(awk '
+		{ split($1, id, "-"); seen[id[2]] = 1 }
+		$3 == "served" { served[id[2]] = 1 }
+		END { for (n in seen) if (!(n in served)) lost++
+		      print lost + 0 }' "$SITE/$load")" 0
+	echo "figure: $load sent=$(count $load .)" \
+		"served=$(count $load served) unsent=$(count $load unsent)" \
+		"not_run=$(count $load not-run)"
+done
+check "requests cancelled at upstreams" "$(for number in 13 14 15; do
+	upstream_stat $number cancelled; done | sort -u)" 0
+[ $FAILED -eq 0 ]
--- a/tools/site.sh
+++ b/tools/site.sh
@@ -185,3 +185,93 @@
 outcome() {
 	printf %s "$BODY" | sed -n 's/.*"outcome":"\([^"]*\)".*/\1/p'
 }
+
+# check WHAT GOT EXPECTED: prints the verdict; a difference sets FAILED.
+check() {
+	if [ "$2" = "$3" ]; then
+		echo "ok: $1"
+	else
+		echo "WRONG: $1: expected $3, got $2"
+		FAILED=1
+	fi
+}
+
+# check_most WHAT GOT LIMIT and check_least WHAT GOT LIMIT
+check_most() {
+	echo "figure: $1: $2, at most $3"
+	[ "$2" -le "$3" ] || { echo "WRONG: $1"; FAILED=1; }
+}
+
+check_least() {
+	echo "figure: $1: $2, at least $3"
+	[ "$2" -ge "$3" ] || { echo "WRONG: $1"; FAILED=1; }
+}
+
+# start_host NAME SERVICE DC NUMBER UPSTREAM_OPTIONS...: adds the host, starts
+# its upstream, which logs what it runs, and its daemon. Sets PID_NUMBER.
+start_host() {
+	host_name=$1
+	host_number=$4
+	host_row "$1" "$2" "$3" "$4" >> "$SITE/hosts.rows"
+	write_settings "$1" "$2" "$3" "$4"
+	shift 4
+	start_upstream "$host_name" "$host_number" \
+		--run-log "$SITE/$host_name.runs" "$@"
+	start_daemon "$host_name"
+	eval "PID_$host_number=$PID"
+}
+
+# end PID: kills a process at once and waits for it.
+end() {
+	kill -KILL "$1"
+	wait "$1" 2>/dev/null
+	forget "$1"
+}
+
+# start_caller FILE CUSTOMER TARGET NUMBERS OPTIONS...: sends TARGET to the
+# daemons in turn; the answers go to $SITE/FILE. Sets PID.
+start_caller() {
+	caller_file=$1
+	caller_customer=$2
+	caller_target=$3
+	caller_urls=""
+	for caller_number in $4; do
+		caller_urls="$caller_urls --target http://$NET.$caller_number"
+		caller_urls="$caller_urls:$FRONT$caller_target"
+	done
+	shift 4
+	# shellcheck disable=SC2086 # one word for each option
+	"$BUILD/standins/caller" --prefix "$caller_file" $caller_urls \
+		--header "Authorization: Bearer $(key "$caller_customer")" \
+		"$@" > "$SITE/$caller_file" &
+	PID=$!
+	PIDS="$PIDS $PID"
+}
+
+# join PID: waits for a process that ends by itself.
+join() {
+	wait "$1"
+	join_code=$?
+	forget "$1"
+	return $join_code
+}
+
+# count FILE OUTCOME [FROM_MS UNTIL_MS]: prints how many sendings of a caller
+# in that time had the outcome (. matches all).
+count() {
+	awk -v outcome="^$2\$" -v from="${3:-0}" -v until="${4:-1000000}" '
+		(outcome == "^.$" || $3 ~ outcome) && $4 >= from && $4 < until {
+			n++ } END { print n + 0 }' "$SITE/$1"
+}
+
+# status_number NUMBER NAME: prints a number of the daemon's status.
+status_number() {
+	curl -s --max-time 1 "http://$NET.$1:$OPERATORS/status" |
+		sed -n 's/.*"'"$2"'": *\([0-9]*\).*/\1/p'
+}
+
+# upstream_stat NUMBER NAME: prints a counter of an upstream.
+upstream_stat() {
+	curl -s --max-time 2 "http://$NET.$1:$UPSTREAM/_stats" |
+		sed -n 's/.*"'"$2"'":\([0-9]*\).*/\1/p'
+}
