--- a/packages/http/front.c
+++ b/packages/http/front.c
@@ -152,7 +152,6 @@
 		return;
 	exchange->max_body_bytes = max_bytes;
 	exchange->phase = PHASE_BODY;
-	exchange->body_since_us = cas_clock_now(exchange->front->clock);
 	exchange_wake(exchange);
 }
 
--- a/packages/http/front_mhd.c
+++ b/packages/http/front_mhd.c
@@ -363,15 +363,14 @@
 	}
 	if (exchange->gone)
 		return MHD_NO;
-	if (may_pass_head(exchange)) {
-		exchange->head_done = true;
-		return MHD_YES;
+	if (!may_pass_head(exchange)) {
+		if (exchange->has_reply)
+			return send_reply(exchange);
+		if (exchange->phase == PHASE_HEAD)
+			return suspend(exchange);
 	}
-	if (exchange->has_reply)
-		return send_reply(exchange);
-	if (exchange->phase == PHASE_HEAD)
-		return suspend(exchange);
 	exchange->head_done = true;
+	exchange->body_since_us = cas_clock_now(exchange->front->clock);
 	return MHD_YES;
 }
 
--- a/packages/http/front_watch.c
+++ b/packages/http/front_watch.c
@@ -100,7 +100,8 @@
 
 	if (exchange->phase == PHASE_NEW && now - exchange->started_us > limit)
 		conn_time_out(exchange->conn);
-	if (exchange->phase == PHASE_BODY &&
+	/* Also while the body of a rejected request is dropped. */
+	if (exchange->head_done && exchange->phase < PHASE_WAIT &&
 	    now - exchange->body_since_us > limit)
 		conn_time_out(exchange->conn);
 }
--- a/programs/cassiad/entry.c
+++ b/programs/cassiad/entry.c
@@ -201,14 +201,13 @@
 			      request->started_us,
 	};
 
-	if (!request->answered || !whole) {
-		event.outcome =
-			request->maybe_run || request->outcome == ATTEMPT_SERVED
-				? ATTEMPT_UNKNOWN
-				: ATTEMPT_NOT_RUN;
-		if (event.reason == REASON_NONE)
-			event.reason = REASON_CANCELLED;
-	}
+	if (!request->answered)
+		event.outcome = request->maybe_run ? ATTEMPT_UNKNOWN
+						   : ATTEMPT_NOT_RUN;
+	else if (!whole && request->outcome == ATTEMPT_SERVED)
+		event.outcome = ATTEMPT_UNKNOWN;
+	if (event.outcome != ATTEMPT_SERVED && event.reason == REASON_NONE)
+		event.reason = REASON_CANCELLED;
 	stats_count(request->daemon, &event);
 }
 
--- a/standins/upstream.c
+++ b/standins/upstream.c
@@ -348,7 +348,7 @@
 static void count_request(conn_t *conn)
 {
 	upstream_t *up = conn->upstream;
-	char *run_id = field(conn, up, "X-Run-Id");
+	char *run_id = field(conn, up->ev, "X-Run-Id");
 	char *key = field(conn, conn, "Authorization");
 
 	up->requests++;
--- /dev/null
+++ b/tests/path_site.sh
@@ -0,0 +1,105 @@
+# A site for the tests of the request path: entry e1, bookings b1 and b2.
+# shellcheck shell=sh
+
+NET=127.$((80 + $$ % 40)).$(($$ / 40 % 250))
+FAILURES=0
+. tools/site.sh
+trap site_stop EXIT
+trap 'exit 1' INT TERM
+
+# check WHAT EXPECTED ACTUAL
+check() {
+	if [ "$2" = "$3" ]; then
+		echo "ok: $1"
+	else
+		echo "WRONG: $1: expected $2, got $3"
+		FAILURES=$((FAILURES + 1))
+	fi
+}
+
+# raw NUMBER MS SECONDS: sends standard input to the front of a host.
+raw() {
+	"$BUILD/standins/rawcall" "$NET.$1" "$FRONT" "$2" "$3"
+}
+
+# stats NAME NUMBER: prints a figure of an upstream.
+stats() {
+	curl -s "http://$NET.$2:$UPSTREAM/_stats" |
+		sed -n "s/.*\"$1\":\([0-9]*\).*/\1/p"
+}
+
+# run_caller OPTIONS...: sets SENT SERVED NOT_RUN UNKNOWN CUT LOST.
+count_calls() {
+	for name in sent served not_run unknown cut lost; do
+		value=$(sed -n "s/.*\b$name=\([0-9]*\).*/\1/p" "$1")
+		eval "$(echo $name | tr a-z A-Z)=\$value"
+	done
+	cat "$1"
+}
+
+cat > "$SITE/table.rows" <<END
+[[data_centre]]
+name = "m1"
+region = "marmara"
+[[service]]
+name = "entry"
+[[service]]
+name = "booking"
+[[route]]
+name = "book"
+path = "/book"
+service = "booking"
+importance = 9
+max_body = 200000
+timeout_ms = 3000
+[[route]]
+name = "read"
+path = "/read"
+service = "booking"
+importance = 9
+idempotent = true
+timeout_ms = 3000
+[[route]]
+name = "open-book"
+path = "/open/book"
+service = "booking"
+importance = 9
+open = true
+timeout_ms = 3000
+[[route]]
+name = "open-read"
+path = "/open/read"
+service = "booking"
+importance = 9
+open = true
+idempotent = true
+timeout_ms = 3000
+[[customer]]
+name = "acme"
+rate = 20000
+burst = 20000
+END
+key_row acme >> "$SITE/table.rows"
+for row in e1:entry:11 b1:booking:12 b2:booking:13; do
+	name=${row%%:*}
+	number=${row##*:}
+	service=${row#*:}
+	service=${service%:*}
+	host_row "$name" "$service" m1 "$number" >> "$SITE/hosts.rows"
+	write_settings "$name" "$service" m1 "$number"
+done
+write_table 1
+write_hosts 1
+for row in e1:11 b1:12 b2:13; do
+	start_upstream "${row%:*}" "${row#*:}" --delay-us 20000
+	start_daemon "${row%:*}"
+done
+wait_ready 11 12 13 || exit 1
+call 11 acme /read
+tries=0
+while [ "$STATUS" != 200 ] && [ $tries -lt 60 ]; do
+	tries=$((tries + 1))
+	sleep 0.3
+	call 11 acme /read
+done
+check "the site serves" 200 "$STATUS"
