--- a/standins/caller.c
+++ b/standins/caller.c
@@ -1,220 +1,181 @@
 /*
- * Stand-in of callers with keep-alive connections. Each call has an X-Run-Id
- * of its own. At the end it prints what became of the calls: caller
- * --key KEY --target /path --conns N --gap-ms N --seconds N ADDRESS:PORT...
+ * Stand-in of a caller: sends requests at a fixed rate, whether or not earlier
+ * ones are answered, and retries at once what was not served. Every sending
+ * has an X-Run-Id of its own. Prints one line for each sending: run id, status
+ * (0: no answer), outcome (served, not-run, unknown, cut, unsent), milliseconds
+ * from the start to the sending, latency in milliseconds, try.
  */
-#include <arpa/inet.h>
-#include <errno.h>
+#include <curl/curl.h>
 #include <glib.h>
-#include <netinet/tcp.h>
-#include <poll.h>
-#include <stdbool.h>
 #include <stdio.h>
 #include <stdlib.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
-#define CONNS_MAX 256
-#define IN_BYTES 16384
-
-typedef struct conn {
-	int fd; /* -1: not connected */
-	int target;
-	bool busy;
-	gint64 next_us;
-	char in[IN_BYTES];
-	size_t in_len;
-} conn_t;
-
-typedef struct totals {
+#include <string.h>
+
+#define BODY_BYTES 4096
+#define POLL_MS 5
+
+typedef struct caller {
+	CURLM *multi;
+	gchar **targets; /* URLs, used in turn */
+	gchar **headers;
+	gchar *prefix; /* of the run ids */
+	gchar *method;
+	int rate; /* requests per second */
+	int duration_ms;
+	int retries;
+	int timeout_ms;
+	gint64 start_us;
+	int running;
 	long sent;
-	long served;
-	long not_run;
-	long unknown;
-	long cut; /* the connection ended within a response */
-	long lost; /* it ended before a response */
-} totals_t;
-
-static char *key = "";
-static char *target = "/";
-static char *method = "GET";
-static char *fields = "";
-static int conn_count = 8;
-static int gap_ms = 5;
-static int seconds = 5;
-static char **addresses;
-static conn_t conns[CONNS_MAX];
-static totals_t totals;
-static long next_id;
+} caller_t;
+
+typedef struct sending {
+	caller_t *caller;
+	long number;
+	int attempt;
+	gint64 sent_us;
+	char id[64];
+	char body[BODY_BYTES];
+	size_t body_len;
+	struct curl_slist *headers;
+} sending_t;
+
+static caller_t self = { .rate = 10, .duration_ms = 1000, .timeout_ms = 10000 };
 
 static const GOptionEntry options[] = {
-	{ "key", 0, 0, G_OPTION_ARG_STRING, &key, "", NULL },
-	{ "target", 0, 0, G_OPTION_ARG_STRING, &target, "", NULL },
-	{ "method", 0, 0, G_OPTION_ARG_STRING, &method, "", NULL },
-	{ "fields", 0, 0, G_OPTION_ARG_STRING, &fields, "", NULL },
-	{ "conns", 0, 0, G_OPTION_ARG_INT, &conn_count, "", NULL },
-	{ "gap-ms", 0, 0, G_OPTION_ARG_INT, &gap_ms, "", NULL },
-	{ "seconds", 0, 0, G_OPTION_ARG_INT, &seconds, "", NULL },
-	{ G_OPTION_REMAINING, 0, 0, G_OPTION_ARG_STRING_ARRAY, &addresses, "",
-	  NULL },
+	{ "target", 0, 0, G_OPTION_ARG_STRING_ARRAY, &self.targets, "", NULL },
+	{ "header", 0, 0, G_OPTION_ARG_STRING_ARRAY, &self.headers, "", NULL },
+	{ "prefix", 0, 0, G_OPTION_ARG_STRING, &self.prefix, "", NULL },
+	{ "method", 0, 0, G_OPTION_ARG_STRING, &self.method, "", NULL },
+	{ "rate", 0, 0, G_OPTION_ARG_INT, &self.rate, "", NULL },
+	{ "duration-ms", 0, 0, G_OPTION_ARG_INT, &self.duration_ms, "", NULL },
+	{ "retries", 0, 0, G_OPTION_ARG_INT, &self.retries, "", NULL },
+	{ "timeout-ms", 0, 0, G_OPTION_ARG_INT, &self.timeout_ms, "", NULL },
 	{ NULL, 0, 0, 0, NULL, NULL, NULL },
 };
 
-static bool try_connect(conn_t *conn)
-{
-	char **parts = g_strsplit(addresses[conn->target], ":", 2);
-	struct sockaddr_in to = {
-		.sin_family = AF_INET,
-		.sin_port = htons((uint16_t)atoi(parts[1])),
-		.sin_addr.s_addr = inet_addr(parts[0]),
-	};
-	const int on = 1;
-
-	g_strfreev(parts);
-	conn->fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-	if (connect(conn->fd, (struct sockaddr *)(void *)&to, sizeof(to)) ==
-	    0) {
-		setsockopt(conn->fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-		return true;
-	}
-	close(conn->fd);
-	conn->fd = -1;
-	return false;
-}
-
-/* A refused connection sends the caller to the next daemon. */
-static void reconnect(conn_t *conn)
+static size_t on_body(char *bytes, size_t size, size_t count, void *private)
 {
-	int count = (int)g_strv_length(addresses);
+	sending_t *sending = private;
+	size_t len = size * count;
+	size_t room = BODY_BYTES - 1 - sending->body_len;
 
-	for (int i = 0; i < count; i++) {
-		if (try_connect(conn))
-			return;
-		conn->target = (conn->target + 1) % count;
-	}
+	memcpy(sending->body + sending->body_len, bytes, MIN(len, room));
+	sending->body_len += MIN(len, room);
+	return len;
 }
 
-static void drop(conn_t *conn)
+static void send_one(caller_t *caller, long number, int attempt)
 {
-	if (conn->busy && conn->in_len)
-		totals.cut++;
-	else if (conn->busy)
-		totals.lost++;
-	conn->busy = false;
-	close(conn->fd);
-	conn->fd = -1;
+	sending_t *sending = g_new0(sending_t, 1);
+	CURL *easy = curl_easy_init();
+	long target = (number + attempt) % g_strv_length(caller->targets);
+	char line[128];
+
+	sending->caller = caller;
+	sending->number = number;
+	sending->attempt = attempt;
+	sending->sent_us = g_get_monotonic_time();
+	snprintf(sending->id, sizeof(sending->id), "%s-%ld-%d", caller->prefix,
+		 number, attempt);
+	snprintf(line, sizeof(line), "X-Run-Id: %s", sending->id);
+	sending->headers = curl_slist_append(NULL, line);
+	for (gchar **header = caller->headers; header && *header; header++)
+		sending->headers = curl_slist_append(sending->headers, *header);
+	curl_easy_setopt(easy, CURLOPT_URL, caller->targets[target]);
+	curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, caller->method);
+	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, sending->headers);
+	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, (long)caller->timeout_ms);
+	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_body);
+	curl_easy_setopt(easy, CURLOPT_WRITEDATA, sending);
+	curl_easy_setopt(easy, CURLOPT_PRIVATE, sending);
+	curl_multi_add_handle(caller->multi, easy);
+	caller->running++;
 }
 
-static void send_call(conn_t *conn)
+static const char *outcome_of(const sending_t *sending, long status,
+			      CURLcode error)
 {
-	char *text;
-	ssize_t len;
-
-	if (conn->fd < 0)
-		reconnect(conn);
-	if (conn->fd < 0)
-		return;
-	text = g_strdup_printf(
-		"%s %s HTTP/1.1\r\nHost: caller\r\n"
-		"Authorization: Bearer %s\r\nX-Run-Id: %d-%ld\r\n%s"
-		"Content-Length: 0\r\n\r\n",
-		method, target, key, (int)getpid(), next_id++, fields);
-	len = send(conn->fd, text, strlen(text), MSG_NOSIGNAL);
-	conn->in_len = 0;
-	conn->busy = true;
-	totals.sent++;
-	if (len != (ssize_t)strlen(text))
-		drop(conn);
-	g_free(text);
+	if (error == CURLE_COULDNT_CONNECT)
+		return "unsent";
+	if (error)
+		return status ? "cut" : "unknown";
+	if (strstr(sending->body, "\"outcome\":\"not-run\""))
+		return "not-run";
+	if (strstr(sending->body, "\"outcome\":\"unknown\""))
+		return "unknown";
+	return "served";
 }
 
-static void count_response(const conn_t *conn)
+static void finish(caller_t *caller, CURL *easy, CURLcode error)
 {
-	if (strncmp(conn->in, "HTTP/1.1 2", 10) == 0)
-		totals.served++;
-	else if (strstr(conn->in, "\"outcome\":\"not-run\""))
-		totals.not_run++;
-	else
-		totals.unknown++;
+	sending_t *sending = NULL;
+	const char *outcome;
+	long status = 0;
+
+	curl_easy_getinfo(easy, CURLINFO_PRIVATE, &sending);
+	curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+	outcome = outcome_of(sending, status, error);
+	printf("%s %ld %s %lld %lld %d\n", sending->id, status, outcome,
+	       (long long)(sending->sent_us - caller->start_us) / 1000,
+	       (long long)(g_get_monotonic_time() - sending->sent_us) / 1000,
+	       sending->attempt);
+	curl_multi_remove_handle(caller->multi, easy);
+	curl_easy_cleanup(easy);
+	curl_slist_free_all(sending->headers);
+	caller->running--;
+	if ((error || status != 200) && sending->attempt < caller->retries)
+		send_one(caller, sending->number, sending->attempt + 1);
+	g_free(sending);
 }
 
-static void read_conn(conn_t *conn)
+static void turn(caller_t *caller)
 {
-	ssize_t len = recv(conn->fd, conn->in + conn->in_len,
-			   IN_BYTES - 1 - conn->in_len, MSG_DONTWAIT);
-	char *end;
-	char *length;
-
-	if (len < 0 && errno == EAGAIN)
-		return;
-	if (len <= 0) {
-		drop(conn);
-		return;
+	CURLMsg *message;
+	int running;
+	int left;
+
+	curl_multi_perform(caller->multi, &running);
+	while ((message = curl_multi_info_read(caller->multi, &left))) {
+		if (message->msg == CURLMSG_DONE)
+			finish(caller, message->easy_handle,
+			       message->data.result);
 	}
-	conn->in_len += (size_t)len;
-	conn->in[conn->in_len] = '\0';
-	end = strstr(conn->in, "\r\n\r\n");
-	length = strstr(conn->in, "Content-Length: ");
-	if (!end || !length ||
-	    conn->in_len < (size_t)(end + 4 - conn->in) +
-				   strtoul(length + 16, NULL, 10))
-		return;
-	count_response(conn);
-	conn->busy = false;
-	conn->next_us = g_get_monotonic_time() + gap_ms * G_GINT64_CONSTANT(1000);
-	if (strstr(conn->in, "Connection: close"))
-		drop(conn);
+	curl_multi_poll(caller->multi, NULL, 0, POLL_MS, NULL);
 }
 
-static void run_once(bool sending)
+static void run(caller_t *caller)
 {
-	struct pollfd fds[CONNS_MAX];
-	gint64 now = g_get_monotonic_time();
-
-	for (int i = 0; i < conn_count; i++) {
-		if (sending && !conns[i].busy && conns[i].next_us <= now)
-			send_call(&conns[i]);
-		fds[i] = (struct pollfd){ .fd = conns[i].fd, .events = POLLIN };
-	}
-	poll(fds, (nfds_t)conn_count, 1);
-	for (int i = 0; i < conn_count; i++) {
-		if (fds[i].revents && conns[i].fd >= 0)
-			read_conn(&conns[i]);
-	}
-}
-
-static bool any_busy(void)
-{
-	for (int i = 0; i < conn_count; i++) {
-		if (conns[i].busy)
-			return true;
-	}
-	return false;
+	const gint64 end_us = (gint64)caller->duration_ms * 1000;
+	gint64 now_us;
+
+	caller->start_us = g_get_monotonic_time();
+	do {
+		now_us = g_get_monotonic_time() - caller->start_us;
+		while (now_us < end_us &&
+		       caller->sent * 1000000 <= now_us * caller->rate)
+			send_one(caller, caller->sent++, 0);
+		turn(caller);
+	} while (now_us < end_us || caller->running);
 }
 
 int main(int argc, char **argv)
 {
 	GOptionContext *context = g_option_context_new(NULL);
-	gint64 end;
 
 	g_option_context_add_main_entries(context, options, NULL);
 	if (!g_option_context_parse(context, &argc, &argv, NULL) ||
-	    !addresses || conn_count > CONNS_MAX)
+	    !self.targets)
 		return 2;
 	g_option_context_free(context);
-	fields = g_strcompress(fields);
-	end = g_get_monotonic_time() + seconds * G_USEC_PER_SEC;
-	for (int i = 0; i < conn_count; i++) {
-		conns[i].fd = -1;
-		conns[i].target = i % (int)g_strv_length(addresses);
-	}
-	while (g_get_monotonic_time() < end)
-		run_once(true);
-	end += 10 * G_USEC_PER_SEC;
-	while (any_busy() && g_get_monotonic_time() < end)
-		run_once(false);
-	printf("sent=%ld served=%ld not_run=%ld unknown=%ld cut=%ld lost=%ld\n",
-	       totals.sent, totals.served, totals.not_run, totals.unknown,
-	       totals.cut, totals.lost);
+	if (!self.prefix)
+		self.prefix = g_strdup("run");
+	if (!self.method)
+		self.method = g_strdup("GET");
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	self.multi = curl_multi_init();
+	run(&self);
+	curl_multi_cleanup(self.multi);
 	return 0;
 }
--- a/tests/test_path_stops.sh
+++ b/tests/test_path_stops.sh
@@ -7,7 +7,7 @@
 . tests/path_site.sh
 
 start_calls() {
-	"$BUILD/standins/caller" --key "$(key acme)" "$@" \
+	"$BUILD/standins/loadcall" --key "$(key acme)" "$@" \
 		"$NET.11:$FRONT" > "$SITE/calls" &
 	CALLER=$!
 	PIDS="$PIDS $CALLER"
@@ -105,7 +105,7 @@
 echo "requests that ran: $RAN"
 
 # The entry daemon stops under load; callers go on at another one.
-"$BUILD/standins/caller" --key "$(key acme)" --target /open/read --conns 16 \
+"$BUILD/standins/loadcall" --key "$(key acme)" --target /open/read --conns 16 \
 	--seconds 6 "$NET.11:$FRONT" "$NET.12:$FRONT" > "$SITE/calls" &
 CALLER=$!
 PIDS="$PIDS $CALLER"
