Test attempt and http packages; finish the tests of stops

Cause: the killed daemon got no calls in the test, because sequential calls all go to the upstream whose limit is known. Change: load until the upstream is used again; unit tests of both packages.

--- /dev/null
+++ b/packages/attempt/tests/test_attempt.c
@@ -0,0 +1,187 @@
+/* Tests of signed contexts, the table of seen attempts and live contexts. */
+#include "cassia/test.h"
+
+#include <sodium.h>
+
+#include "cassia/attempt.h"
+
+#define SECOND CAS_USEC_PER_SEC
+
+typedef struct fixture {
+	cas_clock_t *clock;
+	attempt_secrets_t secrets;
+	attempt_table_t *table;
+} fixture_t;
+
+static int setup(void **state)
+{
+	fixture_t *fixture = talloc_zero(NULL, fixture_t);
+
+	if (sodium_init() < 0)
+		return -1;
+	fixture->clock = cas_clock_create_manual(fixture, 5 * SECOND);
+	fixture->table = attempt_table_create(fixture, fixture->clock, 3);
+	attempt_secrets_add(&fixture->secrets,
+			    (const uint8_t *)"0123456789abcdef", 16);
+	*state = fixture;
+	return 0;
+}
+
+static int teardown(void **state)
+{
+	talloc_free(*state);
+	return 0;
+}
+
+static cas_str_t signed_context(fixture_t *fixture, attempt_early *early)
+{
+	attempt_context context = { .receiver = 7,
+				    .incarnation = 9,
+				    .deadline = -3,
+				    .early.early_len = 1,
+				    .early.early_val = early };
+
+	*early = (attempt_early){ .customer = 4, .count = 6 };
+	return attempt_sign_context(fixture, &fixture->secrets, &context);
+}
+
+/* Guards against fields that are lost on the way. */
+static void test_context_round_trip(void **state)
+{
+	fixture_t *fixture = *state;
+	attempt_early early;
+	attempt_received_t received;
+	cas_str_t text = signed_context(fixture, &early);
+
+	assert_int_equal(
+		attempt_read_context(&fixture->secrets, text, &received), 0);
+	assert_int_equal(received.context.receiver, 7);
+	assert_int_equal(received.context.deadline, -3);
+	assert_int_equal(received.context.early.early_len, 1);
+	assert_int_equal(received.early[0].count, 6);
+}
+
+/* Guards against forged, altered and confused structures. */
+static void test_altered_text_is_refused(void **state)
+{
+	fixture_t *fixture = *state;
+	attempt_early early;
+	attempt_received_t received;
+	attempt_outcome outcome;
+	cas_str_t text = signed_context(fixture, &early);
+	char *copy = talloc_strndup(fixture, text.ptr, text.len);
+
+	assert_int_equal(
+		attempt_read_outcome(&fixture->secrets, text, &outcome),
+		ATTEMPT_ESIGNATURE);
+	for (size_t i = 0; i < text.len; i++) {
+		copy[i] = copy[i] == 'A' ? 'B' : 'A';
+		assert_int_not_equal(
+			attempt_read_context(&fixture->secrets,
+					     (cas_str_t){ copy, text.len },
+					     &received),
+			0);
+		copy[i] = text.ptr[i];
+		assert_int_not_equal(
+			attempt_read_context(&fixture->secrets,
+					     (cas_str_t){ copy, i }, &received),
+			0);
+	}
+}
+
+/* Guards against an outage while secrets are replaced. */
+static void test_second_secret_is_accepted(void **state)
+{
+	fixture_t *fixture = *state;
+	attempt_early early;
+	attempt_received_t received;
+	attempt_secrets_t both = { 0 };
+	cas_str_t text = signed_context(fixture, &early);
+
+	attempt_secrets_add(&both, (const uint8_t *)"fedcba9876543210", 16);
+	assert_int_equal(attempt_read_context(&both, text, &received),
+			 ATTEMPT_ESIGNATURE);
+	attempt_secrets_add(&both, (const uint8_t *)"0123456789abcdef", 16);
+	assert_int_equal(attempt_read_context(&both, text, &received), 0);
+}
+
+/* Guards against an attempt that runs twice before its deadline, and against
+ * one that runs behind it because its identifier was forgotten. */
+static void test_attempt_runs_once(void **state)
+{
+	fixture_t *fixture = *state;
+	char id[ATTEMPT_ID_BYTES];
+	int64_t deadline = 8 * SECOND;
+
+	attempt_draw_id(id);
+	assert_int_equal(attempt_table_begin(fixture->table, id, deadline), 0);
+	for (int i = 0; i < 40; i++) {
+		bool early = cas_clock_now(fixture->clock) < deadline;
+		int error = attempt_table_begin(fixture->table, id, deadline);
+
+		/* Behind the deadline it may be forgotten already. */
+		assert_true(error == ATTEMPT_EDUPLICATE ||
+			    (!early && error == ATTEMPT_EEXPIRED));
+		cas_clock_advance(fixture->clock, SECOND / 10);
+	}
+	cas_clock_advance(fixture->clock, 200 * SECOND);
+	attempt_draw_id(id);
+	assert_int_equal(
+		attempt_table_begin(fixture->table, id,
+				    cas_clock_now(fixture->clock) + SECOND),
+		0);
+	assert_int_equal(attempt_table_count(fixture->table), 1);
+}
+
+/* Guards against unbounded memory. */
+static void test_table_is_bounded(void **state)
+{
+	fixture_t *fixture = *state;
+	char id[ATTEMPT_ID_BYTES];
+
+	for (int i = 0; i < 4; i++) {
+		attempt_draw_id(id);
+		assert_int_equal(
+			attempt_table_begin(fixture->table, id, 9 * SECOND),
+			i < 3 ? 0 : ATTEMPT_EFULL);
+	}
+	assert_int_equal(attempt_table_begin(fixture->table, id, 400 * SECOND),
+			 ATTEMPT_EEXPIRED);
+}
+
+/* Guards against a handle that works after its request has ended. */
+static void test_handle_ends_with_request(void **state)
+{
+	fixture_t *fixture = *state;
+	attempt_live_t *live = attempt_live_create(fixture);
+	attempt_context context = { .budget = 3 };
+	attempt_live_entry_t *entry = attempt_live_add(live, &context);
+	char text[ATTEMPT_ID_TEXT_BYTES];
+
+	attempt_print_id(entry->handle, text);
+	assert_ptr_equal(attempt_live_find(live, cas_str_from(text)), entry);
+	assert_int_equal(entry->budget.left, 3);
+	talloc_free(entry);
+	assert_null(attempt_live_find(live, cas_str_from(text)));
+	assert_null(attempt_live_find(live, CAS_STR("zz")));
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup_teardown(test_context_round_trip, setup,
+						teardown),
+		cmocka_unit_test_setup_teardown(test_altered_text_is_refused,
+						setup, teardown),
+		cmocka_unit_test_setup_teardown(test_second_secret_is_accepted,
+						setup, teardown),
+		cmocka_unit_test_setup_teardown(test_attempt_runs_once, setup,
+						teardown),
+		cmocka_unit_test_setup_teardown(test_table_is_bounded, setup,
+						teardown),
+		cmocka_unit_test_setup_teardown(test_handle_ends_with_request,
+						setup, teardown),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/programs/cassiad/entry.c
+++ b/programs/cassiad/entry.c
@@ -202,8 +202,8 @@
 	};
 
 	if (!request->answered)
-		event.outcome = request->maybe_run ? ATTEMPT_UNKNOWN
-						   : ATTEMPT_NOT_RUN;
+		event.outcome =
+			request->maybe_run ? ATTEMPT_UNKNOWN : ATTEMPT_NOT_RUN;
 	else if (!whole && request->outcome == ATTEMPT_SERVED)
 		event.outcome = ATTEMPT_UNKNOWN;
 	if (event.outcome != ATTEMPT_SERVED && event.reason == REASON_NONE)
--- a/standins/loadcall.c
+++ b/standins/loadcall.c
@@ -161,7 +161,8 @@
 		return;
 	count_response(conn);
 	conn->busy = false;
-	conn->next_us = g_get_monotonic_time() + gap_ms * G_GINT64_CONSTANT(1000);
+	conn->next_us =
+		g_get_monotonic_time() + gap_ms * G_GINT64_CONSTANT(1000);
 	if (strstr(conn->in, "Connection: close"))
 		drop(conn);
 }
--- a/tests/test_path_stops.sh
+++ b/tests/test_path_stops.sh
@@ -28,18 +28,18 @@
 	echo $total
 }
 
-# wait_used NUMBER: calls until an upstream is chosen again, at most 40 s: one
-# that was gone is ejected first and then gets its traffic gradually.
+# wait_used NUMBER: sends load until an upstream gets a part of it again, at
+# most 30 s: one that was gone is ejected first and then comes back gradually.
 wait_used() {
-	before=$(stats requests "$1")
 	tries=0
-	while [ "$(stats requests "$1")" -lt $((before + 5)) ] &&
-		[ $tries -lt 400 ]; do
+	before=$(stats requests "$1")
+	while [ "$(stats requests "$1")" -lt $((before + 50)) ] &&
+		[ $tries -lt 30 ]; do
 		tries=$((tries + 1))
-		call 11 acme /open/read
-		sleep 0.1
+		"$BUILD/standins/loadcall" --target /open/read --conns 8 \
+			--seconds 1 "$NET.11:$FRONT" > /dev/null
 	done
-	check "upstream $1 is used" 1 "$([ $tries -lt 400 ] && echo 1)"
+	check "upstream $1 is used" 1 "$([ $tries -lt 30 ] && echo 1)"
 }
 
 # The upstream's daemon stops under load.
