membership: pause a leader after it has called the other one

Cause: since the other leader is called 100 ms after the groups, the late waking test no longer let that reply wait, and counting relayed lifetimes from the arrival of a reply passed the tests. Change: one more time of pausing for the first leader.

--- a/packages/membership/tests/test_fence.c
+++ b/packages/membership/tests/test_fence.c
@@ -40,9 +40,10 @@
 	net_destroy(net);
 }
 
-/* Pauses a host that has just sent beats, cuts it off after a while, and lets
- * it handle the waiting calls and replies wake_us after that. */
-static void wake_late(size_t hosts, size_t index, int64_t wake_us)
+/* Pauses a host after_us after it has sent beats, cuts it off after a while,
+ * and lets it handle the waiting calls and replies wake_us after that. */
+static void wake_late(size_t hosts, size_t index, int64_t after_us,
+		      int64_t wake_us)
 {
 	network_t *net = net_create(hosts, 1, 3);
 	node_t *late = &net->nodes[index];
@@ -55,6 +56,7 @@
 	sent = late->sent_messages;
 	while (late->sent_messages == sent)
 		net_step(net);
+	net_run(net, after_us);
 	late->paused = true;
 	net_run(net, 900 * CAS_USEC_PER_MSEC);
 	assert_non_null(late->waiting);
@@ -77,11 +79,13 @@
 	(void)state;
 	for (size_t hosts = 4; hosts <= 40; hosts += 36) {
 		for (size_t i = 0; i < 3; i++) {
-			size_t index = i < 2 ? i : hosts - 1;
+			const int64_t wakes[3] = { 6 * SEC, 4 * SEC, SEC / 2 };
 
-			wake_late(hosts, index, 6 * SEC);
-			wake_late(hosts, index, 4 * SEC);
-			wake_late(hosts, index, SEC / 2);
+			wake_late(hosts, 0, 0, wakes[i]);
+			wake_late(hosts, 1, 0, wakes[i]);
+			wake_late(hosts, hosts - 1, 0, wakes[i]);
+			/* The first leader has just called the second one. */
+			wake_late(hosts, 0, SEC / 10, wakes[i]);
 		}
 	}
 }
