Change the roster more often in the soak run

Cause: few runs had a holder replaced while its host was stale or isolated. Change: roster changes are drawn apart from the other faults.

--- a/soak/faults.c
+++ b/soak/faults.c
@@ -11,6 +11,7 @@
 #define TABLE_SPREAD (5 * CAS_USEC_PER_SEC)
 #define PHASE_TIME (20 * CAS_USEC_PER_SEC)
 #define LOAD_CHANCE 0.02 /* each step, for one customer */
+#define ROSTER_CHANCE 0.005 /* each step; LISTING_GAP limits it further */
 
 struct faults {
 	fleet_t *fleet;
@@ -161,6 +162,7 @@
 	if (now - faults->listing_changed_us[host->dc] < LISTING_GAP)
 		return;
 	faults->listing_changed_us[host->dc] = now;
+	faults->count++;
 	fake_platform_list(fleet, host->index, listing);
 	fake_platform_change_roster(fleet, ROSTER_SPREAD);
 }
@@ -241,13 +243,15 @@
 void faults_step(faults_t *faults)
 {
 	static void (*const kinds[])(faults_t *) = {
-		pause_host,  kill_host,	    cut_dcs,	  isolate_host,
-		bad_network, change_roster, change_table,
+		pause_host,   kill_host,   cut_dcs,
+		isolate_host, bad_network, change_table,
 	};
 	size_t count = sizeof(kinds) / sizeof(kinds[0]);
 
 	if (sim_chance(faults->fleet->sim, LOAD_CHANCE))
 		change_load(faults);
+	if (sim_chance(faults->fleet->sim, ROSTER_CHANCE))
+		change_roster(faults);
 	change_phase(faults);
 	if (!sim_chance(faults->fleet->sim, faults->chance))
 		return;
