--- a/packages/quota/tests/test_quota.c
+++ b/packages/quota/tests/test_quota.c
@@ -4,7 +4,7 @@
 #include "quota_internal.h"
 
 #define SETTLE_TIME (3 * CAS_USEC_PER_SEC)
-#define CUSTOMER 77
+#define CUSTOMER 81
 #define OTHER_HOST 2
 
 typedef struct fixture {
@@ -283,6 +283,40 @@
 	talloc_free(f);
 }
 
+/* Guards against a main holder that lets requests wait for tokens of later
+ * ones, and against one that uses a delegated share after its term. */
+static void test_main_holder(void **state)
+{
+	fixture_t *f = setup(5, 5, true);
+	quota_reply reply = { .customer = CUSTOMER,
+			      .granted = 2500000,
+			      .filled = 2500000,
+			      .rate = 2500000,
+			      .life = QUOTA_GRANT_LIFE };
+
+	(void)state;
+	assert_true(cas_rendezvous_weight(10, CUSTOMER) >
+		    cas_rendezvous_weight(11, CUSTOMER));
+	run(f, 2 * SETTLE_TIME);
+	f->asks = 0;
+	assert_int_equal(ask_for(f, 1, 1).granted, QUOTA_TOKEN);
+	run(f, 10000);
+	assert_int_equal(f->asks, 1);
+	assert_int_not_equal(f->ask.ahead, 0);
+	reply.slots = f->ask.slots;
+	reply.sequence = f->ask.sequence;
+	quota_on_reply(f->quota, OTHER_HOST, 9, &reply);
+	assert_int_equal(ask_for(f, 2, 4).granted, 4 * QUOTA_TOKEN);
+	reply = ask_for(f, 3, 1);
+	assert_int_equal(reply.refused, 1);
+	assert_in_range(reply.refuse, 180000, 200000);
+	run(f, QUOTA_GRANT_LIFE);
+	assert_in_range(
+		quota_tokens(f->quota, CUSTOMER, cas_clock_now(f->clock)), 0,
+		2500000);
+	talloc_free(f);
+}
+
 static void reply_to(fixture_t *f, uint32_t sequence, int64_t granted)
 {
 	quota_reply reply = { .customer = CUSTOMER,
@@ -389,6 +423,7 @@
 		cmocka_unit_test(test_pause_and_frozen),
 		cmocka_unit_test(test_table_change),
 		cmocka_unit_test(test_one_delegate),
+		cmocka_unit_test(test_main_holder),
 		cmocka_unit_test(test_receiver_counts_from_ask),
 		cmocka_unit_test(test_pending_ends),
 		cmocka_unit_test(test_flood_and_shares),
