Raise fractions quickly when most of the limit is unused

Cause: after a surge fractions followed the smoothed demand although the upstream was idle. Change: doubling in each update while the limit is mostly unused; demand inferred from the last 4 published fractions only.

--- a/packages/admission/admission_internal.h
+++ b/packages/admission/admission_internal.h
@@ -7,8 +7,8 @@
 #include "cassia/admission.h"
 #include "limit_internal.h"
 
-/* The lowest of this many published fractions is certainly in force at all
- * entry daemons; the highest may have admitted work that is still running. */
+/* The highest of this many published fractions may have admitted work that is
+ * still running. */
 #define CLASS_PUBLISHED 10
 
 typedef struct ticket_link {
--- a/packages/admission/demand.c
+++ b/packages/admission/demand.c
@@ -18,7 +18,10 @@
 #define ELSEWHERE_ROOM 1.25
 #define REACH_DECAY 0.85
 #define HELD_WEIGHT 0.05
-#define SURE_MIN 0.02
+/* Published fractions of which the lowest is in force everywhere. */
+#define CLASS_SURE 4
+/* Fewer draws say too little. */
+#define SURE_MIN 0.05
 #define CLASS_IDLE_US (60 * CAS_USEC_PER_SEC)
 
 static guint class_hash(gconstpointer p)
@@ -91,9 +94,13 @@
 {
 	double lowest = class->fraction;
 
-	for (int i = 0; i < CLASS_PUBLISHED; i++)
-		if (class->published[i] < lowest)
-			lowest = class->published[i];
+	for (int i = 1; i <= CLASS_SURE; i++) {
+		int at = (class->published_next + CLASS_PUBLISHED - i) %
+			 CLASS_PUBLISHED;
+
+		if (class->published[at] < lowest)
+			lowest = class->published[at];
+	}
 	return lowest > SURE_MIN ? lowest : SURE_MIN;
 }
 
--- a/packages/admission/divide.c
+++ b/packages/admission/divide.c
@@ -17,16 +17,22 @@
 /* Most by which an unused part of the limit raises the capacity. */
 #define UNUSED_MAX 1.1
 /* While part of the limit is unused, fractions rise by this in each update
- * whatever the demand seems to be. */
+ * whatever the demand seems to be: a little, and only of the highest
+ * importance that is shed; or quickly and all when most of it is unused, as
+ * after the end of a surge. */
 #define IDLE_RISE 1.1
 #define IDLE_STEP 0.01
 #define IDLE_UNUSED 1.03
+#define MOSTLY_UNUSED 1.5
+#define MOSTLY_RISE 2.0
+#define MOSTLY_STEP 0.05
 
 /* Capacity that is left, as requests in flight. */
 typedef struct capacity {
 	double nominal; /* for classes inside their fair share */
 	double corrected; /* by the queue, for those beyond it */
 	bool idle; /* part of the limit is unused */
+	bool mostly_idle;
 } capacity_t;
 
 static int compare_classes(const void *a, const void *b)
@@ -82,6 +88,14 @@
 	return wanted / (held + 1);
 }
 
+static double raised_fraction(const request_class_t *class,
+			      const capacity_t *left)
+{
+	if (left->mostly_idle)
+		return class->fraction * MOSTLY_RISE + MOSTLY_STEP;
+	return class->fraction * IDLE_RISE + IDLE_STEP;
+}
+
 /*
  * Divides between classes beyond their fair share. What the correction takes
  * away from the fair shares is taken in proportion to the excess demand, so
@@ -100,14 +114,14 @@
 	for (size_t i = 0; i < count; i++) {
 		request_class_t *class = classes[i];
 		double fair = left->nominal * class->weight / weights;
-		double raised = class->fraction * IDLE_RISE + IDLE_STEP;
+		double raised = raised_fraction(class, left);
 		bool rises = left->idle && (i + 1 < count || count == 1);
 
 		class->granted = fair - taken * (class->demand - fair) / excess;
 		if (class->granted < 0)
 			class->granted = 0;
 		class->fraction = class->granted / class->demand;
-		if (rises && raised > class->fraction)
+		if ((rises || left->mostly_idle) && raised > class->fraction)
 			class->fraction = raised;
 		if (class->fraction > 1)
 			class->fraction = 1;
@@ -151,7 +165,9 @@
 	double ratio = unused(admission, elapsed_us);
 	double capacity = limit->limit * clamp(ratio, 1, UNUSED_MAX);
 	double used = 0;
-	capacity_t left = { .idle = ratio > IDLE_UNUSED && !admission->queued };
+	bool idle = ratio > IDLE_UNUSED && !admission->queued;
+	capacity_t left = { .idle = idle,
+			    .mostly_idle = idle && ratio > MOSTLY_UNUSED };
 
 	/* A limit that is still growing counts for what it becomes soon. */
 	if (limit->phase == LIMIT_STARTUP)
