--- a/packages/admission/limit.c
+++ b/packages/admission/limit.c
@@ -16,9 +16,9 @@
 #define LIMIT_MIN 2.0
 #define LIMIT_MAX 100000.0
 /* Room above rate times latency, so that noise does not idle the upstream. */
-#define LIMIT_GAIN 1.05
+#define LIMIT_GAIN 1.02
 #define LIMIT_GROWTH 1.08
-#define GROWTH_STEP 0.08
+#define GROWTH_STEP 0.06
 #define GROWTH_STEP_MAX 0.5
 /* Parts of a period at the limit that let it grow, and that make a probe
  * worth its cost. */
@@ -26,7 +26,7 @@
 #define BOUND_MOSTLY 0.5
 #define CRUISE_FALL 0.98
 /* Requests at the knee for those in flight that show no queueing. */
-#define NO_QUEUE 0.9
+#define NO_QUEUE 0.93
 #define LIMIT_FALL 0.5
 #define LIMIT_SHED_FALL 0.8
 #define LIMIT_CEILING_GROWTH 1.02
@@ -47,6 +47,8 @@
 /* Part of the estimated knee to which a probe lowers the limit. */
 #define PROBE_STEP 0.9
 #define PROBE_DEEPEST 0.35
+#define PROBE_NOISE 0.15
+#define PROBE_DAMPING 0.5
 #define PROBE_REQUESTS_MIN 24.0
 #define PROBE_REQUESTS_MAX 64.0
 #define PROBE_MAX_US (2 * CAS_USEC_PER_SEC)
@@ -255,8 +257,17 @@
 	limit->early_probe_us = now_us + pause_us / PROBE_EARLY_DIVISOR;
 }
 
-static void end_probe(limit_t *limit, int64_t now_us, double inflation)
+/* Small differences between probes are mostly noise. */
+static double damped(double inflation)
 {
+	if (inflation < 1 - PROBE_NOISE || inflation > 1 + PROBE_NOISE)
+		return inflation;
+	return 1 + (inflation - 1) * PROBE_DAMPING;
+}
+
+static void end_probe(limit_t *limit, int64_t now_us, double measured)
+{
+	double inflation = damped(measured);
 	const latency_period_t *before = &limit->probe_before;
 	double ratio = before->inflation / inflation;
 	double target = knee(limit->probe_inflight, ratio, before->own_share) *
