--- a/packages/admission/limit.c
+++ b/packages/admission/limit.c
@@ -54,7 +54,7 @@
 #define PROBE_MAX_US (2 * CAS_USEC_PER_SEC)
 #define BASE_WEIGHT 0.1
 #define BASE_FALLEN 0.8
-#define BASE_WEIGHT_FALLEN 0.5
+#define BASE_WEIGHT_CLEAR 0.5
 #define TYPICAL_WEIGHT 0.05
 
 static double min_of(double a, double b)
@@ -257,23 +257,25 @@
 	limit->early_probe_us = now_us + pause_us / PROBE_EARLY_DIVISOR;
 }
 
-/* Small differences between probes are mostly noise. */
-static double damped(double inflation)
+/* Small differences from an earlier probe are mostly noise. */
+static double damped(const limit_t *limit, double inflation)
 {
-	if (inflation < 1 - PROBE_NOISE || inflation > 1 + PROBE_NOISE)
+	if (!limit->probed || inflation < 1 - PROBE_NOISE ||
+	    inflation > 1 + PROBE_NOISE)
 		return inflation;
 	return 1 + (inflation - 1) * PROBE_DAMPING;
 }
 
 static void end_probe(limit_t *limit, int64_t now_us, double measured)
 {
-	double inflation = damped(measured);
+	double inflation = damped(limit, measured);
 	const latency_period_t *before = &limit->probe_before;
 	double ratio = before->inflation / inflation;
 	double target = knee(limit->probe_inflight, ratio, before->own_share) *
 			LIMIT_GAIN;
 
 	leave_probe(limit, now_us);
+	limit->probed = true;
 	latency_scale(&limit->latency, inflation);
 	set_limit(limit, min_of(max_of(target, limit->limit * LIMIT_FALL),
 				limit->limit * LIMIT_GROWTH));
@@ -321,16 +323,20 @@
 		adjust(limit, inflight, at_knee);
 }
 
-/* Lower latencies are taken over at any load, slowly while they may be noise;
- * higher ones only by a probe, which knows that they are not due to
- * queueing. */
-static void follow_base(limit_t *limit, const latency_period_t *period)
+/*
+ * Lower latencies are taken over at any load, slowly while they may be noise.
+ * Higher ones are taken over only where they are not due to queueing: by a
+ * probe, or before the first probe while the limit is not reached.
+ */
+static void follow_base(limit_t *limit, double bound,
+			const latency_period_t *period)
 {
-	double weight = period->inflation < BASE_FALLEN ? BASE_WEIGHT_FALLEN
-							: BASE_WEIGHT;
+	bool unloaded = limit->phase == LIMIT_STARTUP && bound < BOUND_SOME;
+	bool clear = unloaded || period->inflation < BASE_FALLEN;
+	double weight = clear ? BASE_WEIGHT_CLEAR : BASE_WEIGHT;
 
 	weight *= min_of(1, (double)period->count / PERIOD_COMPLETIONS);
-	if (period->inflation < 1)
+	if (unloaded || period->inflation < 1)
 		latency_scale(&limit->latency,
 			      1 + weight * (period->inflation - 1));
 }
@@ -352,7 +358,7 @@
 		end_probe(limit, now_us, period.inflation);
 		return;
 	}
-	follow_base(limit, &period);
+	follow_base(limit, bound, &period);
 	if (limit->phase == LIMIT_CRUISE)
 		cruise_period(limit, now_us, inflight, bound, &period);
 }
--- a/packages/admission/limit_internal.h
+++ b/packages/admission/limit_internal.h
@@ -29,6 +29,7 @@
 	double probe_inflight; /* before the probe */
 	latency_period_t probe_before;
 	/* A probe takes the latency of the requests that it marks. */
+	bool probed; /* a probe has measured the base */
 	bool probe_settled;
 	uint32_t probe_number;
 	int marked;
