Pause daemons during their boot in the soak run

Cause: random pauses rarely hit the short time before a daemon serves. Violations of windows and tokens are printed when they occur.

--- a/soak/soak.c
+++ b/soak/soak.c
@@ -10,6 +10,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "boot_faults.h"
 #include "check_config.h"
 #include "check_holders.h"
 #include "check_tokens.h"
@@ -86,7 +87,9 @@
 
 typedef struct checks {
 	check_windows_t *windows;
+	uint64_t windows_seen; /* violations reported so far */
 	check_tokens_t *tokens;
+	uint64_t tokens_seen;
 	check_holders_t *holders;
 	documents_t *documents;
 	check_config_t *config;
@@ -135,14 +138,15 @@
 
 	printf("soak part=config tables=%" PRId64 " platform_faults=%" PRIu64
 	       " offers=%" PRIu64 " accepted=%" PRIu64 " stale=%" PRIu64
-	       " refused=%" PRIu64 " boots=%" PRIu64 " asks=%" PRIu64
+	       " refused=%" PRIu64 " boots=%" PRIu64
+	       " boot_pauses=%" PRIu64 " asks=%" PRIu64
 	       " fetches=%" PRIu64 " boot_checks=%" PRIu64
 	       " boot_peer_checks=%" PRIu64 " table_checks=%" PRIu64
 	       " key_checks=%" PRIu64 " digest=%016" PRIx64 "\n",
 	       documents_newest(checks->documents, CONFIG_TABLE),
 	       documents_faults(checks->documents), totals->offers,
 	       totals->accepted, totals->stale, totals->refused, totals->boots,
-	       totals->asks, totals->fetches, checked->boots,
+	       boot_faults_count(), totals->asks, totals->fetches, checked->boots,
 	       checked->boot_peers, checked->tables, checked->keys,
 	       totals->digest);
 }
@@ -163,15 +167,19 @@
 }
 
 /* Windows and tokens count their violations themselves. */
-static bool has_violations(fleet_t *fleet, const checks_t *checks)
+static void report_quota(fleet_t *fleet, checks_t *checks)
 {
-	if (check_windows_violations(checks->windows) > 0)
+	uint64_t windows = check_windows_violations(checks->windows);
+	uint64_t tokens = check_tokens_violations(checks->tokens);
+
+	if (windows > checks->windows_seen)
 		violations_add(fleet, NULL, "check=windows excess=%.6f",
 			       check_windows_excess(checks->windows));
-	if (check_tokens_violations(checks->tokens) > 0)
+	if (tokens > checks->tokens_seen)
 		violations_add(fleet, NULL, "check=tokens excess=%.6f",
 			       check_tokens_excess(checks->tokens));
-	return violations_count() > 0;
+	checks->windows_seen = windows;
+	checks->tokens_seen = tokens;
 }
 
 static fleet_t *start_fleet(TALLOC_CTX *ctx, sim_t *sim, checks_t *checks)
@@ -195,6 +203,7 @@
 	part_config_add(fleet, checks->documents);
 	checks->config = check_config_create(ctx, fleet, checks->documents);
 	part_attempt_add(fleet);
+	boot_faults_add(fleet);
 	checks->holders = check_holders_create(ctx, fleet);
 	for (size_t i = 0; i < fleet->host_count; i++)
 		fake_platform_start(&fleet->hosts[i]);
@@ -221,6 +230,7 @@
 		documents_step(checks.documents);
 		check_config_step(checks.config);
 		check_tokens_step(checks.tokens);
+		report_quota(fleet, &checks);
 		if (i % HOLDERS_STEPS == 0)
 			check_holders_step(checks.holders);
 	}
@@ -228,7 +238,7 @@
 	print_membership(fleet, &checks);
 	print_config(fleet, &checks);
 	print_attempts(fleet);
-	status = has_violations(fleet, &checks);
+	status = violations_count() > 0;
 	for (size_t i = 0; i < fleet->host_count; i++)
 		fleet_stop_host(&fleet->hosts[i]);
 	talloc_free(ctx);
