Leave pauses of the process out of the boot wait

Cause: a daemon that is paused for 2 s while it asks its peers found its wait over when it resumed, and served by the table of a stale platform although the answers had arrived. Change: config_boot_tick prolongs the wait by a gap of more than 400 ms since the tick before.

--- a/packages/config/boot.c
+++ b/packages/config/boot.c
@@ -1,6 +1,10 @@
 /* Revisions of peers at the start of a daemon. */
 #include "cassia/config_boot.h"
 
+/* A longer time without a tick is a pause of the process, during which no
+ * answer was read. It does not count towards CONFIG_BOOT_WAIT_US. */
+#define PAUSE_US (2 * CONFIG_BOOT_RESEND_US)
+
 typedef struct boot_peer {
 	cas_id_t id;
 	bool answered;
@@ -25,6 +29,7 @@
 	bool ready;
 	int64_t deadline_us;
 	int64_t next_ask_us;
+	int64_t ticked_us; /* time of the latest tick */
 };
 
 config_boot_t *config_boot_create(TALLOC_CTX *ctx, const cas_clock_t *clock,
@@ -87,8 +92,10 @@
 			boot->peers[i] = *known;
 	}
 	boot->next_ask_us = cas_clock_now(boot->clock);
-	if (!boot->started)
+	if (!boot->started) {
 		boot->deadline_us = boot->next_ask_us + CONFIG_BOOT_WAIT_US;
+		boot->ticked_us = boot->next_ask_us;
+	}
 	boot->started = true;
 }
 
@@ -186,11 +193,23 @@
 		boot->ops->ask(boot->private, ids[i]);
 }
 
+static void leave_out_pause(config_boot_t *boot, int64_t now)
+{
+	int64_t gap = now - boot->ticked_us;
+
+	if (gap > PAUSE_US)
+		boot->deadline_us += gap;
+	boot->ticked_us = now;
+}
+
 void config_boot_tick(config_boot_t *boot)
 {
 	int64_t now = cas_clock_now(boot->clock);
 
-	if (!boot->started || config_boot_ready(boot))
+	if (!boot->started || boot->ready)
+		return;
+	leave_out_pause(boot, now);
+	if (config_boot_ready(boot))
 		return;
 	if (now >= boot->next_ask_us) {
 		boot->next_ask_us = now + CONFIG_BOOT_RESEND_US;
--- a/packages/config/include/cassia/config_boot.h
+++ b/packages/config/include/cassia/config_boot.h
@@ -42,7 +42,9 @@
 void config_boot_answer(config_boot_t *boot, cas_id_t peer,
 			int64_t table_revision, int64_t hosts_revision);
 
-/* Sends what is due. Call it at next_due and after each answer. */
+/* Sends what is due. Call it at next_due, after each answer, and before
+ * config_boot_ready: more than 400 ms between two ticks count as a pause of
+ * the process and prolong the 2 s. */
 void config_boot_tick(config_boot_t *boot);
 
 /* Returns when the next tick is due, in microseconds of the clock, or
--- a/packages/config/tests/test_store.c
+++ b/packages/config/tests/test_store.c
@@ -219,6 +219,23 @@
 	assert_true(config_boot_ready(f->boot));
 }
 
+/* Guards against a daemon that is paused while it asks and then serves by a
+ * stale table before it reads the answers that have come. */
+static void test_start_leaves_out_a_pause(void **state)
+{
+	fixture_t *f = *state;
+	cas_id_t peer = start_boot(f);
+
+	offer_table(f, 4);
+	cas_clock_advance(f->clock, 3 * CONFIG_BOOT_WAIT_US);
+	config_boot_tick(f->boot);
+	assert_false(config_boot_ready(f->boot));
+	config_boot_answer(f->boot, peer, 6, 3);
+	assert_false(config_boot_ready(f->boot));
+	offer_table(f, 6);
+	assert_true(config_boot_ready(f->boot));
+}
+
 /* Guards against a lost fetch that is never repeated. */
 static void test_start_repeats_a_fetch(void **state)
 {
@@ -319,6 +336,7 @@
 		TEST(test_embedded_hosts_have_their_own_order),
 		TEST(test_start_waits_for_the_newest),
 		TEST(test_start_ends_after_two_seconds),
+		TEST(test_start_leaves_out_a_pause),
 		TEST(test_start_repeats_a_fetch),
 		TEST(test_start_asks_few_peers),
 		TEST(test_diff_names_each_change),
--- a/soak/boot_faults.c
+++ b/soak/boot_faults.c
@@ -14,8 +14,7 @@
 	fleet_host_t *host = owner;
 	const uint64_t *incarnation = data;
 
-	if (!host->running || host->paused ||
-	    host->incarnation != *incarnation)
+	if (!host->running || host->paused || host->incarnation != *incarnation)
 		return;
 	count++;
 	fleet_pause_host(host,
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -138,17 +138,16 @@
 
 	printf("soak part=config tables=%" PRId64 " platform_faults=%" PRIu64
 	       " offers=%" PRIu64 " accepted=%" PRIu64 " stale=%" PRIu64
-	       " refused=%" PRIu64 " boots=%" PRIu64
-	       " boot_pauses=%" PRIu64 " asks=%" PRIu64
-	       " fetches=%" PRIu64 " boot_checks=%" PRIu64
+	       " refused=%" PRIu64 " boots=%" PRIu64 " boot_pauses=%" PRIu64
+	       " asks=%" PRIu64 " fetches=%" PRIu64 " boot_checks=%" PRIu64
 	       " boot_peer_checks=%" PRIu64 " table_checks=%" PRIu64
 	       " key_checks=%" PRIu64 " digest=%016" PRIx64 "\n",
 	       documents_newest(checks->documents, CONFIG_TABLE),
 	       documents_faults(checks->documents), totals->offers,
 	       totals->accepted, totals->stale, totals->refused, totals->boots,
-	       boot_faults_count(), totals->asks, totals->fetches, checked->boots,
-	       checked->boot_peers, checked->tables, checked->keys,
-	       totals->digest);
+	       boot_faults_count(), totals->asks, totals->fetches,
+	       checked->boots, checked->boot_peers, checked->tables,
+	       checked->keys, totals->digest);
 }
 
 static void print_attempts(fleet_t *fleet)
