--- a/programs/cassiad/control.c
+++ b/programs/cassiad/control.c
@@ -387,6 +387,19 @@
 	set_gauge(daemon, "cassia_control_received_bytes",
 		  peer->received_bytes);
 	set_gauge(daemon, "cassia_control_dropped_mac", peer->dropped_mac);
+	set_gauge(daemon, "cassia_control_dropped_secret",
+		  peer->dropped_secret);
+	set_gauge(daemon, "cassia_control_dropped_replay",
+		  peer->dropped_replay);
+	set_gauge(daemon, "cassia_control_dropped_incarnation",
+		  peer->dropped_incarnation);
+	set_gauge(daemon, "cassia_control_dropped_sender",
+		  peer->dropped_sender);
+	set_gauge(daemon, "cassia_control_dropped_malformed",
+		  peer->dropped_malformed);
+	set_gauge(daemon, "cassia_control_dropped_oversized",
+		  peer->dropped_oversized);
+	set_gauge(daemon, "cassia_control_dropped_reply", peer->dropped_reply);
 	set_gauge(daemon, "cassia_quota_granted", quota->granted);
 	set_gauge(daemon, "cassia_quota_refused", quota->refused);
 	set_gauge(daemon, "cassia_quota_asks_sent", quota->asks_sent);
--- a/programs/cassiad/serve_peer.c
+++ b/programs/cassiad/serve_peer.c
@@ -62,13 +62,18 @@
 }
 
 /* Anything unsigned is refused without an outcome. */
-static void refuse_unsigned(http_exchange_t *exchange)
+static void refuse_unsigned(const peer_request_t *request)
 {
 	const http_problem_t problem = { .status = 403,
 					 .outcome = "not-run",
 					 .reason = "not-signed" };
+	cas_counter_t *counter =
+		cas_metrics_counter(request->daemon->metrics,
+				    "cassia_peer_not_signed_total", "");
 
-	http_problem_reply(exchange, &problem);
+	if (counter)
+		counter->value++;
+	http_problem_reply(request->exchange, &problem);
 }
 
 static int read_context(peer_request_t *request)
@@ -135,7 +140,7 @@
 	http_exchange_set_private(exchange, request);
 	if (read_context(request)) {
 		request->answered = true;
-		refuse_unsigned(exchange);
+		refuse_unsigned(request);
 		return;
 	}
 	begin(request);
--- a/tests/test_configuration.sh
+++ b/tests/test_configuration.sh
@@ -65,23 +65,13 @@
 } > "$SITE/hosts.rows"
 write_table 1
 write_hosts 1
-"$BUILD/standins/platform" "$SITE/table.toml" "$SITE/hosts.toml" 120 \
-	> "$SITE/platform.port" &
-PLATFORM_PID=$!
-PIDS="$PIDS $PLATFORM_PID"
-for i in 1 2 3 4 5 6 7 8 9 10; do
-	[ -s "$SITE/platform.port" ] && break
-	sleep 0.1
-done
-PLATFORM=http://127.0.0.1:$(sed 's/[^0-9]//g' "$SITE/platform.port")
+start_platform
 for row in b1:m1:11 b2:m1:12 b3:m2:13; do
 	name=${row%%:*}
 	number=${row##*:}
 	dc=${row#*:}
 	write_settings "$name" booking "${dc%:*}" "$number"
-	sed -i -e "s|^kind = .*|kind = \"http\"|" \
-		-e "s|^table = .*|url = \"$PLATFORM\"|" -e '/^hosts = /d' \
-		"$SITE/$name.toml"
+	use_platform "$name"
 	for seed in 11 12 13; do
 		printf '[[seed]]\naddress = "%s"\nport = %s\n' \
 			"$NET.$seed" "$PEER" >> "$SITE/$name.toml"
--- /dev/null
+++ b/tests/test_overload.sh
@@ -0,0 +1,98 @@
+# Guards against an overload in which important requests are shed, callers'
+# retries keep the service down, retries of daemons add to the load or multiply
+# along a call chain. An upstream service becomes 10 times slower while callers
+# retry at once, then recovers.
+set -u
+BUILD=${1:-build}
+NET=127.$((77 + $$ % 100)).$(($$ / 100 % 250))
+FAILED=0
+. tools/site.sh
+trap site_stop EXIT
+trap 'exit 1' INT TERM
+
+{
+	printf '[[data_centre]]\nname = "m1"\nregion = "marmara"\n'
+	for service in edge booking pricing; do
+		printf '[[service]]\nname = "%s"\nconnections = 2000\n' $service
+	done
+	for row in book:booking:12 search:booking:3 quote:booking:9 \
+		price:pricing:9; do
+		service=${row#*:}
+		printf '[[route]]\nname = "%s"\npath = "/%s"\n' \
+			"${row%%:*}" "${row%%:*}"
+		printf 'service = "%s"\nimportance = %s\nopen = true\n' \
+			"${service%:*}" "${row##*:}"
+		printf 'idempotent = true\ntimeout_ms = 2000\n'
+	done
+} > "$SITE/table.rows"
+write_table 1
+start_host e1 edge m1 11
+start_host e2 edge m1 12
+for number in 13 14; do
+	start_host b$((number - 12)) booking m1 $number --delay-us 20000 \
+		--slots 8
+	start_host p$((number - 12)) pricing m1 $((number + 2)) \
+		--delay-us 1000 --slots 8
+done
+write_hosts 1
+wait_ready 11 12 13 14 15 16 || exit 1
+
+# set_delay MICROSECONDS: at both upstreams of booking.
+set_delay() {
+	for number in 13 14; do
+		curl -s -o /dev/null "http://$NET.$number:$UPSTREAM/_delay/$1"
+	done
+}
+
+# 16 slots serve 800 calls/s, or 80 calls/s while slow. Bookings need 30.
+start_caller book nobody /book "11 12" --rate 30 --duration-ms 20000 \
+	--timeout-ms 3000
+BOOK=$PID
+start_caller search nobody /search "11 12" --rate 300 --duration-ms 20000 \
+	--timeout-ms 3000 --retries 4
+SEARCH=$PID
+sleep 5
+set_delay 200000
+sleep 8
+set_delay 20000
+join "$BOOK"
+join "$SEARCH"
+echo "figure: before: book served=$(count book served 1000 5000)" \
+	"of $(count book . 1000 5000)," \
+	"search served=$(count search served 1000 5000)" \
+	"of $(count search . 1000 5000)"
+slow=$(count book . 5000 13000)
+check_least "per mille of importance 12 served while slow" \
+	$((1000 * $(count book served 5000 13000) / slow)) 999
+check_least "requests of importance 3 shed while slow" \
+	"$(count search not-run 6000 13000)" 1000
+check_least "requests of importance 3 served while slow" \
+	"$(count search served 6000 13000)" 200
+sent=$(awk '$6 == 0 && $4 >= 14000 && $4 < 19000' "$SITE/search" | wc -l)
+check_least "per mille of importance 3 served from 1 s after the surge" \
+	$((1000 * $(count search served 14000 19000) / sent)) 950
+
+# Both hops of a chain fail. Each root request may be retried twice in all.
+start_caller chain nobody /quote "11 12" --rate 5 --duration-ms 3000 \
+	--header "X-Status: 500" --header "X-Child: /price" \
+	--header "X-Child-Status: 500"
+join "$PID"
+grep ' chain-' "$SITE"/b?.runs -h | cut -d' ' -f1 | sort > "$SITE/parents"
+cat "$SITE"/p?.runs | cut -d' ' -f1 | sort > "$SITE/children"
+check "child calls with an unknown request id" \
+	"$(sort -u "$SITE/children" | comm -23 - "$SITE/parents" | wc -l)" 0
+check_least "child calls" "$(wc -l < "$SITE/children")" 15
+most=$(uniq -c "$SITE/children" | awk '$1 > n { n = $1 } END { print n }')
+check_most "runs of a root request at the end of the chain" "$most" 3
+check_least "runs of a root request at the end of the chain" "$most" 2
+
+# Every search fails after it ran, so a daemon retries as far as it may.
+start_caller failing nobody /search "11 12" --rate 100 --duration-ms 5000 \
+	--header "X-Status: 500"
+join "$PID"
+ran=$(cat "$SITE"/b?.runs | grep -c ' failing-')
+first=$(count failing .)
+# The searches of the last 10 s allow retries as well.
+check_most "retries of failing requests" $((ran - first)) \
+	$(((first + 300 * 10) / 10))
+[ $FAILED -eq 0 ]
--- /dev/null
+++ b/tests/test_partition.sh
@@ -0,0 +1,94 @@
+# Guards against a data centre that admits more than its share, or serves less,
+# while another data centre cannot be reached and the platform is down at the
+# same time, and against a rate that stays short afterwards. All daemons of one
+# data centre are paused for 10 s, which is how a partition looks from outside.
+set -u
+BUILD=${1:-build}
+NET=127.$((79 + $$ % 100)).$(($$ / 100 % 250))
+FAILED=0
+RATE=100
+BURST=40
+. tools/site.sh
+trap site_stop EXIT
+trap 'exit 1' INT TERM
+
+cat > "$SITE/table.rows" <<END
+[[data_centre]]
+name = "m1"
+region = "marmara"
+[[data_centre]]
+name = "m2"
+region = "marmara"
+[[service]]
+name = "booking"
+connections = 400
+[[route]]
+name = "book"
+path = "/book"
+service = "booking"
+importance = 12
+timeout_ms = 1000
+[[customer]]
+name = "acme"
+rate = $RATE
+burst = $BURST
+END
+key_row acme >> "$SITE/table.rows"
+for row in b1:m1:11 b2:m1:12 b3:m2:13 b4:m2:14; do
+	dc=${row#*:}
+	host_row "${row%%:*}" booking "${dc%:*}" "${row##*:}"
+done > "$SITE/hosts.rows"
+write_table 1
+write_hosts 1
+start_platform
+for row in b1:m1:11 b2:m1:12 b3:m2:13 b4:m2:14; do
+	dc=${row#*:}
+	write_settings "${row%%:*}" booking "${dc%:*}" "${row##*:}"
+	use_platform "${row%%:*}"
+	start_upstream "${row%%:*}" "${row##*:}" --delay-us 1000 --slots 16 \
+		--run-log "$SITE/${row%%:*}.runs"
+	start_daemon "${row%%:*}"
+	eval "PID_${row##*:}=$PID"
+done
+wait_ready 11 12 13 14 || exit 1
+wait_fence 11 12 13 14 || exit 1
+sleep 8
+
+# Both data centres are offered the whole rate. Times are of the callers.
+started=$(date +%s%3N)
+start_caller m1 acme /book "11 12" --rate $RATE --duration-ms 26000 \
+	--timeout-ms 1200
+M1=$PID
+start_caller m2 acme /book "13 14" --rate $RATE --duration-ms 26000 \
+	--timeout-ms 1200
+M2=$PID
+sleep 4
+end "$PLATFORM_PID"
+# shellcheck disable=SC2154 # the ids are set by eval
+kill -STOP "$PID_11" "$PID_12"
+sleep 10
+kill -CONT "$PID_11" "$PID_12"
+join "$M1"
+join "$M2"
+elapsed=$(($(date +%s%3N) - started))
+
+for from in 0 4 8 14 18 22; do
+	echo "figure: from second $from:" \
+		"m1=$(count m1 served ${from}000 $((from + 4))000)" \
+		"m2=$(count m2 served ${from}000 $((from + 4))000)"
+done
+# 8 s of the partition: the share is half of the rate.
+alone=$(count m2 served 5500 13500)
+check_least "served by the other data centre alone" "$alone" \
+	$((RATE / 2 * 8 * 95 / 100))
+check_most "served by the other data centre alone" "$alone" \
+	$((RATE / 2 * 8 + BURST))
+check_most "runs in all" "$(cat "$SITE"/b?.runs | wc -l)" \
+	$((RATE * elapsed / 1000 + BURST))
+# Settling takes 8.1 s after the end of the partition at most.
+after=$(($(count m1 served 23000 26000) + $(count m2 served 23000 26000)))
+check_least "served by both after the partition" $after \
+	$((RATE * 3 * 95 / 100))
+check_least "served by the data centre that was away" \
+	"$(count m1 served 23000 26000)" $((RATE / 2 * 3 * 80 / 100))
+[ $FAILED -eq 0 ]
--- a/tools/site.sh
+++ b/tools/site.sh
@@ -275,3 +275,23 @@
 	curl -s --max-time 2 "http://$NET.$1:$UPSTREAM/_stats" |
 		sed -n 's/.*"'"$2"'":\([0-9]*\).*/\1/p'
 }
+
+# start_platform: starts the platform's stand-in. Sets PLATFORM, PLATFORM_PID.
+start_platform() {
+	"$BUILD/standins/platform" "$SITE/table.toml" "$SITE/hosts.toml" 120 \
+		> "$SITE/platform.port" &
+	PLATFORM_PID=$!
+	PIDS="$PIDS $PLATFORM_PID"
+	for i in 1 2 3 4 5 6 7 8 9 10; do
+		[ -s "$SITE/platform.port" ] && break
+		sleep 0.1
+	done
+	PLATFORM=http://127.0.0.1:$(sed 's/[^0-9]//g' "$SITE/platform.port")
+}
+
+# use_platform NAME: lets a daemon read from the platform's stand-in.
+use_platform() {
+	sed -i -e "s|^kind = .*|kind = \"http\"|" \
+		-e "s|^table = .*|url = \"$PLATFORM\"|" -e '/^hosts = /d' \
+		"$SITE/$1.toml"
+}
