Refuse requests with two keys or with an encoded key

Cause: tests/test_trust.sh found that of two Authorization fields the first one was taken silently, and that a key whose prefix is percent-encoded in the target reached the upstream, which would decode it. Change: both are refused as bad-request before a customer is looked up; the target is decoded once for the search, stray percent signs are kept. Result: before, 200 or 403 for two fields and 200 for the encoded key; now 400 for each of them.

--- a/programs/cassiad/entry_head.c
+++ b/programs/cassiad/entry_head.c
@@ -12,6 +12,33 @@
 		      sizeof(KEYS_PREFIX) - 1) != NULL;
 }
 
+/* Servers that decode the target would find an encoded key there. */
+static bool holds_encoded_key(cas_str_t target)
+{
+	char *text = talloc_size(NULL, target.len + 1);
+	size_t len = 0;
+	bool found;
+
+	if (!text)
+		return true;
+	for (size_t i = 0; i < target.len; i++) {
+		text[len] = target.ptr[i];
+		if (i + 2 < target.len && text[len] == '%' &&
+		    g_ascii_isxdigit(target.ptr[i + 1]) &&
+		    g_ascii_isxdigit(target.ptr[i + 2])) {
+			text[len] =
+				(char)(g_ascii_xdigit_value(target.ptr[i + 1]) *
+					       16 +
+				       g_ascii_xdigit_value(target.ptr[i + 2]));
+			i += 2;
+		}
+		len++;
+	}
+	found = holds_key((cas_str_t){ text, len });
+	talloc_free(text);
+	return found;
+}
+
 /* A key outside of Authorization would reach the upstream. */
 static bool has_misplaced_key(const entry_request_t *request)
 {
@@ -19,7 +46,7 @@
 		http_exchange_headers(request->exchange);
 	cas_str_t target = http_exchange_target(request->exchange);
 
-	if (holds_key(target) ||
+	if (holds_key(target) || holds_encoded_key(target) ||
 	    http_query_value(http_target_query(target), CAS_STR("access_token"))
 		    .ptr)
 		return true;
@@ -31,6 +58,17 @@
 	return false;
 }
 
+/* With two fields it depends on the reader which key counts. */
+static bool has_two_keys(const http_headers_t *headers)
+{
+	size_t count = 0;
+
+	for (size_t i = 0; i < headers->count; i++)
+		count += http_name_equal(headers->items[i].name,
+					 CAS_STR("Authorization"));
+	return count > 1;
+}
+
 static reason_t find_customer(entry_request_t *request,
 			      const table_route_t *route)
 {
@@ -164,7 +202,8 @@
 	if (!route)
 		return REASON_NO_ROUTE;
 	take_route(request, route);
-	if (has_misplaced_key(request))
+	if (has_misplaced_key(request) ||
+	    has_two_keys(http_exchange_headers(exchange)))
 		return REASON_BAD_REQUEST;
 	if (local && handle.len)
 		reason = join_parent(request, handle, route);
