--- a/tests/test_trust.sh
+++ b/tests/test_trust.sh
@@ -165,6 +165,8 @@
 odd "a field of another name" 400 -H "X-Api-Key: $acme" "$gate"
 odd "the query" 400 "$gate?key=$acme"
 odd "an escaped key in the query" 400 "$gate?key=%63sk_${acme#csk_}"
+odd "an escaped key beside a stray percent sign" 400 \
+	"$gate?a=%&key=cs%6b_${acme#csk_}"
 odd "an open route" 200 -H "Authorization: Bearer $acme" "$gate"
 check "keys that upstreams saw" \
 	"$(upstream_stat 11 keys)$(upstream_stat 12 keys)" 00
