--- a/bench/sim.h
+++ b/bench/sim.h
@@ -19,6 +19,8 @@
 #define SIM_BIN_US (100 * CAS_USEC_PER_MSEC)
 #define SIM_BINS 300
 #define SIM_TRIES_MAX 8
+#define SIM_REASONS (ADMISSION_REASON_STOPPED + 2)
+#define SIM_REASON_EARLY (ADMISSION_REASON_STOPPED + 1)
 
 typedef struct sim sim_t;
 typedef struct sim_call sim_call_t;
@@ -132,6 +134,7 @@
 	/* Load. */
 	double rate[WORKLOAD_CUSTOMERS]; /* requests a second */
 	int client_attempts;
+	bool flat; /* one importance for all requests */
 	/* Counts; the measured window is by arrival, useful work by
 	 * completion. */
 	int64_t measure_from_us;
@@ -141,6 +144,8 @@
 	sim_count_t importances[ADMISSION_IMPORTANCES];
 	sim_bin_t bins[SIM_BINS];
 	int64_t retries_max;
+	/* Calls not run, by route, level in the chain and reason. */
+	uint32_t rejected[WORKLOAD_ROUTES_MAX][WORKLOAD_DEPTH][SIM_REASONS];
 	uint64_t events;
 };
 
@@ -175,6 +180,8 @@
 double sim_capacity(const workload_t *workload);
 /* Time for which a request of the route holds slots of the service. */
 double sim_hold_us(const workload_t *workload, int route, int service);
+/* The largest retry budget of a route. */
+int sim_retry_bound(const workload_t *workload);
 /* Largest share of a service's slots that did useful work in the window. */
 double sim_goodput(const sim_t *sim);
 
--- a/soak/fleet.h
+++ b/soak/fleet.h
@@ -48,6 +48,8 @@
 	void *parts[FLEET_PARTS_MAX];
 	void **held; /* messages that arrived during a pause */
 	size_t held_count;
+	uint64_t sent_messages; /* counted ones, see fleet_send */
+	uint64_t sent_bytes;
 };
 
 /* Faults of the network, as probabilities for each message. */
@@ -56,6 +58,7 @@
 	double repetition;
 	double late; /* delayed by up to late_us */
 	int64_t late_us;
+	double pause_after_send; /* the sender pauses for up to 6 s */
 } fleet_faults_t;
 
 typedef struct fleet_config {
@@ -65,6 +68,7 @@
 	double drift; /* largest clock error of a host, as a fraction */
 	int64_t region_delay_us; /* one way, inside a region */
 	int64_t far_delay_us; /* one way, between regions */
+	bool steady; /* no faults and no roster change: fences always hold */
 } fleet_config_t;
 
 struct fleet {
@@ -80,11 +84,11 @@
 	bool *cut; /* pairs of data centres, dcs * dcs */
 	bool *isolated; /* hosts cut off from every other host */
 	uint64_t messages;
-	uint64_t bytes;
 	uint64_t lost;
 	uint64_t repeated;
 	uint64_t delayed;
 	uint64_t held;
+	uint64_t pauses;
 };
 
 fleet_t *fleet_create(TALLOC_CTX *ctx, sim_t *sim,
@@ -96,12 +100,15 @@
 void fleet_start_host(fleet_host_t *host, const table_t *table,
 		      const roster_t *roster);
 void fleet_stop_host(fleet_host_t *host);
-void fleet_pause_host(fleet_host_t *host);
-void fleet_resume_host(fleet_host_t *host);
+/* Pauses a running host; it resumes after length_us. */
+void fleet_pause_host(fleet_host_t *host, int64_t length_us);
 
 /* True when the host runs and is not paused; its clock is then up to date. */
 bool fleet_host_enter(fleet_host_t *host);
 
+/* Returns the time on the host's clock, also while it is paused. */
+int64_t fleet_host_time(const fleet_host_t *host);
+
 /* Gives a running host a table and a roster. */
 void fleet_set_view(fleet_host_t *host, const table_t *table,
 		    const roster_t *roster);
@@ -109,7 +116,8 @@
 fleet_host_t *fleet_find(fleet_t *fleet, cas_id_t id);
 cas_id_t fleet_dc_id(size_t dc);
 
-/* Sends size bytes from a host to a part of another; wire_bytes is counted. */
+/* Sends size bytes from a host to a part of another. Counted for the host as
+ * wire_bytes, unless that is 0. */
 void fleet_send(fleet_host_t *from, cas_id_t to, size_t part, int kind,
 		const void *bytes, size_t size, size_t wire_bytes);
 
