--- a/bench/bench_path.c
+++ b/bench/bench_path.c
@@ -477,7 +477,7 @@
 			const char *service, int number, const char *delay_us)
 {
 	char *cassiad[] = { talloc_asprintf(ctx, "%s/cassiad", build),
-			    "--settings",
+			    "--config",
 			    talloc_asprintf(ctx, "%s/%s.toml", dir, name),
 			    NULL };
 	char *upstream[] = { talloc_asprintf(ctx, "%s/standins/upstream",
