Isolate hosts for up to a minute in the soak run

Cause: no isolated holder stayed away until its successor had settled. Change: one isolation in three lasts up to 60 s.

--- a/soak/faults.c
+++ b/soak/faults.c
@@ -117,10 +117,14 @@
 static void isolate_host(faults_t *faults)
 {
 	fleet_host_t *host = any_host(faults);
+	int64_t longest = 15 * CAS_USEC_PER_SEC;
 
+	/* Long enough for a successor to be listed and to settle. */
+	if (cas_rng_below(rng_of(faults), 3) == 0)
+		longest = 60 * CAS_USEC_PER_SEC;
 	faults->fleet->isolated[host->index] = true;
-	sim_after(faults->fleet->sim, time_below(faults, 15 * CAS_USEC_PER_SEC),
-		  on_reconnect, host, NULL);
+	sim_after(faults->fleet->sim, time_below(faults, longest), on_reconnect,
+		  host, NULL);
 }
 
 static void on_calm(void *owner, void *data)
