--- a/bench/bench_overload.c
+++ b/bench/bench_overload.c
@@ -9,7 +9,6 @@
 
 #include "sim.h"
 
-#define SEED 1
 #define THREADS 4
 #define NORMAL_LOAD 0.7
 #define SURGE_US (3 * CAS_USEC_PER_SEC)
@@ -20,6 +19,8 @@
 #define RECOVERY_SHARE 0.95
 #define RETRY_CALLS 100000
 
+static uint32_t seed = 1;
+
 typedef struct job job_t;
 
 struct job {
@@ -34,7 +35,7 @@
 
 static sim_t *start(const job_t *job)
 {
-	sim_t *sim = sim_create(job->workload, job->control, SEED);
+	sim_t *sim = sim_create(job->workload, job->control, seed);
 
 	sim->measure_from_us = MEASURE_US;
 	sim->measure_to_us = END_US;
@@ -146,7 +147,7 @@
  * budget goes. The brake is fed with enough first attempts elsewhere. */
 static double retries(const job_t *job)
 {
-	sim_t *sim = sim_create(job->workload, true, SEED);
+	sim_t *sim = sim_create(job->workload, true, seed);
 	double result;
 
 	for (int i = 0; i < SIM_HOSTS; i++) {
@@ -224,10 +225,13 @@
 		       sim_retry_bound(all[i].workload));
 }
 
-int main(void)
+/* The argument is the seed, 1 by default. */
+int main(int argc, char **argv)
 {
 	pthread_t threads[THREADS];
 
+	if (argc > 1)
+		seed = (uint32_t)strtoul(argv[1], NULL, 10);
 	list_jobs();
 	for (int i = 0; i < THREADS; i++)
 		if (pthread_create(&threads[i], NULL, work, NULL))
--- a/packages/admission/limit.c
+++ b/packages/admission/limit.c
@@ -2,9 +2,10 @@
  * The concurrency limit: highest completion rate times lowest latency. By
  * Little's law that is the number of requests in flight divided by the
  * inflation of their latency. The lowest latency comes from probes that lower
- * the limit for a short time. The limit falls only on the result of a probe
- * or when the upstream sheds load, because an inflation against a latency
- * measured before a slowdown would lower it again and again.
+ * the limit for a short time. Between probes the limit falls only slowly and
+ * never below what the last probe showed to be free of queueing, because an
+ * inflation against a latency measured before a slowdown would lower it again
+ * and again. It falls at once when the upstream sheds load.
  */
 #include "limit_internal.h"
 
