Do not shed a class within a fifth of its fair share

Cause: noise in the demand of a small service shed the highest importance, and its retries kept the estimate high. Change: a class is kept whole up to 1.2 times its fair share.

--- a/packages/admission/divide.c
+++ b/packages/admission/divide.c
@@ -13,6 +13,9 @@
 /* Part of the limit that the queue should hold. */
 #define QUEUE_TARGET 0.1
 #define QUEUE_TARGET_MIN 4.0
+/* Demand for the fair share up to which a class is not shed: the estimate is
+ * off by that much, and a shed request comes again as retries. */
+#define PROTECTED 1.2
 #define STARTUP_GROWTH 1.3
 /* Most by which an unused part of the limit raises the capacity. */
 #define UNUSED_MAX 1.1
@@ -146,7 +149,8 @@
 	for (i = 0; i < count; i++) {
 		request_class_t *class = classes[i];
 
-		if (class->demand > left->nominal * class->weight / weights)
+		if (class->demand >
+		    PROTECTED * left->nominal * class->weight / weights)
 			break;
 		class->granted = class->demand;
 		class->fraction = 1;
