Fuzz quota messages, give make fuzz a recipe

Cause: quota messages had no fuzz target, and make fuzz no recipe. Result: test_fuzz_quota fails: a negative need from another daemon makes the holder grant a negative amount and abort.

--- a/Makefile
+++ b/Makefile
@@ -46,5 +46,8 @@
 bench: build
 	sh tools/bench.sh $(BUILD)
 
+fuzz:
+	sh fuzz/run.sh $(BUILD) 20
+
 clean:
 	rm -rf $(BUILD)
--- /dev/null
+++ b/packages/quota/tests/test_fuzz_quota.c
@@ -0,0 +1,102 @@
+/* The fuzz target over seeded rows of asks and replies. */
+#include "cassia/test.h"
+
+#include <string.h>
+
+#include "cassia/quota.h"
+
+#define ROUNDS 4000
+#define RECORD_BYTES 82 /* two bytes and the room for a message */
+#define RECORDS 16
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
+
+static int64_t amount(cas_rng_t *rng)
+{
+	static const int64_t edges[] = { 0,	    1,	       -1,
+					 INT64_MAX, INT64_MIN, INT64_MAX / 2 };
+
+	if (cas_rng_below(rng, 8) == 0)
+		return edges[cas_rng_below(rng, 6)];
+	return cas_rng_below(rng, 20 * QUOTA_TOKEN);
+}
+
+static uint32_t edge_or(cas_rng_t *rng, uint32_t usual)
+{
+	return cas_rng_below(rng, 8) ? usual : (uint32_t)cas_rng_u64(rng);
+}
+
+static void encode_ask(XDR *stream, cas_rng_t *rng, uint32_t number)
+{
+	quota_ask ask = {
+		.customer = cas_rng_below(rng, 8),
+		.slots = edge_or(rng, cas_rng_below(rng, 2)
+					      ? QUOTA_FROM_DAEMON << 16
+					      : 0),
+		.sequence = edge_or(rng, number),
+		.received = edge_or(rng, number - 1),
+		.need = amount(rng),
+		.ahead = amount(rng),
+		.left = amount(rng),
+		.returned = amount(rng),
+	};
+
+	assert_true(xdr_quota_ask(stream, &ask));
+}
+
+static void encode_reply(XDR *stream, cas_rng_t *rng, uint32_t number)
+{
+	quota_reply reply = {
+		.customer = cas_rng_below(rng, 8),
+		.slots = edge_or(rng, 0),
+		.sequence = edge_or(rng, number),
+		.granted = amount(rng),
+		.filled = amount(rng),
+		.rate = amount(rng),
+		.life = edge_or(rng, 2000000),
+		.wait = edge_or(rng, 100000),
+		.report = edge_or(rng, 100000),
+	};
+
+	assert_true(xdr_quota_reply(stream, &reply));
+}
+
+static void make_record(uint8_t *record, cas_rng_t *rng, uint32_t number)
+{
+	XDR stream;
+
+	memset(record, 0, RECORD_BYTES);
+	record[0] = (uint8_t)cas_rng_u64(rng);
+	record[1] = (uint8_t)cas_rng_u64(rng);
+	xdrmem_create(&stream, (char *)record + 2, RECORD_BYTES - 2,
+		      XDR_ENCODE);
+	if (record[0] % 4 == 1)
+		encode_reply(&stream, rng, number);
+	else
+		encode_ask(&stream, rng, number);
+}
+
+/* Guards against amounts of another daemon that overflow, abort the process,
+ * or make a holder grant more than its burst. */
+static void test_mutated_messages(void **state)
+{
+	cas_rng_t *rng = cas_rng_create(NULL, 1);
+	uint8_t data[RECORD_BYTES * RECORDS];
+
+	(void)state;
+	for (int i = 0; i < ROUNDS; i++) {
+		for (uint32_t j = 0; j < RECORDS; j++)
+			make_record(data + j * RECORD_BYTES, rng, j / 4 + 1);
+		assert_int_equal(LLVMFuzzerTestOneInput(data, sizeof(data)), 0);
+	}
+	talloc_free(rng);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_mutated_messages),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tools/install.sh
+++ b/tools/install.sh
@@ -5,7 +5,8 @@
 packages="gcc g++ make cmake pkg-config clang-format clang-tidy curl
 libtalloc-dev libtevent-dev libtirpc-dev libmicrohttpd-dev
 libcurl4-openssl-dev libglib2.0-dev liblog4c-dev libcmocka-dev libsodium-dev
-libxxhash-dev libjansson-dev zlib1g-dev libtomlplusplus-dev spin"
+libxxhash-dev libjansson-dev zlib1g-dev libtomlplusplus-dev spin clang
+libclang-rt-14-dev"
 
 missing=""
 for package in $packages; do
