bench_path: own addresses for each run

Cause: two runs at the same time measured each other's daemons. Change: addresses follow from the process id.

--- a/bench/bench_path.c
+++ b/bench/bench_path.c
@@ -21,7 +21,6 @@
 #include "cassia/keys.h"
 #include "cassia/rng.h"
 
-#define NET "127.73.0."
 #define FRONT 18080
 #define PEER 18081
 #define CONTROL 18082
@@ -74,6 +73,8 @@
 	long failed;
 } load_t;
 
+/* First bytes of the addresses, so that two runs do not meet. */
+static char net[16];
 static pid_t processes[PROCESSES_MAX];
 static int process_count;
 static char dir[] = "/tmp/cassia-bench-XXXXXX";
@@ -148,14 +149,13 @@
 
 static void write_hosts(TALLOC_CTX *ctx)
 {
-	static const char row[] =
-		"[[host]]\nname = \"%s\"\nservice = \"%s\"\n"
-		"data_centre = \"m1\"\naddress = \"" NET "%d\"\n"
-		"peer_port = %d\ncontrol_port = %d\n";
+	static const char row[] = "[[host]]\nname = \"%s\"\nservice = \"%s\"\n"
+				  "data_centre = \"m1\"\naddress = \"%s%d\"\n"
+				  "peer_port = %d\ncontrol_port = %d\n";
 	char *first =
-		talloc_asprintf(ctx, row, "e1", "entry", 1, PEER, CONTROL);
-	char *second =
-		talloc_asprintf(ctx, row, "b1", "booking", 2, PEER, CONTROL);
+		talloc_asprintf(ctx, row, "e1", "entry", net, 1, PEER, CONTROL);
+	char *second = talloc_asprintf(ctx, row, "b1", "booking", net, 2, PEER,
+				       CONTROL);
 
 	write_file("hosts.toml",
 		   talloc_asprintf(ctx, "revision = 1\n%s%s[end]\n", first,
@@ -165,23 +165,24 @@
 static void write_settings(TALLOC_CTX *ctx, const char *name,
 			   const char *service, int number)
 {
+	const char *at = talloc_asprintf(ctx, "%s%d", net, number);
 	char *text = talloc_asprintf(
 		ctx,
 		"host = \"%s\"\nservice = \"%s\"\ndata_centre = \"m1\"\n"
-		"[front]\naddress = \"" NET "%d\"\nport = %d\n"
-		"[local]\nport = %d\naddress = \"" NET "%d\"\n"
-		"[peer]\naddress = \"" NET "%d\"\nhttp_port = %d\n"
+		"[front]\naddress = \"%s\"\nport = %d\n"
+		"[local]\nport = %d\naddress = \"%s\"\n"
+		"[peer]\naddress = \"%s\"\nhttp_port = %d\n"
 		"control_port = %d\n"
-		"[operators]\naddress = \"" NET "%d\"\nport = %d\n"
-		"[upstream]\naddress = \"" NET "%d\"\nport = %d\n"
+		"[operators]\naddress = \"%s\"\nport = %d\n"
+		"[upstream]\naddress = \"%s\"\nport = %d\n"
 		"[source]\nkind = \"file\"\ntable = \"%s/table.toml\"\n"
 		"hosts = \"%s/hosts.toml\"\n"
 		"[[secret]]\nid = 1\n"
 		"secret = \"00112233445566778899aabbccddeeff\"\n"
 		"[log]\nlevel = \"warn\"\n"
 		"[limits]\nconnections = 12000\nidle_timeout_ms = 120000\n",
-		name, service, number, FRONT, LOCAL, number, number, PEER,
-		CONTROL, number, OPERATORS, number, UPSTREAM, dir, dir);
+		name, service, at, FRONT, LOCAL, at, at, PEER, CONTROL, at,
+		OPERATORS, at, UPSTREAM, dir, dir);
 
 	write_file(talloc_asprintf(ctx, "%s.toml", name), text);
 }
@@ -439,7 +440,8 @@
 static target_t make_target(TALLOC_CTX *ctx, int number, uint16_t port,
 			    const char *path)
 {
-	target_t target = { .address = talloc_asprintf(ctx, NET "%d", number),
+	target_t target = { .address =
+				    talloc_asprintf(ctx, "%s%d", net, number),
 			    .port = port };
 
 	target.request = talloc_asprintf(
@@ -477,13 +479,13 @@
 			const char *service, int number, const char *delay_us)
 {
 	char *cassiad[] = { talloc_asprintf(ctx, "%s/cassiad", build),
-			    "--settings",
+			    "--config",
 			    talloc_asprintf(ctx, "%s/%s.toml", dir, name),
 			    NULL };
 	char *upstream[] = { talloc_asprintf(ctx, "%s/standins/upstream",
 					     build),
 			     "--address",
-			     talloc_asprintf(ctx, NET "%d", number),
+			     talloc_asprintf(ctx, "%s%d", net, number),
 			     "--port",
 			     talloc_asprintf(ctx, "%d", UPSTREAM),
 			     "--delay-us",
@@ -508,6 +510,8 @@
 
 	if (sodium_init() < 0 || !mkdtemp(dir))
 		return 1;
+	snprintf(net, sizeof(net), "127.%d.%d.", 160 + getpid() % 60,
+		 getpid() / 60 % 250);
 	atexit(end_processes);
 	getrlimit(RLIMIT_NOFILE, &limit);
 	limit.rlim_cur = limit.rlim_max;
