--- a/packages/admission/limit.c
+++ b/packages/admission/limit.c
@@ -16,9 +16,9 @@
 #define LIMIT_MIN 2.0
 #define LIMIT_MAX 100000.0
 /* Room above rate times latency, so that noise does not idle the upstream. */
-#define LIMIT_GAIN 1.05
+#define LIMIT_GAIN 1.02
 #define LIMIT_GROWTH 1.08
-#define GROWTH_STEP 0.08
+#define GROWTH_STEP 0.06
 #define GROWTH_STEP_MAX 0.5
 /* Parts of a period at the limit that let it grow, and that make a probe
  * worth its cost. */
@@ -26,7 +26,7 @@
 #define BOUND_MOSTLY 0.5
 #define CRUISE_FALL 0.98
 /* Requests at the knee for those in flight that show no queueing. */
-#define NO_QUEUE 0.9
+#define NO_QUEUE 0.93
 #define LIMIT_FALL 0.5
 #define LIMIT_SHED_FALL 0.8
 #define LIMIT_CEILING_GROWTH 1.02
@@ -47,12 +47,14 @@
 /* Part of the estimated knee to which a probe lowers the limit. */
 #define PROBE_STEP 0.9
 #define PROBE_DEEPEST 0.35
-#define PROBE_REQUESTS_MIN 24.0
+#define PROBE_NOISE 0.15
+#define PROBE_DAMPING 0.5
+#define PROBE_REQUESTS_MIN 40.0
 #define PROBE_REQUESTS_MAX 64.0
 #define PROBE_MAX_US (2 * CAS_USEC_PER_SEC)
 #define BASE_WEIGHT 0.1
 #define BASE_FALLEN 0.8
-#define BASE_WEIGHT_FALLEN 0.5
+#define BASE_WEIGHT_CLEAR 0.5
 #define TYPICAL_WEIGHT 0.05
 
 static double min_of(double a, double b)
@@ -217,6 +219,7 @@
 					LIMIT_SHED_FALL,
 				LIMIT_MIN);
 	limit->phase = LIMIT_CRUISE;
+	limit->floor = 0;
 	set_limit(limit, limit->ceiling);
 }
 
@@ -232,6 +235,7 @@
 	limit->probe_inflight = inflight;
 	limit->probe_before = *period;
 	limit->effective = max_of(wanted, LIMIT_MIN);
+	limit->probe_limit = limit->effective;
 	limit->marks_wanted = (int)min_of(max_of(wanted, PROBE_REQUESTS_MIN),
 					  PROBE_REQUESTS_MAX);
 	limit->probe_settled = false;
@@ -255,14 +259,26 @@
 	limit->early_probe_us = now_us + pause_us / PROBE_EARLY_DIVISOR;
 }
 
-static void end_probe(limit_t *limit, int64_t now_us, double inflation)
+/* Small differences from an earlier probe are mostly noise. */
+static double damped(const limit_t *limit, double inflation)
 {
+	if (!limit->probed || inflation < 1 - PROBE_NOISE ||
+	    inflation > 1 + PROBE_NOISE)
+		return inflation;
+	return 1 + (inflation - 1) * PROBE_DAMPING;
+}
+
+static void end_probe(limit_t *limit, int64_t now_us, double measured)
+{
+	double inflation = damped(limit, measured);
 	const latency_period_t *before = &limit->probe_before;
 	double ratio = before->inflation / inflation;
 	double target = knee(limit->probe_inflight, ratio, before->own_share) *
 			LIMIT_GAIN;
 
 	leave_probe(limit, now_us);
+	limit->probed = true;
+	limit->floor = limit->probe_limit;
 	latency_scale(&limit->latency, inflation);
 	set_limit(limit, min_of(max_of(target, limit->limit * LIMIT_FALL),
 				limit->limit * LIMIT_GROWTH));
@@ -285,13 +301,15 @@
 static void adjust(limit_t *limit, double inflight, double at_knee)
 {
 	if (at_knee > inflight * NO_QUEUE) {
-		set_limit(limit, limit->limit * (1 + limit->step));
+		set_limit(limit, max_of(limit->limit * (1 + limit->step),
+					limit->limit + 1));
 		limit->step = min_of(limit->step * 2, GROWTH_STEP_MAX);
 		return;
 	}
 	limit->step = GROWTH_STEP;
 	set_limit(limit, min_of(max_of(at_knee * LIMIT_GAIN,
-				       limit->limit * CRUISE_FALL),
+				       max_of(limit->floor,
+					      limit->limit * CRUISE_FALL)),
 				limit->limit * LIMIT_GROWTH));
 }
 
@@ -310,16 +328,20 @@
 		adjust(limit, inflight, at_knee);
 }
 
-/* Lower latencies are taken over at any load, slowly while they may be noise;
- * higher ones only by a probe, which knows that they are not due to
- * queueing. */
-static void follow_base(limit_t *limit, const latency_period_t *period)
+/*
+ * Lower latencies are taken over at any load, slowly while they may be noise.
+ * Higher ones are taken over only where they are not due to queueing: by a
+ * probe, or before the first probe while the limit is not reached.
+ */
+static void follow_base(limit_t *limit, double bound,
+			const latency_period_t *period)
 {
-	double weight = period->inflation < BASE_FALLEN ? BASE_WEIGHT_FALLEN
-							: BASE_WEIGHT;
+	bool unloaded = limit->phase == LIMIT_STARTUP && bound < BOUND_SOME;
+	bool clear = unloaded || period->inflation < BASE_FALLEN;
+	double weight = clear ? BASE_WEIGHT_CLEAR : BASE_WEIGHT;
 
 	weight *= min_of(1, (double)period->count / PERIOD_COMPLETIONS);
-	if (period->inflation < 1)
+	if (unloaded || period->inflation < 1)
 		latency_scale(&limit->latency,
 			      1 + weight * (period->inflation - 1));
 }
@@ -341,7 +363,7 @@
 		end_probe(limit, now_us, period.inflation);
 		return;
 	}
-	follow_base(limit, &period);
+	follow_base(limit, bound, &period);
 	if (limit->phase == LIMIT_CRUISE)
 		cruise_period(limit, now_us, inflight, bound, &period);
 }
@@ -365,7 +387,10 @@
 static bool period_is_over(const limit_t *limit, int64_t now_us)
 {
 	bool startup = limit->phase == LIMIT_STARTUP;
-	int completions = startup ? STARTUP_COMPLETIONS : PERIOD_COMPLETIONS;
+	double wanted = min_of(
+		max_of(limit->limit * PERIOD_LATENCIES, STARTUP_COMPLETIONS),
+		PERIOD_COMPLETIONS);
+	int completions = startup ? STARTUP_COMPLETIONS : (int)wanted;
 	int64_t elapsed = now_us - limit->start_us;
 
 	if (elapsed < PERIOD_MIN_US)
