Give a bucket up when a host list was skipped

Cause: a host that was taken off the list and put back while it was cut off kept its bucket by the 2 s rule alone, while the host of the skipped list could settle its fence on confirmations that were still live: two holders would add. Change: quota asks for membership_fence_epoch and drops a bucket to WAITING when it changes; the soak run passes it on too.

--- a/packages/quota/bucket.c
+++ b/packages/quota/bucket.c
@@ -88,10 +88,25 @@
 	quota->stats.lapses++;
 }
 
+static uint64_t fence_epoch(const quota_t *quota)
+{
+	if (!quota->ops->fence_epoch)
+		return 0;
+	return quota->ops->fence_epoch(quota->private_data);
+}
+
+/* Without a lapse no other host can have added to the bucket. */
+static bool has_lapsed(const quota_t *quota, const quota_bucket_t *bucket,
+		       int64_t now)
+{
+	return now - bucket->held_us > QUOTA_KEEP_TIME ||
+	       bucket->epoch != fence_epoch(quota);
+}
+
 static void step_state(quota_t *quota, quota_bucket_t *bucket, int64_t now)
 {
 	if (bucket->state == QUOTA_ADDING || bucket->state == QUOTA_FROZEN) {
-		if (now - bucket->held_us > QUOTA_KEEP_TIME) {
+		if (has_lapsed(quota, bucket, now)) {
 			lapse(quota, bucket);
 		} else if (fence_held(quota, bucket)) {
 			if (bucket->state == QUOTA_ADDING)
@@ -105,6 +120,7 @@
 	if (bucket->state == QUOTA_WAITING && now >= bucket->growth_at_us &&
 	    may_start(quota, now)) {
 		bucket->state = QUOTA_ADDING;
+		bucket->epoch = fence_epoch(quota);
 		bucket->revision = quota->view->roster_revision;
 		bucket->held_us = now;
 	}
--- a/packages/quota/include/cassia/quota.h
+++ b/packages/quota/include/cassia/quota.h
@@ -46,6 +46,10 @@
 	/* Fence of this host's data centre at a roster revision. */
 	bool (*fence_held)(void *private_data, int64_t revision);
 	bool (*fence_settled)(void *private_data, int64_t revision);
+	/* A number that changes when the fence lapsed or a host list was
+	 * skipped: another host may have held a bucket meanwhile. May be NULL
+	 * where neither happens. */
+	uint64_t (*fence_epoch)(void *private_data);
 } quota_ops_t;
 
 /* The verdict of a pending request, GRANTED or REFUSED, once. The handle is
--- a/packages/quota/quota_internal.h
+++ b/packages/quota/quota_internal.h
@@ -98,6 +98,7 @@
 	int64_t revision; /* roster revision whose fence is used */
 	int64_t touched_us;
 	int64_t held_us; /* when the fence was last seen held */
+	uint64_t epoch; /* of the fence when the bucket was taken */
 	int64_t retired_us;
 
 	/* Own tokens: level + out_own <= burst. */
--- a/packages/quota/tests/test_quota.c
+++ b/packages/quota/tests/test_quota.c
@@ -12,6 +12,7 @@
 	quota_t *quota;
 	bool held;
 	bool settled;
+	uint64_t epoch;
 	quota_ask ask; /* last one sent */
 	int asks;
 	int done;
@@ -44,7 +45,17 @@
 	return ((fixture_t *)private_data)->settled;
 }
 
-static const quota_ops_t ops = { send_ask, fence_held, fence_settled };
+static uint64_t fence_epoch(void *private_data)
+{
+	return ((fixture_t *)private_data)->epoch;
+}
+
+static const quota_ops_t ops = {
+	.send_ask = send_ask,
+	.fence_held = fence_held,
+	.fence_settled = fence_settled,
+	.fence_epoch = fence_epoch,
+};
 
 static void on_done(void *private_data, quota_verdict_t verdict,
 		    int64_t retry_after_us)
@@ -244,6 +255,24 @@
 	talloc_free(f);
 }
 
+/* Guards against a bucket that is kept although a host list between the former
+ * and the present one gave it to another host. */
+static void test_skipped_host_list(void **state)
+{
+	fixture_t *f = setup(100, 100, false);
+
+	(void)state;
+	run(f, 2 * SETTLE_TIME);
+	f->settled = false;
+	f->epoch++;
+	run(f, CAS_USEC_PER_SEC);
+	assert_int_equal(ask_for(f, 1, 5).granted, 0);
+	f->settled = true;
+	run(f, CAS_USEC_PER_SEC);
+	assert_int_equal(ask_for(f, 2, 5).granted, 5 * QUOTA_TOKEN);
+	talloc_free(f);
+}
+
 /* Guards against a grown share in use before every other holder has shrunk,
  * and against a level above a shrunk share. */
 static void test_table_change(void **state)
@@ -421,6 +450,7 @@
 		cmocka_unit_test(test_reports_and_lost_reply),
 		cmocka_unit_test(test_false_return),
 		cmocka_unit_test(test_pause_and_frozen),
+		cmocka_unit_test(test_skipped_host_list),
 		cmocka_unit_test(test_table_change),
 		cmocka_unit_test(test_one_delegate),
 		cmocka_unit_test(test_main_holder),
--- a/programs/cassiad/control.c
+++ b/programs/cassiad/control.c
@@ -82,10 +82,18 @@
 	return membership_fence_settled(control->membership, revision);
 }
 
+static uint64_t fence_epoch(void *private)
+{
+	control_t *control = private;
+
+	return membership_fence_epoch(control->membership);
+}
+
 static const quota_ops_t quota_ops = {
 	.send_ask = send_ask,
 	.fence_held = fence_held,
 	.fence_settled = fence_settled,
+	.fence_epoch = fence_epoch,
 };
 
 static int on_beat(cas_id_t from, uint64_t incarnation, void *args, void *reply,
--- a/soak/fence.c
+++ b/soak/fence.c
@@ -24,3 +24,8 @@
 {
 	return in_use->settled(host, revision);
 }
+
+uint64_t fence_epoch(fleet_host_t *host)
+{
+	return in_use->epoch ? in_use->epoch(host) : 0;
+}
--- a/soak/fence.h
+++ b/soak/fence.h
@@ -7,6 +7,7 @@
 typedef struct fence_ops {
 	bool (*held)(fleet_host_t *host, int64_t revision);
 	bool (*settled)(fleet_host_t *host, int64_t revision);
+	uint64_t (*epoch)(fleet_host_t *host); /* NULL: always 0 */
 } fence_ops_t;
 
 /* Replaces the fake fence, which is used by default; ops is borrowed. */
@@ -14,5 +15,6 @@
 
 bool fence_held(fleet_host_t *host, int64_t revision);
 bool fence_settled(fleet_host_t *host, int64_t revision);
+uint64_t fence_epoch(fleet_host_t *host);
 
 #endif
--- a/soak/part_membership.c
+++ b/soak/part_membership.c
@@ -265,7 +265,13 @@
 	return membership_fence_settled(part_membership_of(host), revision);
 }
 
+static uint64_t epoch(fleet_host_t *host)
+{
+	return membership_fence_epoch(part_membership_of(host));
+}
+
 const fence_ops_t part_membership_fence = {
 	.held = is_held,
 	.settled = is_settled,
+	.epoch = epoch,
 };
--- a/soak/part_quota.c
+++ b/soak/part_quota.c
@@ -63,10 +63,16 @@
 	return fence_settled(private_data, revision);
 }
 
+static uint64_t epoch(void *private_data)
+{
+	return fence_epoch(private_data);
+}
+
 static const quota_ops_t quota_ops = {
 	.send_ask = send_ask,
 	.fence_held = is_held,
 	.fence_settled = is_settled,
+	.fence_epoch = epoch,
 };
 
 static void *start(TALLOC_CTX *ctx, fleet_host_t *host)
