--- a/packages/admission/limit.c
+++ b/packages/admission/limit.c
@@ -33,6 +33,8 @@
 #define LIMIT_CEILING_GROWTH 1.02
 #define STARTUP_INFLATION 1.3
 #define STARTUP_WEIGHT (1.0 / 32)
+/* One long request among short ones is no sign of queueing. */
+#define STARTUP_OUTLIER 3.0
 #define STARTUP_GROWTH 0.7
 /* A period is long enough for a mean latency that is off by a few percent. */
 #define PERIOD_MIN_US (50 * CAS_USEC_PER_MSEC)
@@ -148,8 +150,9 @@
 
 	if (kind->base_us <= 0)
 		return;
-	limit->startup_inflation += STARTUP_WEIGHT * (own_us / kind->base_us -
-						      limit->startup_inflation);
+	inflation = min_of(own_us / kind->base_us, STARTUP_OUTLIER);
+	limit->startup_inflation +=
+		STARTUP_WEIGHT * (inflation - limit->startup_inflation);
 	inflation = limit->startup_inflation;
 	if (inflation < STARTUP_INFLATION) {
 		if (was_full)
