Check in the soak run that a booting daemon asks its peers

Cause: in a trial without a boot wait no violation was found, because a daemon that asks nobody was not compared with any peer. Change: a daemon that serves without having asked a peer is a violation.

--- a/soak/check_config.c
+++ b/soak/check_config.c
@@ -123,9 +123,14 @@
 static void end_boot(check_config_t *check, fleet_host_t *host)
 {
 	boot_t *boot = &check->boots[host->index];
+	size_t asked = 0;
 
 	boot->incarnation = 0;
 	check->totals.boots++;
+	for (size_t i = 0; i < check->fleet->host_count; i++)
+		asked += part_config_asked(host, i);
+	if (asked == 0)
+		violations_add(host->fleet, host, "check=boot asked=0");
 	for (size_t i = 0; i < check->fleet->host_count; i++) {
 		if (!boot->reachable[i] || !part_config_asked(host, i))
 			continue;
