Name the route as the kind of a request at admission

Cause: the daemon left admission_request_t.kind at 0, so that all routes shared one latency. An upstream far from its 500 slots with routes of 20 ms (200/s) and 2.5 s (20/s) was served 602 of 1600 and 59 of 160; the others were shed.

--- a/programs/cassiad/serve.c
+++ b/programs/cassiad/serve.c
@@ -307,6 +307,7 @@
 		.customer = context->customer,
 		.weight = (int32_t)context->weight,
 		.deadline_us = context->deadline,
+		.kind = context->route,
 		.private = serve,
 	};
 	admission_reason_t reason = ADMISSION_REASON_NONE;
