Give admission the depth and the child time of requests

A caller's request that a threshold rejects was never let through to refresh it. Change: the signed context carries the depth; thresholds and latencies are kept by route and depth; time covered by child calls is told to admission; entry daemons probe thresholds with callers' requests.

--- a/packages/attempt/include/cassia/attempt.h
+++ b/packages/attempt/include/cassia/attempt.h
@@ -104,6 +104,8 @@
 	attempt_context context; /* deadline on the own clock */
 	retry_budget_t budget; /* what child calls may spend */
 	double fraction; /* smallest threshold that child calls brought back */
+	int64_t child_since_us; /* start of the time covered by child calls */
+	int64_t child_us; /* time covered by earlier child calls */
 	void *private; /* of the owner */
 } attempt_live_entry_t;
 
--- a/packages/attempt/messages/attempt.x
+++ b/packages/attempt/messages/attempt.x
@@ -29,6 +29,7 @@
 	unsigned int weight;		/* of the customer */
 	unsigned int importance;
 	unsigned int draw;
+	unsigned int depth;		/* in the call chain; 0 for a root */
 	unsigned int budget;		/* retries that may be spent below */
 	unsigned int idempotent;
 	attempt_early early<ATTEMPT_EARLY_MAX>;
--- a/programs/cassiad/children.h
+++ b/programs/cassiad/children.h
@@ -7,7 +7,8 @@
 /* Adds a child call to its parent. */
 void children_add(attempt_live_entry_t *parent, entry_request_t *child);
 
-/* Takes a child call out of its parent's list. */
+/* Takes a child call out of its parent's list; with the last one the time that
+ * child calls covered is added up. */
 void children_remove(attempt_live_entry_t *parent, entry_request_t *child);
 
 /* Separates all child calls from a parent that ends; with cancel they end
--- a/programs/cassiad/entry.c
+++ b/programs/cassiad/entry.c
@@ -126,13 +126,23 @@
 	}
 }
 
+cas_id_t entry_chain_key(const attempt_context *context)
+{
+	return cas_rendezvous_weight(context->route, context->depth);
+}
+
 static bool is_shed(entry_request_t *request)
 {
 	const attempt_context *context = &request->context;
+	thresholds_t *thresholds = request->daemon->thresholds;
+	cas_id_t key = entry_chain_key(context);
 
-	return !thresholds_check(request->daemon->thresholds, context->service,
-				 (int32_t)context->importance,
-				 context->customer, context->draw);
+	if (thresholds_check(thresholds, key, (int32_t)context->importance,
+			     context->customer, context->draw))
+		return false;
+	return request->parent ||
+	       !thresholds_probe(thresholds, key, (int32_t)context->importance,
+				 context->customer);
 }
 
 static void on_request(cassiad_t *daemon, http_exchange_t *exchange, bool local)
--- a/programs/cassiad/entry.h
+++ b/programs/cassiad/entry.h
@@ -48,6 +48,11 @@
 void entry_refuse(entry_request_t *request, reason_t reason,
 		  int64_t retry_after_us);
 
+/* Returns the key of a route at its depth in the call chain. The admitted
+ * fraction of a route includes those of its child calls, and the time that a
+ * request takes depends on its place in the chain. */
+cas_id_t entry_chain_key(const attempt_context *context);
+
 /* entry_head.c: decides about the head of a request. Returns REASON_NONE when
  * it may go on to the quota. */
 reason_t entry_identify(entry_request_t *request, bool local);
--- a/programs/cassiad/entry_head.c
+++ b/programs/cassiad/entry_head.c
@@ -112,6 +112,7 @@
 	own->weight = parent->context.weight;
 	own->importance = parent->context.importance;
 	own->draw = parent->context.draw;
+	own->depth = parent->context.depth + 1;
 	if (parent->context.deadline < own->deadline)
 		own->deadline = parent->context.deadline;
 	request->is_child = true;
--- a/programs/cassiad/entry_send.c
+++ b/programs/cassiad/entry_send.c
@@ -57,7 +57,7 @@
 	thresholds_early_t counts[ATTEMPT_EARLY_MAX];
 	attempt_context *context = &request->context;
 	size_t count = thresholds_take_early(request->daemon->thresholds,
-					     context->service, counts,
+					     entry_chain_key(context), counts,
 					     ATTEMPT_EARLY_MAX);
 
 	for (size_t i = 0; i < count; i++) {
@@ -129,7 +129,7 @@
 	const attempt_context *context = &request->context;
 	double fraction = (double)report->fraction / ATTEMPT_FRACTION_WHOLE;
 
-	thresholds_learn(request->daemon->thresholds, context->service,
+	thresholds_learn(request->daemon->thresholds, entry_chain_key(context),
 			 (int32_t)context->importance, context->customer,
 			 fraction);
 	if (request->parent && fraction < request->parent->fraction)
--- a/programs/cassiad/serve.c
+++ b/programs/cassiad/serve.c
@@ -3,6 +3,7 @@
 
 #include "cassia/http_error.h"
 #include "children.h"
+#include "entry.h"
 
 struct serve {
 	cassiad_t *daemon;
@@ -109,12 +110,25 @@
 		serve->result.reason = REASON_UPSTREAM_FAILED;
 }
 
+/* Time spent in other services says nothing about this upstream. */
+static void note_child_time(serve_t *serve)
+{
+	int64_t child_us = serve->live->child_us;
+
+	if (serve->live->private)
+		child_us += cas_clock_now(serve->daemon->clock) -
+			    serve->live->child_since_us;
+	if (child_us > 0)
+		admission_child_time(serve->ticket, child_us);
+}
+
 static void on_done(void *private, const http_result_t *result)
 {
 	serve_t *serve = private;
 	admission_ticket_t *ticket = serve->ticket;
 	admission_result_t verdict = admission_result_of(serve, result);
 
+	note_child_time(serve);
 	serve->call = NULL;
 	serve->ticket = NULL;
 	if (serve->shed_by_upstream) {
@@ -307,7 +321,8 @@
 		.customer = context->customer,
 		.weight = (int32_t)context->weight,
 		.deadline_us = context->deadline,
-		.kind = context->route,
+		.kind = entry_chain_key(context),
+		.child = context->depth > 0,
 		.private = serve,
 	};
 	admission_reason_t reason = ADMISSION_REASON_NONE;
