Ask ahead sooner at the start of a burst of requests

Cause: the first 64 requests of a caller at a daemon without tokens waited 10 ms each: asks within 5 ms of the last one were put off to the next tick, and an ask ahead of demand came only every 250 ms. Change: requests that wait are asked for at once while no ask is in flight, and a forecast that has doubled is asked for without the pause.

--- a/packages/quota/client.c
+++ b/packages/quota/client.c
@@ -107,6 +107,21 @@
 	return (int64_t)tokens * QUOTA_TOKEN;
 }
 
+/* Tokens to ask for ahead of demand. Between two such asks passes a part of the
+ * horizon, unless the forecast has doubled at the start of a burst. */
+static int64_t ahead_of_demand(const quota_customer_t *customer, int64_t now,
+			       int64_t balance)
+{
+	int64_t ahead;
+
+	if (customer->central || customer->link.to == 0)
+		return 0;
+	ahead = forecast(customer, now);
+	if (now < customer->ahead_at_us && ahead < 2 * customer->ahead)
+		return 0;
+	return balance > ahead / 2 ? 0 : ahead;
+}
+
 static void ask(quota_t *quota, quota_customer_t *customer, int64_t waiting)
 {
 	quota_link_t *link = &customer->link;
@@ -119,17 +134,16 @@
 	    quota_lots_full(&link->lots))
 		return;
 	if (link->to != quota->self) {
-		if (now < link->first_sent_us + ASK_GAP)
+		if (need == 0 && now < link->first_sent_us + ASK_GAP)
 			return;
-		if (now >= customer->ahead_at_us && !customer->central)
-			ahead = forecast(customer, now);
-		if (balance > ahead / 2)
-			ahead = 0;
+		ahead = ahead_of_demand(customer, now, balance);
 	}
 	if (need == 0 && ahead == 0)
 		return;
-	if (ahead > 0)
+	if (ahead > 0) {
+		customer->ahead = ahead;
 		customer->ahead_at_us = now + quota_horizon(customer) / 4;
+	}
 	quota_link_send(quota, customer, link, need,
 			quota_max(ahead - quota_max(balance, 0), 0), 0);
 }
--- a/packages/quota/quota_internal.h
+++ b/packages/quota/quota_internal.h
@@ -159,6 +159,7 @@
 	int64_t demand_us;
 	int64_t grants_us;
 	int64_t ahead_at_us;
+	int64_t ahead; /* tokens last asked for ahead of demand */
 	quota_pending_t *first;
 	quota_pending_t *last;
 	size_t pending_count;
