Serve child calls before other requests

Change: the queue takes child calls of every importance first; the order in which requests are dropped stays by importance.

--- a/packages/admission/queue.c
+++ b/packages/admission/queue.c
@@ -1,6 +1,6 @@
 /*
- * The queue: highest importance first; within one importance child calls
- * before others, and weighted deficit round robin by customer.
+ * The queue: child calls first, since their root request has cost work elsewhere;
+ * then by importance, and inside one weighted deficit round robin by customer.
  */
 #include "admission_internal.h"
 
@@ -103,8 +103,8 @@
 
 admission_ticket_t *queue_pop(admission_t *admission)
 {
-	for (int i = ADMISSION_IMPORTANCES - 1; i >= 0; i--)
-		for (int rank = 0; rank < QUEUE_RANKS; rank++)
+	for (int rank = 0; rank < QUEUE_RANKS; rank++)
+		for (int i = ADMISSION_IMPORTANCES - 1; i >= 0; i--)
 			if (admission->active[i][rank])
 				return pop_from(admission,
 						&admission->active[i][rank]);
