Count bytes sent between regions and show them in the metrics

Cause: the counter of sent bytes was always 0, and neither direction was shown; links between regions are paid by volume. Change: the HTTP client reports the bytes of a request; cassia_link_bytes_total by region and direction.

--- a/packages/http/back_reply.c
+++ b/packages/http/back_reply.c
@@ -123,6 +123,17 @@
 	}
 }
 
+/* Bytes of the request line, the header and the body. */
+static int64_t request_bytes(const http_call_t *call)
+{
+	curl_off_t body = 0;
+	long head = 0;
+
+	curl_easy_getinfo(call->easy, CURLINFO_REQUEST_SIZE, &head);
+	curl_easy_getinfo(call->easy, CURLINFO_SIZE_UPLOAD_T, &body);
+	return (int64_t)head + body;
+}
+
 http_result_t reply_result(const http_call_t *call, CURLcode code)
 {
 	long number = 0;
@@ -132,6 +143,7 @@
 		.error = reply_error(call, code),
 		.sent = call->sends > 0,
 		.silent = code != CURLE_OK && number == ETIMEDOUT,
+		.request_bytes = request_bytes(call),
 		.response_bytes = call->response_bytes,
 	};
 }
--- a/packages/http/include/cassia/http_back.h
+++ b/packages/http/include/cassia/http_back.h
@@ -44,6 +44,7 @@
 	int error; /* 0: the whole response has arrived */
 	bool sent; /* parts of the request may have reached the other side */
 	bool silent; /* the other side acknowledged nothing for 500 ms */
+	int64_t request_bytes; /* sent, header included */
 	int64_t response_bytes;
 } http_result_t;
 
--- a/programs/cassiad/leg.c
+++ b/programs/cassiad/leg.c
@@ -171,6 +171,7 @@
 	leg_t *leg = private;
 
 	leg->call = NULL;
+	leg->result.bytes_sent += result->request_bytes;
 	leg->result.bytes_received += result->response_bytes;
 	if (leg->refused) {
 		on_refusal(leg);
--- a/programs/cassiad/ops.c
+++ b/programs/cassiad/ops.c
@@ -55,6 +55,38 @@
 		gauge->value = value;
 }
 
+static void set_link_bytes(cassiad_t *daemon, const char *region,
+			   const char *direction, uint64_t bytes)
+{
+	char *labels = talloc_asprintf(daemon, "region=\"%s\",direction=\"%s\"",
+				       region, direction);
+	cas_counter_t *counter =
+		labels ? cas_metrics_counter(daemon->metrics,
+					     "cassia_link_bytes_total", labels)
+		       : NULL;
+
+	if (counter)
+		counter->value = (int64_t)bytes;
+	talloc_free(labels);
+}
+
+/* Links between regions are paid by volume. */
+static void set_links(cassiad_t *daemon)
+{
+	const table_t *table = daemon->table;
+
+	for (size_t i = 0; table && i < table->data_centre_count; i++) {
+		const table_data_centre_t *dc = &table->data_centres[i];
+		uint64_t sent = 0;
+		uint64_t received = 0;
+
+		routing_link_bytes(daemon->routing, dc->region_id, &sent,
+				   &received);
+		set_link_bytes(daemon, dc->region.ptr, "sent", sent);
+		set_link_bytes(daemon, dc->region.ptr, "received", received);
+	}
+}
+
 static void show_metrics(cassiad_t *daemon, http_exchange_t *exchange)
 {
 	http_headers_t *headers = http_headers_create(exchange);
@@ -67,6 +99,7 @@
 	set_gauge(daemon, "cassia_queued", admission_queued(daemon->admission));
 	set_gauge(daemon, "cassia_attempts_remembered",
 		  (int64_t)attempt_table_count(daemon->attempts));
+	set_links(daemon);
 	control_set_metrics(daemon);
 	if (headers)
 		http_headers_add(headers, CAS_STR("Content-Type"),
--- a/tests/test_secret_rotation.sh
+++ b/tests/test_secret_rotation.sh
@@ -1,6 +1,7 @@
 # Guards against a gap while the fleet secret is replaced: a new secret is
 # accepted first, then signs, then the old one goes; calls between hosts are
-# served all the time. Also guards against a host with a foreign secret.
+# served all the time. Also guards against a host with a foreign secret, and
+# against bytes between regions that are not counted.
 set -u
 BUILD=${1:-build}
 FAILED=0
@@ -14,6 +15,9 @@
 [[data_centre]]
 name = "m1"
 region = "marmara"
+[[data_centre]]
+name = "m2"
+region = "aegean"
 [[service]]
 name = "booking"
 connections = 100
@@ -32,12 +36,12 @@
 END
 {
 	host_row b1 booking m1 11
-	host_row p1 pricing m1 12
+	host_row p1 pricing m2 12
 } > "$SITE/hosts.rows"
 write_table 1
 write_hosts 1
 write_settings b1 booking m1 11
-write_settings p1 pricing m1 12
+write_settings p1 pricing m2 12
 start_upstream b1 11
 start_upstream p1 12
 start_daemon b1
@@ -72,6 +76,14 @@
 }
 
 expect_served "one secret"
+for direction in sent received; do
+	bytes=$(curl -s "http://$NET.11:$OPERATORS/metrics" | sed -n \
+		"s/^cassia_link_bytes_total.*aegean.*direction=\"$direction\".* //p")
+	# Five calls with a request header of more than 100 bytes each.
+	[ "${bytes:-0}" -gt 500 ] && continue
+	echo "WRONG: bytes $direction over the link: $bytes"
+	FAILED=1
+done
 secrets b1 1:$OLD 2:$NEW
 kill -HUP "$PID_B"
 sleep 0.3
