--- a/tests/test_configuration.sh
+++ b/tests/test_configuration.sh
@@ -33,27 +33,7 @@
 	curl -s -o /dev/null -X POST "$PLATFORM/fault?mode=$1"
 }
 
-cat > "$SITE/table.rows" <<END
-[[data_centre]]
-name = "m1"
-region = "marmara"
-[[data_centre]]
-name = "m2"
-region = "marmara"
-[[service]]
-name = "booking"
-connections = 100
-[[route]]
-name = "book"
-path = "/book"
-service = "booking"
-importance = 12
-timeout_ms = 5000
-[[customer]]
-name = "acme"
-rate = 1000
-burst = 1000
-END
+booking_rows 100 5000 1000 1000 > "$SITE/table.rows"
 cp "$SITE/table.rows" "$SITE/without_key"
 key_row acme >> "$SITE/table.rows"
 cp "$SITE/table.rows" "$SITE/with_key"
--- a/tests/test_partition.sh
+++ b/tests/test_partition.sh
@@ -11,27 +11,7 @@
 trap site_stop EXIT
 trap 'exit 1' INT TERM
 
-cat > "$SITE/table.rows" <<END
-[[data_centre]]
-name = "m1"
-region = "marmara"
-[[data_centre]]
-name = "m2"
-region = "marmara"
-[[service]]
-name = "booking"
-connections = 400
-[[route]]
-name = "book"
-path = "/book"
-service = "booking"
-importance = 12
-timeout_ms = 1000
-[[customer]]
-name = "acme"
-rate = $RATE
-burst = $BURST
-END
+booking_rows 400 1000 $RATE $BURST > "$SITE/table.rows"
 key_row acme >> "$SITE/table.rows"
 for row in b1:m1:11 b2:m1:12 b3:m2:13 b4:m2:14; do
 	dc=${row#*:}
--- a/tools/site.sh
+++ b/tools/site.sh
@@ -56,6 +56,32 @@
 		"$NET" "$4" $PEER $CONTROL "${5:-}"
 }
 
+# booking_rows CONNECTIONS TIMEOUT_MS RATE BURST: prints the rows of two data
+# centres, the service booking with a route, and the customer acme.
+booking_rows() {
+	cat <<-END
+	[[data_centre]]
+	name = "m1"
+	region = "marmara"
+	[[data_centre]]
+	name = "m2"
+	region = "marmara"
+	[[service]]
+	name = "booking"
+	connections = $1
+	[[route]]
+	name = "book"
+	path = "/book"
+	service = "booking"
+	importance = 12
+	timeout_ms = $2
+	[[customer]]
+	name = "acme"
+	rate = $3
+	burst = $4
+	END
+}
+
 # write_hosts REVISION: installs $SITE/hosts.rows as the host list.
 write_hosts() {
 	{
