Sign contexts and outcomes by one function

Cause: attempt_sign_context and attempt_sign_outcome were the same but for the XDR routine and the domain; the quota client checked for a missing holder that its only caller has already checked. Change: sign_xdr takes the routine; the second check is gone. Behaviour is the same.

--- a/packages/attempt/signed.c
+++ b/packages/attempt/signed.c
@@ -82,19 +82,28 @@
 	return ATTEMPT_ESIGNATURE;
 }
 
-cas_str_t attempt_sign_context(TALLOC_CTX *ctx,
-			       const attempt_secrets_t *secrets,
-			       const attempt_context *context)
+/* Encodes a structure by its XDR routine and signs it for its domain. */
+static cas_str_t sign_xdr(TALLOC_CTX *ctx, const attempt_secrets_t *secrets,
+			  uint8_t domain, xdrproc_t routine, void *value)
 {
-	attempt_context copy = *context;
 	binary_t binary;
 	XDR xdr;
 
 	xdrmem_create(&xdr, (char *)binary.bytes, BINARY_MAX_BYTES, XDR_ENCODE);
-	if (!xdr_attempt_context(&xdr, &copy))
+	if (!routine(&xdr, value))
 		return (cas_str_t){ NULL, 0 };
 	binary.len = xdr_getpos(&xdr);
-	return sign(ctx, secrets, domain_context, &binary);
+	return sign(ctx, secrets, domain, &binary);
+}
+
+cas_str_t attempt_sign_context(TALLOC_CTX *ctx,
+			       const attempt_secrets_t *secrets,
+			       const attempt_context *context)
+{
+	attempt_context copy = *context;
+
+	return sign_xdr(ctx, secrets, domain_context,
+			(xdrproc_t)xdr_attempt_context, &copy);
 }
 
 cas_str_t attempt_sign_outcome(TALLOC_CTX *ctx,
@@ -102,14 +111,9 @@
 			       const attempt_outcome *outcome)
 {
 	attempt_outcome copy = *outcome;
-	binary_t binary;
-	XDR xdr;
 
-	xdrmem_create(&xdr, (char *)binary.bytes, BINARY_MAX_BYTES, XDR_ENCODE);
-	if (!xdr_attempt_outcome(&xdr, &copy))
-		return (cas_str_t){ NULL, 0 };
-	binary.len = xdr_getpos(&xdr);
-	return sign(ctx, secrets, domain_outcome, &binary);
+	return sign_xdr(ctx, secrets, domain_outcome,
+			(xdrproc_t)xdr_attempt_outcome, &copy);
 }
 
 int attempt_read_context(const attempt_secrets_t *secrets, cas_str_t text,
--- a/packages/quota/client.c
+++ b/packages/quota/client.c
@@ -114,7 +114,7 @@
 {
 	int64_t ahead;
 
-	if (customer->central || customer->link.to == 0)
+	if (customer->central)
 		return 0;
 	ahead = forecast(customer, now);
 	if (now < customer->ahead_at_us && ahead < 2 * customer->ahead)
