Limit the loans of a bucket to the customer's burst

Cause: a holder took any amount that another authenticated holder lent, so what it granted on could exceed the customer's burst (fuzz target quota, input fuzz/known/quota-grant-above-burst).

A limit by the amount asked for was ruled out: delegated shares state no amount. The limit is the customer's burst without the own share and what is already borrowed.

Before: the input aborts fuzz_quota.

--- a/packages/quota/borrow.c
+++ b/packages/quota/borrow.c
@@ -241,22 +241,41 @@
 				need * 2 / (int64_t)(count + 1), 0, 0);
 }
 
+/* What the other holders can have to lend: the customer's burst without the
+ * own share and without what was borrowed before. A delegated share replaces
+ * its earlier term. */
+static int64_t loan_limit(const quota_bucket_t *bucket,
+			  const quota_link_t *link)
+{
+	int64_t limit =
+		bucket->customer->burst - bucket->burst - bucket->lent_total;
+
+	if (link->message.ahead != 0)
+		limit += quota_lots_total(&link->lots);
+	return quota_max(limit, 0);
+}
+
 void quota_borrow_reply(quota_t *quota, quota_bucket_t *bucket, cas_id_t from,
 			uint64_t incarnation, const quota_reply *reply)
 {
 	uint16_t to_slot = (uint16_t)(reply->slots & 0xffff);
+	quota_reply loan = *reply;
 	int64_t granted = 0;
 
 	quota_bucket_touch(quota, bucket);
 	for (size_t i = 0; i < bucket->lender_count; i++) {
 		quota_link_t *link = &bucket->lenders[i];
 
-		if (link->to != from || link->to_slot != to_slot ||
-		    !quota_link_accept(quota, link, from, incarnation, reply,
+		if (link->to != from || link->to_slot != to_slot)
+			continue;
+		loan.granted =
+			quota_min(reply->granted, loan_limit(bucket, link));
+		loan.filled = quota_min(reply->filled, loan.granted);
+		if (!quota_link_accept(quota, link, from, incarnation, &loan,
 				       &granted))
 			continue;
 		if (link->message.ahead != 0) {
-			quota_delegate_reply(quota, bucket, link, reply);
+			quota_delegate_reply(quota, bucket, link, &loan);
 		} else {
 			bucket->lent_total += granted;
 			bucket->lent_level += granted;
--- a/packages/quota/tests/test_fuzz_quota.c
+++ b/packages/quota/tests/test_fuzz_quota.c
@@ -92,9 +92,26 @@
 	talloc_free(rng);
 }
 
+/* Guards against loans of other holders that add up to more than the
+ * customer's burst; the input was found by the fuzzer. */
+static void test_loans_above_burst(void **state)
+{
+	static uint8_t data[64 * 1024];
+	FILE *file = fopen("fuzz/known/quota-grant-above-burst", "rb");
+	size_t size;
+
+	(void)state;
+	assert_non_null(file);
+	size = fread(data, 1, sizeof(data), file);
+	fclose(file);
+	assert_true(size > 0);
+	assert_int_equal(LLVMFuzzerTestOneInput(data, size), 0);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_loans_above_burst),
 		cmocka_unit_test(test_mutated_messages),
 	};
 
