--- a/fuzz/fuzz_table.c
+++ b/fuzz/fuzz_table.c
@@ -56,7 +56,7 @@
 		for (size_t c = 0; c < route->customer_count; c++)
 			REQUIRE(table_find_customer(table,
 						    route->customers[c]));
-		REQUIRE(table_match_route(table, route->method,
+		REQUIRE(table_match_route(table, route->host, route->method,
 					  route->path_prefix));
 	}
 }
--- a/packages/admission/admission.c
+++ b/packages/admission/admission.c
@@ -6,6 +6,8 @@
 #define QUEUE_TIME_MIN_US (50 * CAS_USEC_PER_MSEC)
 #define QUEUE_TIME_LATENCIES 4
 #define QUEUE_LENGTH_MIN 32
+/* Upstreams become slower when their last slots are in use. */
+#define SLOTS_PART 0.95
 
 const char *admission_reason_name(admission_reason_t reason)
 {
@@ -102,6 +104,14 @@
 	admission->dispatching = false;
 }
 
+void admission_set_slots(admission_t *admission, int32_t slots)
+{
+	double limit = slots * SLOTS_PART;
+
+	limit_fix(&admission->limit, slots && limit < 1 ? 1 : limit);
+	dispatch(admission);
+}
+
 static int32_t queue_length_max(const admission_t *admission)
 {
 	int32_t limit = (int32_t)admission->limit.limit;
@@ -267,7 +277,10 @@
 {
 	if (too_late(ticket->kind, now_us, ticket->deadline_us))
 		return ADMISSION_REASON_DEADLINE;
-	if (now_us - ticket->since_us > queue_time_max(admission))
+	/* A child call waits as long as it can: the work that led to it is lost
+	 * otherwise. */
+	if (ticket->queue != &ticket->queue->class->queues[QUEUE_CHILD] &&
+	    now_us - ticket->since_us > queue_time_max(admission))
 		return ADMISSION_REASON_QUEUE_TIME;
 	return ADMISSION_REASON_NONE;
 }
--- a/packages/admission/include/cassia/admission.h
+++ b/packages/admission/include/cassia/admission.h
@@ -86,6 +86,10 @@
 			      cas_rng_t *rng, const admission_ops_t *ops,
 			      void *private);
 
+/* Tells how many requests the upstream runs at once, so that the limit need not
+ * be found. 0: not known. */
+void admission_set_slots(admission_t *admission, int32_t slots);
+
 /*
  * Decides on a request. RUN and QUEUED set *ticket; REJECTED sets *reason.
  * The request is copied. QUEUED may call back about other requests before it
--- a/packages/admission/limit.c
+++ b/packages/admission/limit.c
@@ -92,6 +92,19 @@
 	start_period(limit, now_us);
 }
 
+void limit_fix(limit_t *limit, double fixed)
+{
+	if (limit->fixed == fixed)
+		return;
+	limit->fixed = fixed;
+	limit->phase = LIMIT_CRUISE;
+	limit->ceiling = 0;
+	if (fixed > 0) {
+		limit->limit = fixed;
+		limit->effective = fixed;
+	}
+}
+
 bool limit_allows(const limit_t *limit)
 {
 	return limit->inflight < (int)limit->effective;
@@ -126,6 +139,8 @@
 
 static void set_limit(limit_t *limit, double value)
 {
+	if (limit->fixed > 0)
+		return;
 	if (limit->ceiling > 0)
 		value = min_of(value, limit->ceiling);
 	limit->limit = min_of(max_of(value, LIMIT_MIN), LIMIT_MAX);
@@ -215,7 +230,7 @@
 
 void limit_shed(limit_t *limit, int64_t now_us)
 {
-	if (now_us < limit->next_shed_us)
+	if (now_us < limit->next_shed_us || limit->fixed > 0)
 		return;
 	limit->next_shed_us =
 		now_us + (int64_t)limit->typical_us + 20 * CAS_USEC_PER_MSEC;
@@ -368,7 +383,7 @@
 		return;
 	}
 	follow_base(limit, bound, &period);
-	if (limit->phase == LIMIT_CRUISE)
+	if (limit->phase == LIMIT_CRUISE && limit->fixed <= 0)
 		cruise_period(limit, now_us, inflight, bound, &period);
 }
 
--- a/packages/admission/limit_internal.h
+++ b/packages/admission/limit_internal.h
@@ -18,6 +18,7 @@
 	double floor; /* showed no queueing in the last probe */
 	double step; /* of the next growth, as a part of the limit */
 	double ceiling; /* above it the upstream sheds, 0: not known */
+	double fixed; /* known from elsewhere, 0: to be found */
 	/* Smoothed over all kinds, for the length of periods. */
 	double typical_us;
 	double own_us;
@@ -49,6 +50,9 @@
 
 void limit_init(limit_t *limit, int64_t now_us);
 
+/* Uses a known limit, or goes on to look for one when it is 0. */
+void limit_fix(limit_t *limit, double fixed);
+
 /* Returns whether one more request may start. */
 bool limit_allows(const limit_t *limit);
 /* Counts a request as started. Returns its mark, to be passed back. */
--- a/packages/config/curl_loop.c
+++ b/packages/config/curl_loop.c
@@ -1,5 +1,5 @@
 /* libcurl's multi socket interface on tevent. */
-#include "curl_loop_internal.h"
+#include "cassia/curl_loop.h"
 
 #include "cassia/clock.h"
 #include "cassia/fault.h"
--- a/packages/config/diff.c
+++ b/packages/config/diff.c
@@ -114,6 +114,7 @@
 		return cas_str_from(print_address(ctx, value));
 	case FIELD_HEX:
 		return cas_str_from(print_hex(ctx, value, (size_t)field->max));
+	case FIELD_ENDPOINT:
 	case FIELD_NODE:
 		break;
 	}
--- a/packages/config/curl_loop_internal.h
+++ b/packages/config/include/cassia/curl_loop.h
@@ -1,6 +1,6 @@
 /* libcurl's multi socket interface on tevent. */
-#ifndef CASSIA_CURL_LOOP_INTERNAL_H
-#define CASSIA_CURL_LOOP_INTERNAL_H
+#ifndef CASSIA_CURL_LOOP_H
+#define CASSIA_CURL_LOOP_H
 
 #include <curl/curl.h>
 #include <talloc.h>
--- a/packages/config/include/cassia/roster.h
+++ b/packages/config/include/cassia/roster.h
@@ -22,6 +22,9 @@
 	uint16_t peer_port; /* HTTP between daemons, host byte order */
 	uint16_t control_port; /* UDP, ONC RPC between daemons */
 	bool leaving;
+	cas_str_t instance; /* names one run of the upstream, may be empty */
+	int32_t slots; /* requests that the upstream runs at once, 0: unknown */
+	int32_t cold_ms; /* how long the upstream is slow after its start */
 } roster_host_t;
 
 typedef struct roster {
--- a/packages/config/include/cassia/settings.h
+++ b/packages/config/include/cassia/settings.h
@@ -6,6 +6,7 @@
 #define CASSIA_SETTINGS_H
 
 #include <netinet/in.h>
+#include <stdbool.h>
 #include <stdint.h>
 
 #include "cassia/fault.h"
@@ -33,8 +34,31 @@
 typedef enum settings_source_kind {
 	SETTINGS_SOURCE_FILE,
 	SETTINGS_SOURCE_HTTP,
+	SETTINGS_SOURCE_PLATFORM, /* see platform/ */
 } settings_source_kind_t;
 
+/* Whose header fields and configuration the daemon speaks. */
+typedef enum settings_protocol {
+	SETTINGS_PROTOCOL_CASSIA,
+	SETTINGS_PROTOCOL_PLATFORM,
+} settings_protocol_t;
+
+/*
+ * How far admissions may exceed a customer's rate and burst, so that a daemon
+ * serves without asking others. window_ms 0: not at all, the limit is exact.
+ */
+typedef struct settings_tolerance {
+	int32_t window_ms;
+	int64_t over_micro; /* part of rate and burst, in millionths */
+	int64_t slack_micro; /* micro-tokens a window, over the whole fleet */
+} settings_tolerance_t;
+
+/* A data centre, where the source of the table does not list them. */
+typedef struct settings_data_centre {
+	cas_str_t name;
+	cas_str_t region;
+} settings_data_centre_t;
+
 typedef struct settings {
 	cas_str_t host;
 	cas_id_t host_id;
@@ -43,7 +67,10 @@
 	cas_str_t service;
 	cas_id_t service_id;
 	settings_endpoint_t front; /* callers, HTTP */
-	settings_endpoint_t local; /* child calls of the upstream, HTTP */
+	/* Child calls of the upstream, HTTP; port 0 with has_local false:
+	 * child calls come to the front. */
+	settings_endpoint_t local;
+	bool has_local;
 	settings_endpoint_t peer; /* other daemons, HTTP */
 	settings_endpoint_t control; /* other daemons, ONC RPC over UDP */
 	settings_endpoint_t operators; /* cassiactl and metrics, HTTP */
@@ -58,6 +85,11 @@
 	 * list while this daemon has none and the platform does not answer. */
 	settings_endpoint_t seeds[SETTINGS_SEEDS_MAX];
 	size_t seed_count;
+	settings_protocol_t protocol;
+	settings_tolerance_t tolerance;
+	int32_t first_per_retry; /* first attempts that allow one retry */
+	settings_data_centre_t *data_centres;
+	size_t data_centre_count;
 	cas_log_level_t log_level;
 	int32_t drain_timeout_ms;
 	int32_t max_connections; /* from callers */
--- a/packages/config/include/cassia/table.h
+++ b/packages/config/include/cassia/table.h
@@ -36,17 +36,28 @@
 	int32_t connections; /* most connections to one upstream, 0: no limit */
 } table_service_t;
 
+/* A part of the requests of a route that is split between services. */
+typedef struct table_part {
+	cas_id_t service_id;
+	cas_str_t service;
+	int32_t weight; /* 0 or more */
+} table_part_t;
+
 typedef struct table_route {
 	cas_id_t id;
 	cas_str_t name;
+	cas_str_t host; /* empty: every host */
 	cas_str_t path_prefix; /* the longest matching prefix wins */
 	cas_str_t method; /* empty: every method */
-	cas_id_t service_id;
+	cas_id_t service_id; /* of a split route, that of its first part */
 	cas_str_t service;
+	table_part_t *parts; /* count 0: all requests go to the service */
+	size_t part_count;
 	int32_t importance; /* 0..15, 15 is the highest */
 	bool open; /* needs no key, uses no quota */
 	bool idempotent;
 	int32_t timeout_ms;
+	int32_t objective_ms; /* a later response is worth less, 0: none */
 	int64_t max_body_bytes;
 	int32_t retries; /* retry budget of a root request */
 	cas_id_t *customers; /* only these; count 0: every customer */
@@ -71,6 +82,9 @@
 typedef struct table {
 	int64_t revision; /* 1 or more */
 	uint8_t salt[TABLE_SALT_BYTES];
+	/* The customer's importance goes before the route's; else the lower
+	 * one counts. */
+	bool customer_first;
 	table_data_centre_t *data_centres;
 	size_t data_centre_count;
 	table_service_t *services;
@@ -107,8 +121,18 @@
 const table_customer_t *table_find_customer(const table_t *table, cas_id_t id);
 const table_route_t *table_find_route(const table_t *table, cas_id_t id);
 
-/* Returns the route of a request, the longest prefix first, or NULL. */
-const table_route_t *table_match_route(const table_t *table, cas_str_t method,
-				       cas_str_t path);
+/* Returns the route of a request, the longest prefix first and one with a host
+ * before one without, or NULL. host may have a port. */
+const table_route_t *table_match_route(const table_t *table, cas_str_t host,
+				       cas_str_t method, cas_str_t path);
+
+/* Returns the part of a split route that a point of 0..1 falls into, each part
+ * taking up its weight's share, or NULL when the route is not split. */
+const table_part_t *table_pick_part(const table_route_t *route, double point);
+
+/* Returns the importance of a customer's request, 0..15. customer is NULL for
+ * requests without one. */
+int32_t table_importance(const table_t *table, const table_route_t *route,
+			 const table_customer_t *customer);
 
 #endif
--- a/packages/config/roster.c
+++ b/packages/config/roster.c
@@ -4,6 +4,9 @@
 
 #include "diff_internal.h"
 
+#define INSTANCE_MAX_BYTES 128
+#define SLOTS_MAX 100000
+
 #define FIELD(key, kind, required, member, min, max)                           \
 	{                                                                      \
 		key, kind, required, offsetof(roster_host_t, member), min, max \
@@ -24,6 +27,9 @@
 	FIELD("peer_port", FIELD_PORT, true, peer_port, 1, UINT16_MAX),
 	FIELD("control_port", FIELD_PORT, true, control_port, 1, UINT16_MAX),
 	FIELD("leaving", FIELD_BOOL, false, leaving, 0, 0),
+	FIELD("instance", FIELD_TEXT, false, instance, 1, INSTANCE_MAX_BYTES),
+	FIELD("slots", FIELD_INT32, false, slots, 0, SLOTS_MAX),
+	FIELD("cold_ms", FIELD_INT32, false, cold_ms, 0, INT32_MAX),
 };
 
 const row_kind_t roster_host_kind = { "host", host_fields,
--- a/packages/config/schema.c
+++ b/packages/config/schema.c
@@ -9,6 +9,7 @@
 #include <stdlib.h>
 #include <xxhash.h>
 
+#include "cassia/settings.h"
 #include "cassia/table.h"
 
 #define FIELDS_MAX 24
@@ -199,6 +200,25 @@
 		value_fault(value, "an IPv4 address");
 }
 
+/* ADDRESS:PORT in one text, as some platforms write it. */
+static void read_endpoint(const value_t *value)
+{
+	settings_endpoint_t *endpoint = value->out;
+	char address[INET_ADDRSTRLEN] = "";
+	unsigned int port = 0;
+	int used = 0;
+
+	if (value->node->kind != TOML_KIND_STRING ||
+	    sscanf(value->node->text.ptr, "%15[0-9.]:%5u%n", address, &port,
+		   &used) != 2 ||
+	    (size_t)used != value->node->text.len || port > UINT16_MAX ||
+	    inet_pton(AF_INET, address, &endpoint->address) != 1) {
+		value_fault(value, "an IPv4 address and a port: 10.0.0.1:80");
+		return;
+	}
+	endpoint->port = (uint16_t)port;
+}
+
 static void read_hex(const value_t *value)
 {
 	size_t bytes = (size_t)value->field->max;
@@ -235,6 +255,9 @@
 	case FIELD_ADDRESS:
 		read_address(value);
 		break;
+	case FIELD_ENDPOINT:
+		read_endpoint(value);
+		break;
 	case FIELD_HEX:
 		read_hex(value);
 		break;
--- a/packages/config/schema_internal.h
+++ b/packages/config/schema_internal.h
@@ -18,6 +18,7 @@
 	FIELD_PORT, /* uint16_t in min..max */
 	FIELD_MICRO, /* int64_t in millionths, min..max, from a number */
 	FIELD_ADDRESS, /* struct in_addr from a dotted IPv4 address */
+	FIELD_ENDPOINT, /* settings_endpoint_t from ADDRESS:PORT */
 	FIELD_HEX, /* uint8_t[max] from 2 * max hexadecimal digits */
 	FIELD_NODE, /* const toml_node_t *: read by the caller */
 } field_kind_t;
--- a/packages/config/source_http.c
+++ b/packages/config/source_http.c
@@ -2,7 +2,7 @@
  * Tables and host lists from the platform's configuration service. There is
  * at most one read in flight for each document.
  */
-#include "curl_loop_internal.h"
+#include "cassia/curl_loop.h"
 #include "cassia/timer.h"
 #include "source_internal.h"
 
--- a/packages/config/table_read.c
+++ b/packages/config/table_read.c
@@ -199,6 +199,9 @@
 	if (!method_is_good(route->method))
 		reader_fault(&r->base, toml_get(row, "method"), row, row_name,
 			     "method must be in capital letters");
+	if (!route->service.ptr == !read->split)
+		reader_fault(&r->base, NULL, row, row_name,
+			     "a route needs either service or split");
 	if (route->service.ptr &&
 	    !table_find_service(r->table, cas_id_of(route->service)))
 		reader_fault(&r->base, toml_get(row, "service"), row, row_name,
@@ -209,15 +212,51 @@
 			     "an open route cannot be limited to customers");
 }
 
+static void read_part(table_reader_t *r, const toml_node_t *row,
+		      cas_str_t row_name, table_part_t *part)
+{
+	reader_fields(&r->base, row, row_name, table_part_kind.fields,
+		      table_part_kind.field_count, part);
+	if (part->service.ptr &&
+	    !table_find_service(r->table, cas_id_of(part->service)))
+		reader_fault(&r->base, toml_get(row, "service"), row, row_name,
+			     "there is no service \"%.*s\"",
+			     CAS_STR_ARG(part->service));
+	part->service_id = cas_id_of(part->service);
+}
+
+static void read_split(table_reader_t *r, const toml_node_t *rows,
+		       cas_str_t row_name, table_route_t *route)
+{
+	size_t count = document_row_count(&r->base, rows);
+	int64_t weights = 0;
+
+	route->parts = reader_array(&r->base, sizeof(table_part_t), count);
+	if (!route->parts) {
+		document_need_rows(&r->base, rows);
+		return;
+	}
+	route->part_count = count;
+	for (size_t i = 0; i < count; i++) {
+		read_part(r, &rows->children[i], row_name, &route->parts[i]);
+		weights += route->parts[i].weight;
+	}
+	if (!weights)
+		reader_fault(&r->base, rows, NULL, row_name,
+			     "one part at least needs a weight above 0");
+	route->service = route->parts[0].service;
+	route->service_id = route->parts[0].service_id;
+}
+
 static cas_id_t match_id(const table_route_t *route)
 {
-	char text[512];
+	char text[768];
 	int len;
 
 	if (!route->path_prefix.ptr)
 		return 0;
-	len = snprintf(text, sizeof(text), "%.*s %.*s",
-		       CAS_STR_ARG(route->method),
+	len = snprintf(text, sizeof(text), "%.*s %.*s %.*s",
+		       CAS_STR_ARG(route->method), CAS_STR_ARG(route->host),
 		       CAS_STR_ARG(route->path_prefix));
 	return cas_id_of((cas_str_t){ text, (size_t)len });
 }
@@ -237,6 +276,8 @@
 	*route = read.route;
 	route->id = cas_id_of(route->name);
 	route->service_id = cas_id_of(route->service);
+	if (read.split)
+		read_split(r, read.split, name, route);
 	if (read.customers)
 		read_route_customers(r, read.customers, name, route);
 	return name;
@@ -261,7 +302,7 @@
 		matches[i] = (unique_t){ match_id(&routes[i]), name, row };
 	}
 	reader_unique(&r->base, names, count, "the name");
-	reader_unique(&r->base, matches, count, "the path and method");
+	reader_unique(&r->base, matches, count, "the host, path and method");
 	r->table->routes = routes;
 	r->table->route_count = count;
 }
@@ -361,6 +402,7 @@
 		      table_root_kind.field_count, &r->fields);
 	table->revision = r->fields.revision;
 	memcpy(table->salt, r->fields.salt, sizeof(table->salt));
+	table->customer_first = r->fields.customer_first;
 	table->source = cas_str_dup(table, text);
 	if (!table->source.ptr)
 		r->base.rc = CONFIG_ENOMEM;
--- a/packages/config/table_rows.c
+++ b/packages/config/table_rows.c
@@ -11,11 +11,13 @@
 #define RATE_MIN_MICRO 1
 #define CONNECTIONS_MAX 1000000
 #define WEIGHT_MAX 10000
+#define PART_WEIGHT_MAX 1000000
 #define TIMEOUT_MAX_MS 600000
 #define BODY_MAX (INT64_C(1) << 30)
 #define RETRIES_MAX 100
 #define PATH_MAX_BYTES 256
 #define METHOD_MAX_BYTES 16
+#define HOST_MAX_BYTES 253
 #define LABEL_MAX_BYTES 128
 
 #define ROOT(key, kind, required, member, min, max)                            \
@@ -33,6 +35,7 @@
 	ROOT("salt", FIELD_HEX, true, salt, 0, TABLE_SALT_BYTES),
 	ROOT("hosts_revision", FIELD_INT64, false, hosts_revision, 1,
 	     INT64_MAX),
+	ROOT("customer_first", FIELD_BOOL, false, customer_first, 0, 0),
 	ROOT("data_centre", FIELD_NODE, true, data_centres, 0, 0),
 	ROOT("service", FIELD_NODE, false, services, 0, 0),
 	ROOT("route", FIELD_NODE, false, routes, 0, 0),
@@ -63,20 +66,30 @@
 
 static const field_t route_fields[] = {
 	ROUTE("name", FIELD_NAME, true, name, 0, 0),
+	ROUTE("host", FIELD_TEXT, false, host, 1, HOST_MAX_BYTES),
 	ROUTE("path", FIELD_TEXT, true, path_prefix, 1, PATH_MAX_BYTES),
 	ROUTE("method", FIELD_TEXT, false, method, 0, METHOD_MAX_BYTES),
-	ROUTE("service", FIELD_NAME, true, service, 0, 0),
+	ROUTE("service", FIELD_NAME, false, service, 0, 0),
+	{ "split", FIELD_NODE, false, offsetof(route_row_t, split), 0, 0 },
 	ROUTE("importance", FIELD_INT32, true, importance, 0,
 	      TABLE_IMPORTANCE_MAX),
 	ROUTE("open", FIELD_BOOL, false, open, 0, 0),
 	ROUTE("idempotent", FIELD_BOOL, false, idempotent, 0, 0),
 	ROUTE("timeout_ms", FIELD_INT32, false, timeout_ms, 1, TIMEOUT_MAX_MS),
+	ROUTE("objective_ms", FIELD_INT32, false, objective_ms, 1,
+	      TIMEOUT_MAX_MS),
 	ROUTE("max_body", FIELD_INT64, false, max_body_bytes, 0, BODY_MAX),
 	ROUTE("retries", FIELD_INT32, false, retries, 0, RETRIES_MAX),
 	{ "customers", FIELD_NODE, false, offsetof(route_row_t, customers), 0,
 	  0 },
 };
 
+static const field_t part_fields[] = {
+	{ "service", FIELD_NAME, true, offsetof(table_part_t, service), 0, 0 },
+	{ "weight", FIELD_INT32, true, offsetof(table_part_t, weight), 0,
+	  PART_WEIGHT_MAX },
+};
+
 #define CUSTOMER(key, kind, required, member, min, max)                        \
 	{                                                                      \
 		key, kind, required, offsetof(table_customer_t, member), min,  \
@@ -108,6 +121,7 @@
 const row_kind_t table_service_kind =
 	KIND("service", service_fields, table_service_t);
 const row_kind_t table_route_kind = KIND("route", route_fields, table_route_t);
+const row_kind_t table_part_kind = KIND("split", part_fields, table_part_t);
 const row_kind_t table_customer_kind =
 	KIND("customer", customer_fields, table_customer_t);
 const row_kind_t table_key_kind = KIND("key", key_fields, table_key_t);
--- a/packages/config/table_rows_internal.h
+++ b/packages/config/table_rows_internal.h
@@ -13,6 +13,7 @@
 typedef struct table_root {
 	int64_t revision;
 	uint8_t salt[TABLE_SALT_BYTES];
+	bool customer_first;
 	int64_t hosts_revision;
 	const toml_node_t *data_centres;
 	const toml_node_t *services;
@@ -26,6 +27,7 @@
 typedef struct route_row {
 	table_route_t route; /* first: the fields use its offsets */
 	const toml_node_t *customers;
+	const toml_node_t *split;
 } route_row_t;
 
 typedef struct key_row {
@@ -37,6 +39,7 @@
 extern const row_kind_t table_data_centre_kind;
 extern const row_kind_t table_service_kind;
 extern const row_kind_t table_route_kind;
+extern const row_kind_t table_part_kind;
 extern const row_kind_t table_customer_kind;
 extern const row_kind_t table_key_kind;
 
--- a/packages/config/tests/test_table.c
+++ b/packages/config/tests/test_table.c
@@ -96,14 +96,18 @@
 	const table_route_t *any = &table->routes[1];
 	cas_str_t get = CAS_STR("GET");
 
+	assert_ptr_equal(table_match_route(table, CAS_STR(""), CAS_STR("POST"),
+					   CAS_STR("/book/1")),
+			 post);
 	assert_ptr_equal(
-		table_match_route(table, CAS_STR("POST"), CAS_STR("/book/1")),
-		post);
-	assert_ptr_equal(table_match_route(table, get, CAS_STR("/book")), any);
-	assert_ptr_equal(table_match_route(table, get, CAS_STR("/book?a")),
-			 any);
-	assert_null(table_match_route(table, get, CAS_STR("/bookings")));
-	assert_null(table_match_route(table, get, CAS_STR("/")));
+		table_match_route(table, CAS_STR(""), get, CAS_STR("/book")),
+		any);
+	assert_ptr_equal(
+		table_match_route(table, CAS_STR(""), get, CAS_STR("/book?a")),
+		any);
+	assert_null(table_match_route(table, CAS_STR(""), get,
+				      CAS_STR("/bookings")));
+	assert_null(table_match_route(table, CAS_STR(""), get, CAS_STR("/")));
 }
 
 /* Guards against half a table, cut anywhere, that passes as a whole one. */
@@ -171,7 +175,14 @@
 	  "the customer is already used" },
 	{ "customers = [\"acme\"]", "customers = [\"acme\"]\nopen = true",
 	  "an open route cannot be limited" },
-	{ "method = \"POST\"", "", "the path and method is already used" },
+	{ "method = \"POST\"", "",
+	  "the host, path and method is already used" },
+	{ "path = \"/book\"", "path = \"/book\"\nsplit = []",
+	  "either service or split" },
+	{ "service = \"booking\"", "split = [{service=\"other\", weight=1}]",
+	  "no service \"other\"" },
+	{ "service = \"booking\"", "split = [{service=\"booking\", weight=0}]",
+	  "a weight above 0" },
 	{ "method = \"POST\"", "method = \"post\"", "in capital letters" },
 	{ "path = \"/book\"", "path = \"book\"", "path must begin with" },
 	{ "path = \"/book\"", "path = \"/a?b\"", "path must begin with" },
--- a/packages/drain/drain.c
+++ b/packages/drain/drain.c
@@ -68,11 +68,17 @@
 		drain->ops->stop_listening(drain->private_data);
 }
 
+static int64_t announce_us(const drain_t *drain)
+{
+	return drain->goal == DRAIN_GOAL_STOP ? DRAIN_ANNOUNCE_US
+					      : DRAIN_UPSTREAM_US;
+}
+
 void drain_tick(drain_t *drain)
 {
 	int64_t elapsed = cas_clock_now(drain->clock) - drain->started_us;
 
-	if (drain->state == DRAIN_ANNOUNCING && elapsed >= DRAIN_ANNOUNCE_US)
+	if (drain->state == DRAIN_ANNOUNCING && elapsed >= announce_us(drain))
 		close_listeners(drain);
 	if (drain->state != DRAIN_FINISHING)
 		return;
--- a/packages/drain/include/cassia/drain.h
+++ b/packages/drain/include/cassia/drain.h
@@ -18,8 +18,11 @@
 	DRAIN_EALREADY = -2102, /* a drain is in progress */
 };
 
-/* How long peers have to learn of a drain before listeners close. */
+/* How long peers have to learn of a stop before listeners close, and of the
+ * drain of an upstream, which they read in the host list, before new work for
+ * it is refused. */
 #define DRAIN_ANNOUNCE_US (3 * CAS_USEC_PER_SEC)
+#define DRAIN_UPSTREAM_US (1 * CAS_USEC_PER_SEC)
 
 typedef enum drain_state {
 	DRAIN_SERVING,
--- a/packages/keys/header.c
+++ b/packages/keys/header.c
@@ -36,12 +36,12 @@
 	return text;
 }
 
-int keys_parse_bearer(cas_str_t value, cas_str_t *token)
+int keys_parse_header(cas_str_t value, cas_str_t scheme, cas_str_t *token)
 {
-	const cas_str_t scheme = CAS_STR("Bearer ");
 	cas_str_t text = trim(value);
 
-	if (!equal_ignoring_case(text, scheme))
+	if (!equal_ignoring_case(text, scheme) || text.len == scheme.len ||
+	    text.ptr[scheme.len] != ' ')
 		return KEYS_EMISSING;
 	text.ptr += scheme.len;
 	text.len -= scheme.len;
--- a/packages/keys/include/cassia/keys.h
+++ b/packages/keys/include/cassia/keys.h
@@ -62,10 +62,10 @@
 int keys_check_route(const table_route_t *route, cas_id_t customer_id);
 
 /*
- * Takes the token out of the value of an Authorization header. Returns 0 with
- * *token borrowing from value, or KEYS_EMISSING when it is no bearer token.
+ * Takes the key out of the value of an Authorization header. Returns 0 with
+ * *token borrowing from value, or KEYS_EMISSING when it is not of the scheme.
  */
-int keys_parse_bearer(cas_str_t value, cas_str_t *token);
+int keys_parse_header(cas_str_t value, cas_str_t scheme, cas_str_t *token);
 
 /*
  * Returns true when a header of this name may carry a caller's key and must
--- a/packages/keys/tests/test_keys.c
+++ b/packages/keys/tests/test_keys.c
@@ -175,14 +175,21 @@
 	cas_str_t token;
 
 	(void)state;
-	assert_int_equal(keys_parse_bearer(CAS_STR("Bearer  abc "), &token), 0);
+	assert_int_equal(keys_parse_header(CAS_STR("Bearer  abc "),
+					   CAS_STR("Bearer"), &token),
+			 0);
 	assert_true(cas_str_equal(token, CAS_STR("abc")));
-	assert_int_equal(keys_parse_bearer(CAS_STR("bEARER abc"), &token), 0);
-	assert_int_equal(keys_parse_bearer(CAS_STR("Basic abc"), &token),
+	assert_int_equal(keys_parse_header(CAS_STR("bEARER abc"),
+					   CAS_STR("Bearer"), &token),
+			 0);
+	assert_int_equal(keys_parse_header(CAS_STR("Basic abc"),
+					   CAS_STR("Bearer"), &token),
 			 KEYS_EMISSING);
-	assert_int_equal(keys_parse_bearer(CAS_STR("Bearer"), &token),
-			 KEYS_EMISSING);
-	assert_int_equal(keys_parse_bearer(CAS_STR("Bearer   "), &token),
+	assert_int_equal(
+		keys_parse_header(CAS_STR("Bearer"), CAS_STR("Bearer"), &token),
+		KEYS_EMISSING);
+	assert_int_equal(keys_parse_header(CAS_STR("Bearer   "),
+					   CAS_STR("Bearer"), &token),
 			 KEYS_EMISSING);
 }
 
--- a/packages/quota/client.c
+++ b/packages/quota/client.c
@@ -164,8 +164,8 @@
 	pending->quota->stats.waiting--;
 }
 
-static void finish(quota_pending_t *pending, quota_verdict_t verdict,
-		   int64_t retry_after_us)
+void quota_pending_finish(quota_pending_t *pending, quota_verdict_t verdict,
+			  int64_t retry_after_us)
 {
 	quota_done_fn done = pending->done;
 	void *private_data = pending->private_data;
@@ -189,7 +189,7 @@
 void quota_client_run(quota_t *quota, quota_customer_t *customer)
 {
 	while (customer->first && take_token(quota, customer))
-		finish(customer->first, QUOTA_GRANTED, 0);
+		quota_pending_finish(customer->first, QUOTA_GRANTED, 0);
 	ask(quota, customer, (int64_t)customer->pending_count);
 }
 
@@ -206,8 +206,8 @@
 
 		if (now >= pending->give_up_us) {
 			quota->stats.refused++;
-			finish(pending, QUOTA_REFUSED,
-			       retry_after(customer, now));
+			quota_pending_finish(pending, QUOTA_REFUSED,
+					     retry_after(customer, now));
 			/* The callback may have changed the list. */
 			next = customer->first;
 			earliest = QUOTA_NEVER;
@@ -258,8 +258,8 @@
 	customer->refused_now = count > customer->pending_count;
 	for (; count > 0 && customer->last; count--) {
 		quota->stats.refused++;
-		finish(customer->last, QUOTA_REFUSED,
-		       retry_after(customer, now));
+		quota_pending_finish(customer->last, QUOTA_REFUSED,
+				     retry_after(customer, now));
 	}
 }
 
@@ -309,8 +309,8 @@
 	return due;
 }
 
-static quota_pending_t *enqueue(quota_t *quota, quota_customer_t *customer,
-				int64_t give_up_us)
+quota_pending_t *quota_pending_add(quota_t *quota, quota_customer_t *customer,
+				   int64_t give_up_us)
 {
 	quota_pending_t *pending = talloc_zero(customer, quota_pending_t);
 
@@ -371,20 +371,29 @@
 
 	*pending = NULL;
 	*retry_after_us = CAS_USEC_PER_SEC;
-	if (!customer || !customer->listed || customer->holder_count == 0) {
+	if (!customer || !customer->listed ||
+	    (customer->holder_count == 0 && !quota_is_tolerant(quota))) {
 		quota->stats.refused++;
 		return QUOTA_ECUSTOMER;
 	}
-	note_demand(customer, now);
-	verdict = try_now(quota, customer, now);
+	if (quota_is_tolerant(quota)) {
+		verdict = quota_pool_acquire(quota, customer, give_up_us,
+					     pending);
+		*retry_after_us = quota_pool_retry_after(customer, now);
+	} else {
+		note_demand(customer, now);
+		verdict = try_now(quota, customer, now);
+		*retry_after_us = retry_after(customer, now);
+		customer->arrived_us = now;
+		if (verdict == QUOTA_PENDING &&
+		    may_wait(customer, now, give_up_us))
+			*pending =
+				quota_pending_add(quota, customer, give_up_us);
+	}
 	if (verdict == QUOTA_GRANTED) {
 		*retry_after_us = 0;
 		return QUOTA_GRANTED;
 	}
-	*retry_after_us = retry_after(customer, now);
-	customer->arrived_us = now;
-	if (verdict == QUOTA_PENDING && may_wait(customer, now, give_up_us))
-		*pending = enqueue(quota, customer, give_up_us);
 	if (!*pending) {
 		quota->stats.refused++;
 		return QUOTA_REFUSED;
--- a/packages/quota/include/cassia/quota.h
+++ b/packages/quota/include/cassia/quota.h
@@ -37,6 +37,17 @@
 	QUOTA_REFUSED, /* no token was taken */
 } quota_verdict_t;
 
+/*
+ * How far admissions over any window may exceed rate and burst, as a part of
+ * both and as a number of tokens. window_us 0: not at all; the limit is exact
+ * and needs the fence.
+ */
+typedef struct quota_tolerance {
+	int64_t window_us;
+	int64_t over_micro; /* millionths of rate and burst */
+	int64_t slack_micro; /* micro-tokens */
+} quota_tolerance_t;
+
 typedef struct quota quota_t;
 typedef struct quota_pending quota_pending_t;
 
@@ -82,6 +93,11 @@
 		      const quota_ops_t *ops, void *private_data, cas_id_t self,
 		      uint64_t incarnation);
 
+/* Lets admissions exceed the limit by a tolerance. Daemons then divide all
+ * tokens among themselves, take over what they lack, and need no holders. Call
+ * it before the first quota_set_view. */
+void quota_set_tolerance(quota_t *quota, const quota_tolerance_t *tolerance);
+
 /*
  * Adopts a table and a roster (borrowed until the next call, either may be
  * unchanged). Returns 0, QUOTA_ENOMEM, or QUOTA_EHOST when the roster does not
--- a/packages/quota/quota.c
+++ b/packages/quota/quota.c
@@ -26,6 +26,11 @@
 	return quota;
 }
 
+void quota_set_tolerance(quota_t *quota, const quota_tolerance_t *tolerance)
+{
+	quota->tolerance = *tolerance;
+}
+
 static int compare_customers(const void *a, const void *b)
 {
 	const quota_customer_t *x = *(quota_customer_t *const *)a;
@@ -146,7 +151,9 @@
 		customer->known = true;
 		customer->rate = entry->rate_micro;
 		customer->burst = entry->burst_micro;
-		if (place_customer(quota, customer, changed))
+		if (quota_is_tolerant(quota))
+			quota_pool_place(quota, customer);
+		else if (place_customer(quota, customer, changed))
 			return QUOTA_ENOMEM;
 	}
 	for (size_t i = 0; i < quota->customer_count; i++) {
@@ -194,8 +201,12 @@
 				.sequence = ask->sequence,
 				.wait = QUOTA_WAIT_LIMIT / 2,
 				.report = QUOTA_NOT_HOLDER };
-	if (customer && in_range(ask->need) && in_range(ask->ahead) &&
-	    in_range(ask->left) && in_range(ask->returned))
+	if (!customer || !in_range(ask->need) || !in_range(ask->ahead) ||
+	    !in_range(ask->left) || !in_range(ask->returned))
+		return;
+	if (quota_is_tolerant(quota))
+		quota_pool_on_ask(quota, customer, ask, reply);
+	else
 		bucket = quota_bucket_find(customer, ask->slots & 0xffff);
 	if (bucket && bucket->state != QUOTA_RETIRED)
 		quota_bucket_ask(quota, bucket, from, incarnation, ask, reply);
@@ -212,6 +223,10 @@
 	if (!customer || !in_range(reply->granted) ||
 	    !in_range(reply->filled) || !in_range(reply->rate))
 		return;
+	if (quota_is_tolerant(quota)) {
+		quota_pool_on_reply(quota, customer, reply);
+		return;
+	}
 	if (from_slot == QUOTA_FROM_DAEMON) {
 		quota_client_reply(quota, customer, from, incarnation, reply);
 		return;
@@ -231,7 +246,9 @@
 			quota_bucket_touch(quota, b);
 			quota_borrow_tick(quota, b);
 		}
-		if (customer->holder_count > 0)
+		if (quota_is_tolerant(quota))
+			quota_pool_tick(quota, customer);
+		else if (customer->holder_count > 0)
 			quota_client_tick(quota, customer);
 	}
 }
@@ -243,6 +260,10 @@
 	for (size_t i = 0; i < quota->customer_count; i++) {
 		const quota_customer_t *customer = quota->customers[i];
 
+		if (quota_is_tolerant(quota)) {
+			due = quota_min(due, quota_pool_due(customer));
+			continue;
+		}
 		due = quota_min(due, quota_client_due(customer));
 		for (const quota_bucket_t *b = customer->buckets; b;
 		     b = b->next) {
--- a/packages/quota/quota_internal.h
+++ b/packages/quota/quota_internal.h
@@ -135,6 +135,23 @@
 	size_t account_count;
 } quota_bucket_t;
 
+/* The tokens of a customer at this daemon under a tolerance; see pool.c. */
+typedef struct quota_pool {
+	int64_t rate; /* micro-tokens a second that this daemon adds */
+	int64_t burst;
+	int64_t level;
+	int64_t touched_us;
+	int64_t borrowed;
+	int64_t borrowed_until_us;
+	bool start_round; /* at the next tick, for all that wait by then */
+	int tier; /* asked next */
+	size_t unanswered; /* asks of the present tier */
+	uint32_t first_sequence;
+	int64_t timeout_us;
+	int64_t next_round_us;
+	int64_t backoff_us;
+} quota_pool_t;
+
 /* One customer: its table entry, its holders and the requests here. */
 typedef struct quota_customer {
 	cas_id_t id;
@@ -167,6 +184,7 @@
 	bool refused_now; /* the reply refused a request not yet waiting */
 	int64_t give_up_us; /* of the pending requests, or earlier */
 	quota_bucket_t *buckets;
+	quota_pool_t pool;
 } quota_customer_t;
 
 struct quota_pending {
@@ -210,6 +228,9 @@
 	int64_t created_us;
 	int64_t ticked_us;
 	uint32_t sequence;
+	quota_tolerance_t tolerance;
+	int64_t hosts; /* among which tokens are divided under a tolerance */
+	int64_t hosts_until_us;
 	quota_view_t *view;
 	quota_customer_t **customers; /* sorted by id */
 	size_t customer_count;
@@ -342,7 +363,31 @@
 int64_t quota_client_due(const quota_customer_t *customer);
 void quota_client_home(quota_t *quota, quota_customer_t *customer);
 
+/* client.c: requests that wait. */
+quota_pending_t *quota_pending_add(quota_t *quota, quota_customer_t *customer,
+				   int64_t give_up_us);
+void quota_pending_finish(quota_pending_t *pending, quota_verdict_t verdict,
+			  int64_t retry_after_us);
+
+/* pool.c */
+void quota_pool_place(quota_t *quota, quota_customer_t *customer);
+quota_verdict_t quota_pool_acquire(quota_t *quota, quota_customer_t *customer,
+				   int64_t give_up_us,
+				   quota_pending_t **pending);
+int64_t quota_pool_retry_after(const quota_customer_t *customer, int64_t now);
+void quota_pool_on_ask(quota_t *quota, quota_customer_t *customer,
+		       const quota_ask *ask, quota_reply *reply);
+void quota_pool_on_reply(quota_t *quota, quota_customer_t *customer,
+			 const quota_reply *reply);
+void quota_pool_tick(quota_t *quota, quota_customer_t *customer);
+int64_t quota_pool_due(const quota_customer_t *customer);
+
 /* quota.c */
+static inline bool quota_is_tolerant(const quota_t *quota)
+{
+	return quota->tolerance.window_us > 0;
+}
+
 quota_customer_t *quota_customer_find(quota_t *quota, cas_id_t id);
 
 #endif
--- a/packages/retry/brake.c
+++ b/packages/retry/brake.c
@@ -1,5 +1,5 @@
 /*
- * The retry brake. Each daemon keeps retries below a tenth of its own first
+ * The retry brake. Each daemon keeps retries below a share of its own first
  * attempts over 10 s, so the whole fleet keeps the same share.
  */
 #include "cassia/retry.h"
@@ -8,7 +8,7 @@
 
 #define BRAKE_SLOTS 10
 #define BRAKE_SLOT_US CAS_USEC_PER_SEC
-#define BRAKE_FIRST_PER_RETRY 10
+#define BRAKE_FIRST_PER_RETRY 10 /* unless the settings say otherwise */
 
 typedef struct service_counts {
 	cas_id_t service;
@@ -21,6 +21,7 @@
 
 struct retry_brake {
 	const cas_clock_t *clock;
+	uint64_t first_per_retry;
 	service_counts_t *services;
 	size_t count;
 };
@@ -29,11 +30,18 @@
 {
 	retry_brake_t *brake = talloc_zero(ctx, retry_brake_t);
 
-	if (brake)
-		brake->clock = clock;
+	if (!brake)
+		return NULL;
+	brake->clock = clock;
+	brake->first_per_retry = BRAKE_FIRST_PER_RETRY;
 	return brake;
 }
 
+void retry_brake_set(retry_brake_t *brake, uint32_t first_per_retry)
+{
+	brake->first_per_retry = first_per_retry;
+}
+
 static void clear_slot(service_counts_t *counts, size_t slot)
 {
 	counts->first_sum -= counts->first[slot];
@@ -104,7 +112,8 @@
 
 	if (!counts)
 		return false;
-	if ((counts->retry_sum + 1) * BRAKE_FIRST_PER_RETRY > counts->first_sum)
+	if ((counts->retry_sum + 1) * brake->first_per_retry >
+	    counts->first_sum)
 		return false;
 	counts->retries[counts->newest % BRAKE_SLOTS]++;
 	counts->retry_sum++;
--- a/packages/retry/include/cassia/retry.h
+++ b/packages/retry/include/cassia/retry.h
@@ -45,6 +45,10 @@
 /* Returns a new brake, or NULL when memory is short. clock is borrowed. */
 retry_brake_t *retry_brake_create(TALLOC_CTX *ctx, const cas_clock_t *clock);
 
+/* Allows one retry for so many first attempts (1 or more) instead of 10. Calls
+ * of a repeated run are repeats as well, so a chain needs a smaller share. */
+void retry_brake_set(retry_brake_t *brake, uint32_t first_per_retry);
+
 /* Counts the first attempt of a call to the service. Returns 0 or
  * RETRY_ENOMEM; the attempt may proceed in both cases. */
 int retry_brake_first(retry_brake_t *brake, cas_id_t service);
--- a/programs/cassiad/config.c
+++ b/programs/cassiad/config.c
@@ -1,5 +1,6 @@
 /* Settings, tables and host lists, and what changes with them. */
 #include "cassia/log.h"
+#include "cassia/platform.h"
 #include "control.h"
 #include "daemon.h"
 #include "fetch.h"
@@ -115,6 +116,7 @@
 	const roster_host_t *own =
 		roster_find(daemon->roster, daemon->settings->host_id);
 
+	admission_set_slots(daemon->admission, own ? own->slots : 0);
 	if (!own)
 		return;
 	if (own->leaving && !daemon->listed_leaving) {
@@ -162,9 +164,14 @@
 
 int config_open_source(cassiad_t *daemon)
 {
-	daemon->source =
-		source_create(daemon, daemon->ev, daemon->rng, daemon->settings,
-			      &source_store_sink, daemon->store);
+	if (daemon->settings->source_kind == SETTINGS_SOURCE_PLATFORM)
+		daemon->source = platform_source_create(
+			daemon, daemon->ev, daemon->clock, daemon->rng,
+			daemon->settings, &source_store_sink, daemon->store);
+	else
+		daemon->source = source_create(
+			daemon, daemon->ev, daemon->rng, daemon->settings,
+			&source_store_sink, daemon->store);
 	return daemon->source ? 0 : CONFIG_ENOMEM;
 }
 
--- a/programs/cassiad/control.c
+++ b/programs/cassiad/control.c
@@ -261,6 +261,19 @@
 	return error;
 }
 
+static void set_tolerance(control_t *control)
+{
+	const settings_tolerance_t *settings =
+		&control->daemon->settings->tolerance;
+	const quota_tolerance_t tolerance = {
+		.window_us = settings->window_ms * CAS_USEC_PER_MSEC,
+		.over_micro = settings->over_micro,
+		.slack_micro = settings->slack_micro,
+	};
+
+	quota_set_tolerance(control->quota, &tolerance);
+}
+
 int control_start(cassiad_t *daemon)
 {
 	control_t *control = talloc_zero(daemon, control_t);
@@ -285,6 +298,7 @@
 					   daemon->store, &boot_ops, control);
 	if (!control->membership || !control->quota || !control->boot)
 		return PEER_ENOMEM;
+	set_tolerance(control);
 	register_procedures(control);
 	return 0;
 }
--- a/programs/cassiad/daemon.c
+++ b/programs/cassiad/daemon.c
@@ -6,6 +6,7 @@
 
 #include "cassia/log.h"
 #include "cassia/peer.h"
+#include "cassia/platform.h"
 #include "control.h"
 #include "stats.h"
 
@@ -74,8 +75,10 @@
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(listeners); i++) {
-		int error = listen_on(daemon, &listeners[i]);
+		int error = 0;
 
+		if (listeners[i].front != &daemon->local || settings->has_local)
+			error = listen_on(daemon, &listeners[i]);
 		if (error)
 			return error;
 	}
@@ -150,7 +153,8 @@
 	if (!daemon->stopping)
 		return count;
 	count += http_front_exchanges(daemon->front);
-	count += http_front_exchanges(daemon->local);
+	if (daemon->local)
+		count += http_front_exchanges(daemon->local);
 	count += http_front_exchanges(daemon->peer);
 	if (!count && !(http_front_is_idle(daemon->front, QUIET_US) &&
 			http_front_is_idle(daemon->peer, QUIET_US)))
@@ -235,6 +239,8 @@
 	    !daemon->live || !daemon->thresholds || !daemon->routing ||
 	    !daemon->brake || !daemon->drain)
 		return BASE_ENOMEM;
+	retry_brake_set(daemon->brake,
+			(uint32_t)daemon->settings->first_per_retry);
 	return admit_start(daemon);
 }
 
@@ -263,6 +269,10 @@
 	int error;
 
 	raise_descriptor_limit();
+	daemon->dialect =
+		daemon->settings->protocol == SETTINGS_PROTOCOL_PLATFORM
+			? &platform_dialect
+			: &http_dialect_cassia;
 	daemon->started_us = cas_clock_now(daemon->clock);
 	daemon->incarnation = peer_incarnation_new();
 	config_set_secrets(daemon);
--- a/programs/cassiad/daemon.h
+++ b/programs/cassiad/daemon.h
@@ -13,6 +13,7 @@
 #include "cassia/drain.h"
 #include "cassia/error.h"
 #include "cassia/http_back.h"
+#include "cassia/http_dialect.h"
 #include "cassia/http_front.h"
 #include "cassia/keys.h"
 #include "cassia/retry.h"
@@ -42,6 +43,7 @@
 	cas_clock_t *clock;
 	cas_rng_t *rng;
 	settings_t *settings;
+	const http_dialect_t *dialect;
 	const char *settings_path;
 	attempt_secrets_t secrets;
 	uint64_t incarnation;
--- a/programs/cassiad/entry.c
+++ b/programs/cassiad/entry.c
@@ -68,6 +68,19 @@
 	}
 }
 
+/* Callers take 429 and 503 as a promise that the request has not run, and other
+ * server errors as none. */
+static int honest_status(const entry_request_t *request)
+{
+	int status = reason_status(request->reason);
+
+	if (request->maybe_run && (status == 429 || status == 503))
+		return 502;
+	if (!request->maybe_run && (status == 502 || status == 504))
+		return 503;
+	return status;
+}
+
 void entry_refuse(entry_request_t *request, reason_t reason,
 		  int64_t retry_after_us)
 {
@@ -79,6 +92,7 @@
 	request->status = reason_status(reason);
 	request->outcome =
 		request->maybe_run ? ATTEMPT_UNKNOWN : ATTEMPT_NOT_RUN;
+	request->status = honest_status(request);
 	entry_reply_refusal(request, retry_after_us);
 }
 
@@ -131,6 +145,13 @@
 	return cas_rendezvous_weight(context->route, context->depth);
 }
 
+/* A child call whose root request is not known. The work that led to it is lost
+ * when it is rejected, and no draw tells whether the rest of it is kept. */
+static bool is_unlinked_call(const entry_request_t *request)
+{
+	return request->context.depth && !request->parent;
+}
+
 static bool is_shed(entry_request_t *request)
 {
 	const attempt_context *context = &request->context;
@@ -157,7 +178,7 @@
 	reason = entry_identify(request, local);
 	if (reason != REASON_NONE)
 		entry_refuse(request, reason, 0);
-	else if (is_shed(request))
+	else if (!is_unlinked_call(request) && is_shed(request))
 		entry_refuse(request, REASON_SHED, CAS_USEC_PER_SEC);
 	else
 		take_token(request);
@@ -253,7 +274,9 @@
 	for (entry_request_t *request = daemon->requests; request;
 	     request = next) {
 		next = request->next;
-		if (!request->has_key || request->answered ||
+		/* One that was sent runs to its end; its key was good when it
+		 * came. */
+		if (!request->has_key || request->answered || request->leg ||
 		    keys_still_valid(daemon->keys, &request->key))
 			continue;
 		entry_refuse(request, REASON_UNKNOWN_KEY, 0);
--- a/programs/cassiad/entry.h
+++ b/programs/cassiad/entry.h
@@ -8,10 +8,16 @@
 #include "leg.h"
 
 #define ENTRY_ATTEMPTS_MAX 16
+/* Attempts that another daemon turned away without use of its upstream, which
+ * are no retries. */
+#define ENTRY_MOVES_MAX 4
 /* A body up to this size is read whole before it is sent, and can be sent
  * again with a retry. */
 #define ENTRY_BODY_KEPT_BYTES (64 * 1024)
 
+/* Longer ids of callers are cut in logs. */
+#define ENTRY_ID_TEXT_BYTES 65
+
 struct entry_request {
 	entry_request_t *next;
 	entry_request_t *prev;
@@ -22,7 +28,7 @@
 	http_headers_t *headers; /* of the caller, without keys */
 	attempt_live_entry_t *parent; /* NULL unless a live child call */
 	attempt_context context;
-	char id_text[ATTEMPT_ID_TEXT_BYTES];
+	char id_text[ENTRY_ID_TEXT_BYTES];
 	keys_lookup_t key;
 	bool has_key;
 	bool is_child;
@@ -33,6 +39,7 @@
 	int32_t granted; /* retries given to the running attempt */
 	cas_id_t tried[ENTRY_ATTEMPTS_MAX];
 	size_t tried_count;
+	int moves;
 	control_wait_t *waiting; /* for a token */
 	leg_t *leg;
 	int64_t leg_started_us;
--- a/programs/cassiad/entry_head.c
+++ b/programs/cassiad/entry_head.c
@@ -79,7 +79,7 @@
 	cas_str_t token = CAS_STR("");
 	const table_customer_t *customer;
 
-	if (keys_parse_bearer(value, &token))
+	if (keys_parse_header(value, daemon->dialect->key_scheme, &token))
 		return REASON_NO_KEY;
 	if (keys_lookup(daemon->keys, token, &request->key))
 		return REASON_UNKNOWN_KEY;
@@ -91,8 +91,8 @@
 	request->context.weight = (u_int)customer->weight;
 	if (keys_check_route(route, customer->id))
 		return REASON_NOT_ALLOWED;
-	if ((u_int)customer->importance < request->context.importance)
-		request->context.importance = (u_int)customer->importance;
+	request->context.importance =
+		(u_int)table_importance(daemon->table, route, customer);
 	return REASON_NONE;
 }
 
@@ -127,7 +127,7 @@
 {
 	cas_str_t text =
 		http_headers_value(http_exchange_headers(request->exchange),
-				   CAS_STR("Cassia-Timeout-Ms"));
+				   request->daemon->dialect->caller_timeout_ms);
 	int64_t limit_us = route->timeout_ms * CAS_USEC_PER_MSEC;
 	int64_t wanted_us = text.len ? strtoll(text.ptr, NULL, 10) : 0;
 
@@ -144,7 +144,13 @@
 
 	context->route = route->id;
 	context->service = route->service_id;
-	context->importance = (u_int)route->importance;
+	if (route->part_count)
+		context->service =
+			table_pick_part(route,
+					cas_rng_double(request->daemon->rng))
+				->service_id;
+	context->importance =
+		(u_int)table_importance(request->daemon->table, route, NULL);
 	context->idempotent = route->idempotent;
 	context->weight = 1;
 	context->deadline =
@@ -153,6 +159,38 @@
 	request->own_budget = retry_budget_of(route->retries);
 }
 
+/* Fields that upstreams trust are set by the daemon, whatever the caller
+ * sent. */
+static bool is_set_by_daemon(const http_dialect_t *dialect, cas_str_t name)
+{
+	return http_name_equal(name, dialect->instance) ||
+	       http_name_equal(name, dialect->customer) ||
+	       http_name_equal(name, dialect->calling_service) ||
+	       http_name_equal(name, dialect->upstream_deadline_ms);
+}
+
+static int add_if_named(http_headers_t *headers, cas_str_t name,
+			cas_str_t value)
+{
+	return name.len ? http_headers_add(headers, name, value) : 0;
+}
+
+static int add_own_headers(entry_request_t *request)
+{
+	const cassiad_t *daemon = request->daemon;
+	const http_dialect_t *dialect = daemon->dialect;
+	const table_customer_t *customer =
+		table_find_customer(daemon->table, request->context.customer);
+	int error = add_if_named(request->headers, dialect->calling_service,
+				 daemon->settings->service);
+
+	/* The name is copied: the table may change while the request runs. */
+	if (!error && customer)
+		error = add_if_named(request->headers, dialect->customer,
+				     cas_str_dup(request, customer->name));
+	return error;
+}
+
 /* Keys end at the entry daemon. */
 static reason_t take_headers(entry_request_t *request)
 {
@@ -166,11 +204,24 @@
 		const http_header_t *header = &headers->items[i];
 
 		if (!keys_header_is_secret(header->name) &&
+		    !is_set_by_daemon(request->daemon->dialect, header->name) &&
 		    http_headers_add(request->headers, header->name,
 				     header->value))
 			return REASON_OVERLOADED;
 	}
-	return REASON_NONE;
+	return add_own_headers(request) ? REASON_OVERLOADED : REASON_NONE;
+}
+
+/* A caller that chooses the id finds its request by it in the log. */
+static void take_id(entry_request_t *request)
+{
+	const http_dialect_t *dialect = request->daemon->dialect;
+	cas_str_t id = http_headers_value(
+		http_exchange_headers(request->exchange), dialect->request_id);
+
+	if (dialect->callers_choose_id && id.len)
+		snprintf(request->id_text, sizeof(request->id_text), "%.*s",
+			 CAS_STR_ARG(id));
 }
 
 static reason_t check_body(entry_request_t *request)
@@ -191,25 +242,31 @@
 	const cassiad_t *daemon = request->daemon;
 	http_exchange_t *exchange = request->exchange;
 	cas_str_t handle = http_headers_value(http_exchange_headers(exchange),
-					      CAS_STR("Cassia-Handle"));
+					      daemon->dialect->handle);
 	const table_route_t *route;
 	reason_t reason = REASON_NONE;
 
+	take_id(request);
 	if (!daemon->ready || !daemon->table)
 		return REASON_STARTING;
 	route = table_match_route(
-		daemon->table, http_exchange_method(exchange),
+		daemon->table,
+		http_headers_value(http_exchange_headers(exchange),
+				   CAS_STR("Host")),
+		http_exchange_method(exchange),
 		http_target_path(http_exchange_target(exchange)));
 	if (!route)
 		return REASON_NO_ROUTE;
 	take_route(request, route);
-	if (has_misplaced_key(request) ||
+	if ((!daemon->dialect->opaque_keys && has_misplaced_key(request)) ||
 	    has_two_keys(http_exchange_headers(exchange)))
 		return REASON_BAD_REQUEST;
 	if (local && handle.len)
 		reason = join_parent(request, handle, route);
 	else if (!route->open)
 		reason = find_customer(request, route);
+	if (daemon->dialect->open_routes_are_calls && route->open)
+		request->context.depth = 1;
 	if (local && !handle.len) {
 		request->context.importance = 0;
 		request->own_budget = retry_budget_of(0);
--- a/programs/cassiad/entry_reply.c
+++ b/programs/cassiad/entry_reply.c
@@ -35,6 +35,17 @@
 				cas_str_from(limit));
 }
 
+static int add_seconds(http_headers_t *headers, int64_t time_us)
+{
+	char *text = talloc_asprintf(headers, "%.3f",
+				     (double)time_us / CAS_USEC_PER_SEC);
+
+	if (!text)
+		return -1;
+	return http_headers_add(headers, CAS_STR("Retry-After"),
+				cas_str_from(text));
+}
+
 static int add_refusal_fields(entry_request_t *request, http_headers_t *headers,
 			      int64_t retry_after_us)
 {
@@ -42,16 +53,24 @@
 
 	if (request->status == 401)
 		http_headers_add(headers, CAS_STR("WWW-Authenticate"),
-				 CAS_STR("Bearer"));
+				 request->daemon->dialect->key_scheme);
 	if (request->status != 429 && request->status != 503)
 		return 0;
 	if (retry_s < 1)
 		retry_s = 1;
 	if (request->status == 429 && add_rate_limit(request, headers, retry_s))
 		return -1;
+	if (request->daemon->dialect->fractional_retry_after)
+		return add_seconds(headers, retry_after_us);
 	return http_headers_add_int(headers, headers, "Retry-After", retry_s);
 }
 
+static int add_id(const entry_request_t *request, http_headers_t *headers)
+{
+	return http_headers_add(headers, request->daemon->dialect->request_id,
+				cas_str_from(request->id_text));
+}
+
 void entry_reply_refusal(entry_request_t *request, int64_t retry_after_us)
 {
 	const http_problem_t problem = {
@@ -65,8 +84,7 @@
 	cas_str_t text = http_problem_text(request, &problem);
 
 	if (!headers || !text.ptr || http_problem_add_type(headers) ||
-	    http_headers_add(headers, CAS_STR("Cassia-Request-Id"),
-			     problem.request_id) ||
+	    add_id(request, headers) ||
 	    add_refusal_fields(request, headers, retry_after_us)) {
 		http_exchange_abort(request->exchange);
 		return;
@@ -81,8 +99,8 @@
 	http_reply_t own = *reply;
 
 	if (!headers || http_headers_forward(headers, reply->headers) ||
-	    http_headers_add(headers, CAS_STR("Cassia-Request-Id"),
-			     cas_str_from(request->id_text))) {
+	    (!request->daemon->dialect->callers_choose_id &&
+	     add_id(request, headers))) {
 		http_exchange_abort(request->exchange);
 		return;
 	}
--- a/programs/cassiad/entry_send.c
+++ b/programs/cassiad/entry_send.c
@@ -230,6 +230,27 @@
 					     : RETRY_OUTCOME_NOT_RUN;
 }
 
+/* The request has reached no upstream because the host list here is behind or
+ * the host is cut off. Sending it elsewhere adds no load to the service. */
+static bool may_move(entry_request_t *request, const leg_result_t *result)
+{
+	http_pipe_t *body = http_exchange_body(request->exchange);
+
+	if (result->outcome != ATTEMPT_NOT_RUN ||
+	    (result->reason != REASON_DRAINING &&
+	     result->reason != REASON_STARTING &&
+	     result->reason != REASON_NO_UPSTREAM))
+		return false;
+	if (request->moves == ENTRY_MOVES_MAX ||
+	    request->tried_count == ENTRY_ATTEMPTS_MAX ||
+	    !has_other_host(request))
+		return false;
+	if (request->wants_body && !http_pipe_rewind(body))
+		return false;
+	request->moves++;
+	return true;
+}
+
 static void on_done(void *private, const leg_result_t *result)
 {
 	entry_request_t *request = private;
@@ -252,7 +273,8 @@
 		learn(request, report);
 	if (result->outcome == ATTEMPT_UNKNOWN)
 		request->maybe_run = true;
-	if (decide_retry(request, retry_outcome_of(result)))
+	if (may_move(request, result) ||
+	    decide_retry(request, retry_outcome_of(result)))
 		entry_attempt(request);
 	else
 		entry_refuse(request, result->reason,
--- a/programs/cassiad/leg.c
+++ b/programs/cassiad/leg.c
@@ -7,7 +7,8 @@
 /* A daemon that restarts again and again is given up. */
 #define BIND_TRIES 3
 #define RESET_TRIES 1
-#define CONNECT_TIMEOUT_US CAS_USEC_PER_SEC
+/* Several round trips between regions; longer means that the host is cut off. */
+#define CONNECT_TIMEOUT_US (300 * CAS_USEC_PER_MSEC)
 
 struct leg {
 	cassiad_t *daemon;
@@ -279,6 +280,26 @@
 	return leg->call ? 0 : HTTP_ENOMEM;
 }
 
+/* Names the run of the upstream that is meant, so that another one that has
+ * taken over its address refuses the request. */
+static int name_instance(leg_t *leg)
+{
+	const cassiad_t *daemon = leg->daemon;
+	const roster_host_t *host =
+		daemon->roster ? roster_find(daemon->roster, leg->spec.host)
+			       : NULL;
+	http_headers_t *headers;
+
+	if (!daemon->dialect->instance.len || !host || !host->instance.len)
+		return 0;
+	headers = http_headers_create(leg);
+	if (!headers || http_headers_forward(headers, leg->spec.headers))
+		return HTTP_ENOMEM;
+	leg->spec.headers = headers;
+	return http_headers_add(headers, daemon->dialect->instance,
+				cas_str_dup(headers, host->instance));
+}
+
 static leg_t *leg_create(cassiad_t *daemon, const leg_spec_t *spec,
 			 const leg_ops_t *ops, void *private)
 {
@@ -300,6 +321,10 @@
 	for (u_int i = 0; i < spec->context->early.early_len; i++)
 		leg->early[i] = spec->context->early.early_val[i];
 	leg->context.early.early_val = leg->early;
+	if (name_instance(leg)) {
+		talloc_free(leg);
+		return NULL;
+	}
 	return leg;
 }
 
--- a/programs/cassiad/serve.c
+++ b/programs/cassiad/serve.c
@@ -153,23 +153,30 @@
 	finish_soon(serve, ATTEMPT_UNKNOWN, REASON_CROSSED);
 }
 
+/* The id that a response to this request repeats. */
+static cas_str_t id_of(const serve_t *serve, char text[ATTEMPT_ID_TEXT_BYTES])
+{
+	const http_dialect_t *dialect = serve->daemon->dialect;
+
+	if (dialect->callers_choose_id)
+		return http_headers_value(serve->spec.headers,
+					  dialect->request_id);
+	attempt_print_id(serve->context.root, text);
+	return cas_str_from(text);
+}
+
 static bool is_crossed(const serve_t *serve, const http_headers_t *headers)
 {
 	cas_str_t id =
-		http_headers_value(headers, CAS_STR("Cassia-Request-Id"));
+		http_headers_value(headers, serve->daemon->dialect->request_id);
 	char own[ATTEMPT_ID_TEXT_BYTES];
 
-	if (!id.len)
-		return false;
-	attempt_print_id(serve->context.root, own);
-	return !cas_str_equal(id, cas_str_from(own));
+	return id.len && !cas_str_equal(id, id_of(serve, own));
 }
 
 static void on_head(void *private, const http_reply_t *reply)
 {
 	serve_t *serve = private;
-	cas_str_t outcome =
-		http_headers_value(reply->headers, CAS_STR("Cassia-Outcome"));
 	attempt_outcome report;
 
 	serve->status = reply->status;
@@ -177,8 +184,7 @@
 		discard(serve);
 		return;
 	}
-	if (reply->status == 503 &&
-	    http_name_equal(outcome, CAS_STR("not-run"))) {
+	if (serve->daemon->dialect->is_not_run(reply->status, reply->headers)) {
 		serve->shed_by_upstream = true;
 		return;
 	}
@@ -202,25 +208,35 @@
 	return cas_clock_now(serve->daemon->clock) < serve->context.deadline;
 }
 
+static int add_handle(serve_t *serve, http_headers_t *headers)
+{
+	const http_dialect_t *dialect = serve->daemon->dialect;
+	char text[ATTEMPT_ID_TEXT_BYTES];
+	int error = 0;
+
+	if (!dialect->callers_choose_id)
+		error = http_headers_add(
+			headers, dialect->request_id,
+			cas_str_dup(headers, id_of(serve, text)));
+	if (error || !dialect->handle.len)
+		return error;
+	attempt_print_id(serve->live->handle, text);
+	return http_headers_add(headers, dialect->handle,
+				cas_str_dup(headers, cas_str_from(text)));
+}
+
 static int add_own_fields(serve_t *serve, http_headers_t *headers)
 {
 	int64_t left_us =
 		serve->context.deadline - cas_clock_now(serve->daemon->clock);
-	char text[ATTEMPT_ID_TEXT_BYTES];
-	int error;
-
-	attempt_print_id(serve->context.root, text);
-	error = http_headers_add_copy(headers, serve, "Cassia-Request-Id",
-				      cas_str_from(text));
-	attempt_print_id(serve->live->handle, text);
-	if (!error)
-		error = http_headers_add_copy(headers, serve, "Cassia-Handle",
-					      cas_str_from(text));
-	if (!error)
-		error = http_headers_add_int(headers, serve,
-					     "Cassia-Deadline-Ms",
-					     left_us / CAS_USEC_PER_MSEC);
-	return error;
+	int error = add_handle(serve, headers);
+
+	if (error)
+		return error;
+	return http_headers_add_int(
+		headers, serve,
+		serve->daemon->dialect->upstream_deadline_ms.ptr,
+		left_us / CAS_USEC_PER_MSEC);
 }
 
 static int call_upstream(serve_t *serve)
