Serve pipelined requests of a connection side by side

Own parsing of responses was ruled out. Each head goes to a lane, a local connection into libmicrohttpd, whose notice of completion ends the response; requests with bodies go alone, everything unusual over one lane as before.

--- a/packages/http/front.c
+++ b/packages/http/front.c
@@ -1,5 +1,5 @@
 /* HTTP server: event loop, exchanges and replies. */
-#include "front_internal.h"
+#include "pipeline_internal.h"
 
 #include <arpa/inet.h>
 #include <sys/socket.h>
@@ -84,6 +84,10 @@
 
 	front->exchange_count--;
 	exchange->conn->exchange = NULL;
+	if (exchange->conn->lane)
+		pipeline_lane_done(exchange->conn->lane,
+				   exchange->phase == PHASE_NEW ||
+					   exchange->whole);
 	exchange->conn->seen = false;
 	exchange->conn->last_used_us = cas_clock_now(front->clock);
 	http_pipe_on_data(exchange->body, NULL, NULL);
@@ -214,6 +218,7 @@
  * them. */
 static int front_destroy(http_front_t *front)
 {
+	TALLOC_FREE(front->pipeline);
 	if (!front->daemon)
 		return 0;
 	for (http_conn_t *conn = front->conns; conn; conn = conn->next) {
@@ -266,9 +271,17 @@
 	listen_fd = front_listen(front);
 	if (listen_fd < 0)
 		return HTTP_ELISTEN;
+	if (front->settings.pipeline_depth > 1) {
+		front->pipeline = pipeline_create(
+			front, listen_fd, front->settings.pipeline_depth);
+		listen_fd = -1;
+		if (!front->pipeline)
+			return HTTP_ENOMEM;
+	}
 	front->daemon = front_mhd_start(front, listen_fd);
 	if (!front->daemon) {
-		close(listen_fd);
+		if (listen_fd >= 0)
+			close(listen_fd);
 		return HTTP_ELISTEN;
 	}
 	info = MHD_get_daemon_info(front->daemon, MHD_DAEMON_INFO_EPOLL_FD);
@@ -337,6 +350,10 @@
 	MHD_run(front->daemon);
 	front->draining = true;
 	front->closing = true;
+	if (front->pipeline) {
+		pipeline_stop_listening(front->pipeline);
+		return;
+	}
 	listen_fd = MHD_quiesce_daemon(front->daemon);
 	if (listen_fd != MHD_INVALID_SOCKET)
 		close(listen_fd);
@@ -346,7 +363,9 @@
 {
 	int64_t now = cas_clock_now(front->clock);
 
-	if (front->exchange_count)
+	if (front->exchange_count ||
+	    (front->pipeline &&
+	     !pipeline_is_idle(front->pipeline, now, idle_us)))
 		return false;
 	for (const http_conn_t *conn = front->conns; conn; conn = conn->next) {
 		if (now - conn->last_used_us < idle_us)
--- a/packages/http/front_internal.h
+++ b/packages/http/front_internal.h
@@ -9,6 +9,8 @@
 #include "cassia/http_front.h"
 
 typedef struct http_conn http_conn_t;
+struct pipeline;
+struct pipeline_lane;
 
 typedef enum exchange_phase {
 	PHASE_NEW, /* the request line is read */
@@ -24,6 +26,7 @@
 	http_front_t *front;
 	struct MHD_Connection *mhd;
 	http_exchange_t *exchange; /* NULL between requests */
+	struct pipeline_lane *lane; /* NULL without pipelining */
 	int fd;
 	uint64_t seen_bytes; /* received when last looked at while idle */
 	bool seen; /* seen_bytes is valid */
@@ -64,6 +67,7 @@
 	const http_front_ops_t *ops;
 	void *private;
 	struct MHD_Daemon *daemon;
+	struct pipeline *pipeline; /* NULL: libmicrohttpd accepts itself */
 	struct tevent_fd *mhd_fde;
 	struct tevent_immediate *run_soon;
 	cas_timer_t *sweep_timer;
@@ -85,7 +89,7 @@
 void exchange_destroy(http_exchange_t *exchange);
 void exchange_fail(http_exchange_t *exchange);
 
-/* front_mhd.c */
+/* front_mhd.c; listen_fd -1: connections are added by the pipeline. */
 struct MHD_Daemon *front_mhd_start(http_front_t *front, int listen_fd);
 
 /* front_watch.c */
--- a/packages/http/front_mhd.c
+++ b/packages/http/front_mhd.c
@@ -1,5 +1,5 @@
 /* HTTP server: the callbacks of libmicrohttpd. */
-#include "front_internal.h"
+#include "pipeline_internal.h"
 
 #include <netinet/tcp.h>
 #include <stdarg.h>
@@ -49,6 +49,8 @@
 	conn->mhd = mhd;
 	conn->fd = info->connect_fd;
 	conn->seen = true;
+	if (front->pipeline)
+		conn->lane = pipeline_find_lane(front->pipeline, conn->fd);
 	conn->last_used_us = cas_clock_now(front->clock);
 	conn->next = front->conns;
 	if (conn->next)
@@ -200,7 +202,8 @@
 	if (!response)
 		return MHD_NO;
 	add_fields(response, exchange->reply.headers, exchange);
-	if (exchange->front->closing)
+	if (exchange->front->closing &&
+	    (!exchange->conn->lane || pipeline_is_last(exchange->conn->lane)))
 		MHD_add_response_header(response, "Connection", "close");
 	exchange->phase = PHASE_SENDING;
 	result = MHD_queue_response(
@@ -409,14 +412,22 @@
 
 struct MHD_Daemon *front_mhd_start(http_front_t *front, int listen_fd)
 {
-	const unsigned int flags = MHD_USE_EPOLL | MHD_USE_TURBO |
-				   MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ERROR_LOG;
+	unsigned int flags = MHD_USE_EPOLL | MHD_USE_TURBO |
+			     MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ERROR_LOG;
 
+	const struct MHD_OptionItem listen_options[] = {
+		{ listen_fd < 0 ? MHD_OPTION_END : MHD_OPTION_LISTEN_SOCKET,
+		  listen_fd, NULL },
+		{ MHD_OPTION_END, 0, NULL },
+	};
+
+	if (listen_fd < 0)
+		flags |= MHD_USE_NO_LISTEN_SOCKET;
 	return MHD_start_daemon(
 		flags, front->port, NULL, NULL, on_request, front,
-		MHD_OPTION_EXTERNAL_LOGGER, on_log, NULL,
-		MHD_OPTION_LISTEN_SOCKET, listen_fd,
-		MHD_OPTION_CONNECTION_LIMIT, front->settings.connections_max,
+		MHD_OPTION_EXTERNAL_LOGGER, on_log, NULL, MHD_OPTION_ARRAY,
+		listen_options, MHD_OPTION_CONNECTION_LIMIT,
+		front->settings.connections_max,
 		MHD_OPTION_CONNECTION_MEMORY_LIMIT,
 		front->settings.header_max_bytes + CONN_MEMORY_BYTES,
 		MHD_OPTION_CONNECTION_MEMORY_INCREMENT, CONN_MEMORY_STEP_BYTES,
--- a/packages/http/front_watch.c
+++ b/packages/http/front_watch.c
@@ -2,7 +2,7 @@
  * HTTP server: callers that leave while their connection is suspended, and
  * callers that send a header or body too slowly.
  */
-#include "front_internal.h"
+#include "pipeline_internal.h"
 
 #include <linux/tcp.h>
 #include <netinet/in.h>
@@ -117,6 +117,8 @@
 		else
 			sweep_idle(conn, now);
 	}
+	if (front->pipeline)
+		pipeline_sweep(front->pipeline, now);
 	/* libmicrohttpd closes idle connections when it runs. */
 	front_run_soon(front);
 	cas_timer_arm(front->sweep_timer, SWEEP_PERIOD_US);
--- a/packages/http/include/cassia/http_front.h
+++ b/packages/http/include/cassia/http_front.h
@@ -26,6 +26,9 @@
 	size_t header_max_bytes; /* larger headers get 431 */
 	int64_t read_timeout_us; /* for a whole header, and for a whole body */
 	unsigned int idle_timeout_s; /* of a connection without request */
+	/* Requests of one connection that are served side by side when they
+	 * come pipelined; 0 or 1: one after the other. */
+	unsigned int pipeline_depth;
 } http_front_settings_t;
 
 typedef struct http_front_ops {
--- a/programs/cassiad/daemon.c
+++ b/programs/cassiad/daemon.c
@@ -14,6 +14,8 @@
 #define READ_TIMEOUT_US (10 * CAS_USEC_PER_SEC)
 #define OPERATOR_CONNECTIONS 64U
 #define PEER_CONNECTIONS 16384U
+/* Requests of one caller's connection that are served side by side. */
+#define PIPELINE_DEPTH 8U
 /* A signed context comes on top of the caller's header. */
 #define CONTEXT_BYTES 2048
 #define ATTEMPTS_MAX ((size_t)256 * 1024)
@@ -29,6 +31,7 @@
 	unsigned int connections;
 	size_t header_bytes;
 	unsigned int idle_s;
+	unsigned int pipeline_depth;
 } listener_t;
 
 static int listen_on(cassiad_t *daemon, const listener_t *listener)
@@ -40,6 +43,7 @@
 		.header_max_bytes = listener->header_bytes,
 		.read_timeout_us = READ_TIMEOUT_US,
 		.idle_timeout_s = listener->idle_s,
+		.pipeline_depth = listener->pipeline_depth,
 	};
 	int error;
 
@@ -65,13 +69,13 @@
 	unsigned int idle_s = (unsigned int)(settings->idle_timeout_ms / 1000);
 	const listener_t listeners[] = {
 		{ "operators", &daemon->operators, &settings->operators,
-		  &operators_ops, OPERATOR_CONNECTIONS, header, idle_s + 1 },
+		  &operators_ops, OPERATOR_CONNECTIONS, header, idle_s + 1, 0 },
 		{ "peer", &daemon->peer, &settings->peer, &serve_peer_ops,
-		  PEER_CONNECTIONS, header + CONTEXT_BYTES, idle_s + 1 },
+		  PEER_CONNECTIONS, header + CONTEXT_BYTES, idle_s + 1, 0 },
 		{ "local", &daemon->local, &settings->local, &entry_local_ops,
-		  connections, header, idle_s + 1 },
+		  connections, header, idle_s + 1, 0 },
 		{ "front", &daemon->front, &settings->front, &entry_front_ops,
-		  connections, header, idle_s + 1 },
+		  connections, header, idle_s + 1, PIPELINE_DEPTH },
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(listeners); i++) {
--- a/programs/cassiad/entry_send.c
+++ b/programs/cassiad/entry_send.c
@@ -1,4 +1,5 @@
 /* Attempts of a request: the choice of an upstream, retries, the answer. */
+#include "cassia/log.h"
 #include "entry.h"
 #include "stats.h"
 
@@ -251,6 +252,32 @@
 	return true;
 }
 
+/* One line for each attempt that did not serve its request, with what decided
+ * it; served requests have no line of their own below level debug. */
+static void log_attempt(entry_request_t *request, const leg_result_t *result)
+{
+	cassiad_t *daemon = request->daemon;
+	const roster_host_t *host =
+		daemon->roster
+			? roster_find(daemon->roster, current_host(request))
+			: NULL;
+
+	if (result->outcome == ATTEMPT_SERVED || !stats_may_log(daemon))
+		return;
+	cas_log(CAS_LOG_INFO, "attempt", CAS_LOG_Z("id", request->id_text),
+		CAS_LOG_STR("host", host ? host->name : CAS_STR("-")),
+		CAS_LOG_INT("number", (int64_t)request->tried_count),
+		CAS_LOG_Z("outcome", stats_outcome_name(result->outcome)),
+		CAS_LOG_Z("reason", reason_name(result->reason)),
+		CAS_LOG_INT("reported", result->has_report),
+		CAS_LOG_INT("resent", result->resent),
+		CAS_LOG_INT("error", result->error),
+		CAS_LOG_INT("latency_us", cas_clock_now(daemon->clock) -
+						  request->leg_started_us),
+		CAS_LOG_INT("hosts_revision",
+			    daemon->roster ? daemon->roster->revision : 0));
+}
+
 static void on_done(void *private, const leg_result_t *result)
 {
 	entry_request_t *request = private;
@@ -258,6 +285,7 @@
 		result->has_report ? &result->report : NULL;
 
 	request->leg = NULL;
+	log_attempt(request, result);
 	finish_routing(request, routing_outcome_of(result), report);
 	routing_count_bytes(request->daemon->routing, current_host(request),
 			    (uint64_t)result->bytes_sent,
--- a/programs/cassiad/leg.c
+++ b/programs/cassiad/leg.c
@@ -32,6 +32,7 @@
 
 static void leg_finish(leg_t *leg)
 {
+	leg->result.resent = leg->resent;
 	leg->ops->done(leg->private, &leg->result);
 	talloc_free(leg);
 }
@@ -149,6 +150,7 @@
 {
 	leg_result_t *own = &leg->result;
 
+	own->error = result->error;
 	if (result->sent && !leg->asking)
 		leg->ever_sent = true;
 	if (result->error == HTTP_ERESET && leg->resets++ < RESET_TRIES &&
--- a/programs/cassiad/leg.h
+++ b/programs/cassiad/leg.h
@@ -24,6 +24,8 @@
 	uint32_t outcome; /* ATTEMPT_SERVED, ATTEMPT_NOT_RUN, ATTEMPT_UNKNOWN */
 	reason_t reason;
 	bool refused; /* no connection to the daemon */
+	bool resent; /* on a second connection after the first one broke */
+	int error; /* of the HTTP client, 0: none */
 	bool has_report; /* report was signed by the upstream's daemon */
 	attempt_outcome report;
 	int64_t retry_after_ms;
--- a/programs/cassiad/serve.c
+++ b/programs/cassiad/serve.c
@@ -100,6 +100,7 @@
 
 static void set_failure(serve_t *serve, const http_result_t *result)
 {
+	serve->result.error = result->error;
 	serve->result.outcome =
 		result->sent ? ATTEMPT_UNKNOWN : ATTEMPT_NOT_RUN;
 	if (result->error == HTTP_EEXPIRED || result->error == HTTP_ETIMEOUT)
--- a/programs/cassiad/stats.c
+++ b/programs/cassiad/stats.c
@@ -111,14 +111,20 @@
 	refusal->at_us = cas_clock_now(daemon->clock);
 }
 
+bool stats_may_log(cassiad_t *daemon)
+{
+	if (daemon->stats->lines++ < REFUSAL_LINES_PER_S)
+		return true;
+	daemon->stats->left_out++;
+	return false;
+}
+
 static void log_event(cassiad_t *daemon, const stats_event_t *event)
 {
 	bool served = event->outcome == ATTEMPT_SERVED;
 
-	if (!served && daemon->stats->lines++ >= REFUSAL_LINES_PER_S) {
-		daemon->stats->left_out++;
+	if (!served && !stats_may_log(daemon))
 		return;
-	}
 	if (served && daemon->settings->log_level < CAS_LOG_DEBUG)
 		return;
 	cas_log(served ? CAS_LOG_DEBUG : CAS_LOG_INFO, "request",
--- a/programs/cassiad/stats.h
+++ b/programs/cassiad/stats.h
@@ -22,6 +22,10 @@
 /* Counts and logs a finished request. */
 void stats_count(cassiad_t *daemon, const stats_event_t *event);
 
+/* Returns whether one more line about a request may be logged in this second;
+ * counts it as left out otherwise. */
+bool stats_may_log(cassiad_t *daemon);
+
 /* Writes one log line for each second in which refusals were left out of the
  * log. Call it once a second. */
 void stats_tick(cassiad_t *daemon);
