--- a/packages/config/include/cassia/source.h
+++ b/packages/config/include/cassia/source.h
@@ -29,6 +29,8 @@
 typedef struct source_ops {
 	void (*check_now)(source_t *source);
 	void (*set_watching)(source_t *source, bool watching);
+	/* NULL: never, so that documents also come from peers. */
+	bool (*is_reachable)(source_t *source);
 } source_ops_t;
 
 /* Common head of every source. */
@@ -64,6 +66,10 @@
 /* Reads now instead of at the next turn, for instance on SIGHUP. */
 void source_check_now(source_t *source);
 
+/* True while the source itself shows all that the platform has. Another daemon
+ * that holds something newer is then a reason to check, not to copy it. */
+bool source_is_reachable(source_t *source);
+
 /* Makes this daemon a watcher of the platform, or a reader again. */
 void source_set_watching(source_t *source, bool watching);
 
--- a/programs/cassiad/config.c
+++ b/programs/cassiad/config.c
@@ -5,6 +5,9 @@
 #include "daemon.h"
 #include "fetch.h"
 
+/* Time for the own source to show what another daemon has seen. */
+#define NOTICE_GRACE_US (400 * CAS_USEC_PER_MSEC)
+
 static void log_faults(const char *event, const char *file,
 		       const config_faults_t *faults)
 {
@@ -75,6 +78,38 @@
 	entry_recheck_keys(daemon);
 }
 
+void config_noticed(cassiad_t *daemon, config_document_t document,
+		    int64_t revision, cas_id_t host)
+{
+	if (!daemon->source || !source_is_reachable(daemon->source)) {
+		fetch_start(daemon, host, document);
+		return;
+	}
+	if (revision <= daemon->noticed[document])
+		return;
+	daemon->noticed[document] = revision;
+	if (!daemon->notice_due_us)
+		daemon->notice_due_us =
+			cas_clock_now(daemon->clock) + NOTICE_GRACE_US;
+}
+
+/* Most notices are of what the own source shows a moment later. */
+static void check_notices(cassiad_t *daemon)
+{
+	if (!daemon->notice_due_us ||
+	    cas_clock_now(daemon->clock) < daemon->notice_due_us)
+		return;
+	daemon->notice_due_us = 0;
+	for (int i = 0; i < CONFIG_DOCUMENT_COUNT; i++) {
+		if (config_store_revision(daemon->store,
+					  (config_document_t)i) >=
+		    daemon->noticed[i])
+			continue;
+		source_check_now(daemon->source);
+		return;
+	}
+}
+
 void config_tick(cassiad_t *daemon)
 {
 	uint64_t digest = 0;
@@ -84,6 +119,7 @@
 		daemon->watching = watching;
 		source_set_watching(daemon->source, watching);
 	}
+	check_notices(daemon);
 	if (!daemon->roster || !daemon->table) {
 		fetch_from_seed(daemon);
 		return;
--- a/programs/cassiad/control.c
+++ b/programs/cassiad/control.c
@@ -42,16 +42,14 @@
 {
 	control_t *control = private;
 
-	(void)revision;
-	fetch_start(control->daemon, host, CONFIG_TABLE);
+	config_noticed(control->daemon, CONFIG_TABLE, revision, host);
 }
 
 static void on_newer_roster(int64_t revision, cas_id_t host, void *private)
 {
 	control_t *control = private;
 
-	(void)revision;
-	fetch_start(control->daemon, host, CONFIG_HOSTS);
+	config_noticed(control->daemon, CONFIG_HOSTS, revision, host);
 }
 
 static const membership_ops_t membership_ops = {
--- a/programs/cassiad/daemon.h
+++ b/programs/cassiad/daemon.h
@@ -62,6 +62,8 @@
 	const roster_t *roster;
 	keys_t *keys;
 	bool fetches[CONFIG_DOCUMENT_COUNT]; /* running */
+	int64_t noticed[CONFIG_DOCUMENT_COUNT]; /* newest at another daemon */
+	int64_t notice_due_us; /* when to check it, 0: none */
 	pack_t *packs[CONFIG_DOCUMENT_COUNT]; /* made on first use */
 	int64_t next_seed_us;
 	cas_timer_t *tick_timer;
@@ -115,6 +117,10 @@
 /* Gives the current table and host list to all parts. */
 void config_apply(cassiad_t *daemon);
 
+/* Takes it that another host holds a newer revision of a document. */
+void config_noticed(cassiad_t *daemon, config_document_t document,
+		    int64_t revision, cas_id_t host);
+
 /* Follows changes of draining hosts and of the watcher's role; called every
  * 100 ms. */
 void config_tick(cassiad_t *daemon);
