Part a lane from a connection that outlives it

Cause: when a caller left, its lanes were freed while libmicrohttpd still had an exchange on one of them; its end wrote into freed memory.

--- a/packages/http/front_mhd.c
+++ b/packages/http/front_mhd.c
@@ -50,7 +50,7 @@
 	conn->fd = info->connect_fd;
 	conn->seen = true;
 	if (front->pipeline)
-		conn->lane = pipeline_find_lane(front->pipeline, conn->fd);
+		pipeline_join(front->pipeline, conn);
 	conn->last_used_us = cas_clock_now(front->clock);
 	conn->next = front->conns;
 	if (conn->next)
@@ -67,6 +67,7 @@
 		return;
 	if (conn->exchange)
 		exchange_destroy(conn->exchange);
+	pipeline_part(conn);
 	if (conn->next)
 		conn->next->prev = conn->prev;
 	if (conn->prev)
--- a/packages/http/pipeline.c
+++ b/packages/http/pipeline.c
@@ -20,7 +20,8 @@
 struct pipeline_lane {
 	client_t *client;
 	int fd; /* own end, -1: not open */
-	int mhd_fd; /* end of libmicrohttpd, valid while fd is */
+	int mhd_fd; /* end of libmicrohttpd until they are joined, or -1 */
+	http_conn_t *conn; /* in libmicrohttpd, NULL once it has ended */
 	struct tevent_fd *fde;
 	bool busy; /* has a request whose response is not passed on whole */
 	bool done; /* libmicrohttpd has written the whole response */
@@ -74,6 +75,8 @@
 	TALLOC_FREE(lane->fde);
 	TALLOC_FREE(lane->unsent);
 	lane->unsent_len = 0;
+	if (lane->conn)
+		pipeline_part(lane->conn);
 	if (lane->fd >= 0)
 		close(lane->fd);
 	lane->fd = -1;
@@ -627,7 +630,7 @@
 	pipeline->listen_fd = -1;
 }
 
-pipeline_lane_t *pipeline_find_lane(pipeline_t *pipeline, int fd)
+static pipeline_lane_t *find_lane(pipeline_t *pipeline, int fd)
 {
 	for (client_t *client = pipeline->clients; client;
 	     client = client->next)
@@ -637,6 +640,25 @@
 	return NULL;
 }
 
+void pipeline_join(pipeline_t *pipeline, http_conn_t *conn)
+{
+	pipeline_lane_t *lane = find_lane(pipeline, conn->fd);
+
+	conn->lane = lane;
+	if (!lane)
+		return;
+	lane->conn = conn;
+	/* The descriptor's number may be used again once this one is closed. */
+	lane->mhd_fd = -1;
+}
+
+void pipeline_part(http_conn_t *conn)
+{
+	if (conn->lane)
+		conn->lane->conn = NULL;
+	conn->lane = NULL;
+}
+
 void pipeline_lane_done(pipeline_lane_t *lane, bool whole)
 {
 	lane->done = true;
--- a/packages/http/pipeline_internal.h
+++ b/packages/http/pipeline_internal.h
@@ -21,8 +21,11 @@
 /* Stops accepting; connections that the kernel has accepted are served. */
 void pipeline_stop_listening(pipeline_t *pipeline);
 
-/* Returns the lane whose end in libmicrohttpd has this descriptor, or NULL. */
-pipeline_lane_t *pipeline_find_lane(pipeline_t *pipeline, int fd);
+/* Joins a connection of libmicrohttpd with the lane whose other end it has. */
+void pipeline_join(pipeline_t *pipeline, http_conn_t *conn);
+
+/* Parts a connection that ends from its lane. */
+void pipeline_part(http_conn_t *conn);
 
 /* A request on the lane is over. Its response is cut off unless whole. */
 void pipeline_lane_done(pipeline_lane_t *lane, bool whole);
