--- a/packages/http/pipeline.c
+++ b/packages/http/pipeline.c
@@ -458,8 +458,8 @@
 static void order_shift(client_t *client)
 {
 	client->order_len--;
-	memmove(client->order, client->order + 1,
-		client->order_len * sizeof(client->order[0]));
+	for (size_t i = 0; i < client->order_len; i++)
+		client->order[i] = client->order[i + 1];
 }
 
 /* Passes responses on in order, as far as they have come. */
--- a/packages/quota/client.c
+++ b/packages/quota/client.c
@@ -86,11 +86,16 @@
 	return true;
 }
 
-static void note_demand(quota_customer_t *customer, int64_t now)
+double quota_demand(const quota_customer_t *customer, int64_t now)
 {
 	double elapsed = (double)(now - customer->demand_us);
 
-	customer->demand *= exp(-elapsed / DEMAND_WINDOW);
+	return customer->demand * exp(-elapsed / DEMAND_WINDOW);
+}
+
+void quota_note_demand(quota_customer_t *customer, int64_t now)
+{
+	customer->demand = quota_demand(customer, now);
 	customer->demand += (double)CAS_USEC_PER_SEC / DEMAND_WINDOW;
 	customer->demand_us = now;
 }
@@ -98,8 +103,7 @@
 /* Tokens for the demand expected within the horizon; none below a token. */
 static int64_t forecast(const quota_customer_t *customer, int64_t now)
 {
-	double elapsed = (double)(now - customer->demand_us);
-	double demand = customer->demand * exp(-elapsed / DEMAND_WINDOW);
+	double demand = quota_demand(customer, now);
 	double most = (double)customer->rate / (double)QUOTA_TOKEN;
 	double tokens = fmin(demand, most) * (double)quota_horizon(customer) /
 			CAS_USEC_PER_SEC;
@@ -381,7 +385,7 @@
 					     pending);
 		*retry_after_us = quota_pool_retry_after(customer, now);
 	} else {
-		note_demand(customer, now);
+		quota_note_demand(customer, now);
 		verdict = try_now(quota, customer, now);
 		*retry_after_us = retry_after(customer, now);
 		customer->arrived_us = now;
--- a/packages/quota/pool.c
+++ b/packages/quota/pool.c
@@ -7,10 +7,6 @@
  */
 #include "quota_internal.h"
 
-#include <math.h>
-#include <string.h>
-
-#define DEMAND_WINDOW 1e6 /* averaging time, microseconds */
 /* A lender keeps what it expects to use itself in this time, and a borrower
  * asks for as much, so that it asks a few times a second at most. */
 #define KEEP_TIME (500 * CAS_USEC_PER_MSEC)
@@ -106,23 +102,11 @@
 	return true;
 }
 
-static void note_demand(quota_customer_t *customer, int64_t now)
-{
-	double elapsed = (double)(now - customer->demand_us);
-
-	customer->demand *= exp(-elapsed / DEMAND_WINDOW);
-	customer->demand += (double)CAS_USEC_PER_SEC / DEMAND_WINDOW;
-	customer->demand_us = now;
-}
-
 /* Tokens that this daemon is likely to use soon. */
 static int64_t forecast(const quota_customer_t *customer, int64_t now)
 {
-	double elapsed = (double)(now - customer->demand_us);
-	double demand = customer->demand * exp(-elapsed / DEMAND_WINDOW);
-
-	return (int64_t)(demand * (double)KEEP_TIME / CAS_USEC_PER_SEC *
-			 (double)QUOTA_TOKEN);
+	return (int64_t)(quota_demand(customer, now) * (double)KEEP_TIME /
+			 CAS_USEC_PER_SEC * (double)QUOTA_TOKEN);
 }
 
 static enum pool_tier tier_of(const quota_view_t *view, const quota_dc_t *dc)
@@ -259,7 +243,7 @@
 	int64_t now = cas_clock_now(quota->clock);
 
 	touch(quota, customer);
-	note_demand(customer, now);
+	quota_note_demand(customer, now);
 	if (!customer->pending_count && take_token(quota, customer))
 		return QUOTA_GRANTED;
 	if (now < pool->next_round_us)
--- a/packages/quota/quota_internal.h
+++ b/packages/quota/quota_internal.h
@@ -363,7 +363,9 @@
 int64_t quota_client_due(const quota_customer_t *customer);
 void quota_client_home(quota_t *quota, quota_customer_t *customer);
 
-/* client.c: requests that wait. */
+/* client.c: the demand in requests a second, and requests that wait. */
+double quota_demand(const quota_customer_t *customer, int64_t now);
+void quota_note_demand(quota_customer_t *customer, int64_t now);
 quota_pending_t *quota_pending_add(quota_t *quota, quota_customer_t *customer,
 				   int64_t give_up_us);
 void quota_pending_finish(quota_pending_t *pending, quota_verdict_t verdict,
