Close the connection on which a crossed response arrives

A crossed response was found when its head was handed on, after libcurl had taken the whole of it and returned the connection to its pool.

Change: http_call_ops_t has is_own, called at the end of the head while libcurl still reads; a response that is not the call's own ends it with HTTP_ECROSSED and closes the connection. Legs to other daemons use it too.

--- a/packages/http/back_call.c
+++ b/packages/http/back_call.c
@@ -327,12 +327,7 @@
 
 void call_give_head(http_call_t *call)
 {
-	const http_reply_t reply = {
-		.status = call->status,
-		.headers = call->headers,
-		.content_length = call->content_length,
-		.body = call->pipe,
-	};
+	const http_reply_t reply = reply_of(call);
 
 	if (!call->head_ready || call->head_given || !call->ops)
 		return;
--- a/packages/http/back_internal.h
+++ b/packages/http/back_internal.h
@@ -47,6 +47,7 @@
 	bool head_given;
 	bool too_large;
 	bool expired;
+	bool crossed;
 	bool send_paused;
 	bool receive_paused;
 	bool resume;
@@ -63,6 +64,7 @@
 void call_finish(http_call_t *call, CURLcode code);
 
 /* back_reply.c */
+http_reply_t reply_of(const http_call_t *call);
 size_t reply_on_header(char *data, size_t size, size_t count, void *cls);
 size_t reply_on_body(char *data, size_t size, size_t count, void *cls);
 http_result_t reply_result(const http_call_t *call, CURLcode code);
--- a/packages/http/back_reply.c
+++ b/packages/http/back_reply.c
@@ -48,20 +48,46 @@
 	return http_headers_add(call->headers, name, value);
 }
 
-static void end_head(http_call_t *call)
+http_reply_t reply_of(const http_call_t *call)
+{
+	return (http_reply_t){
+		.status = call->status,
+		.headers = call->headers,
+		.content_length = call->content_length,
+		.body = call->pipe,
+	};
+}
+
+static bool is_own(const http_call_t *call)
+{
+	const http_reply_t reply = reply_of(call);
+
+	return !call->ops || !call->ops->is_own ||
+	       call->ops->is_own(call->private, &reply);
+}
+
+/* A failure closes the connection. Once libcurl has taken a response whole, it
+ * keeps the connection, so a wrong response is refused at its head. */
+static int end_head(http_call_t *call)
 {
 	if (call->status < 200)
-		return;
+		return 0;
 	if (http_headers_find(call->headers, CAS_STR("Transfer-Encoding")))
 		call->content_length = -1;
+	if (!is_own(call)) {
+		call->crossed = true;
+		return HTTP_ECROSSED;
+	}
 	call->head_ready = true;
 	back_add_news(call);
+	return 0;
 }
 
 size_t reply_on_header(char *data, size_t size, size_t count, void *cls)
 {
 	http_call_t *call = cls;
 	cas_str_t line = trim((cas_str_t){ data, size * count });
+	int error = 0;
 
 	/* Trailers come behind the head and are dropped. */
 	if (call->head_ready)
@@ -72,12 +98,12 @@
 		return 0;
 	}
 	if (!line.len)
-		end_head(call);
+		error = end_head(call);
 	else if (cas_str_starts_with(line, CAS_STR("HTTP/")))
 		read_status(call, line);
-	else if (read_field(call, line))
-		return 0;
-	return size * count;
+	else
+		error = read_field(call, line);
+	return error ? 0 : size * count;
 }
 
 size_t reply_on_body(char *data, size_t size, size_t count, void *cls)
@@ -100,6 +126,8 @@
 		return HTTP_EEXPIRED;
 	if (call->too_large)
 		return HTTP_ETOOLARGE;
+	if (call->crossed)
+		return HTTP_ECROSSED;
 	switch (code) {
 	case CURLE_OK:
 		return call->head_ready ? 0 : HTTP_EPROTO;
--- a/packages/http/include/cassia/http_back.h
+++ b/packages/http/include/cassia/http_back.h
@@ -49,6 +49,11 @@
 } http_result_t;
 
 typedef struct http_call_ops {
+	/* Says whether a head belongs to the request of the call. If not, the
+	 * call ends with HTTP_ECROSSED and its connection is closed, since all
+	 * later responses on it would be off by one. Called from inside
+	 * libcurl: it must not start, cancel or end calls. May be NULL. */
+	bool (*is_own)(void *private, const http_reply_t *reply);
 	/* The head of the response has arrived. The reply is borrowed; its
 	 * body and headers may be taken with talloc_steal. Never called from
 	 * inside http_call_start. */
--- a/packages/http/include/cassia/http_error.h
+++ b/packages/http/include/cassia/http_error.h
@@ -15,6 +15,7 @@
 	HTTP_EEXPIRED = -2009, /* stopped right before sending */
 	HTTP_ETOOLARGE = -2010, /* header or body over its limit */
 	HTTP_ECANCELED = -2011, /* cancelled by the user of the call */
+	HTTP_ECROSSED = -2012, /* the response belongs to another request */
 };
 
 #endif
--- /dev/null
+++ b/packages/http/tests/test_back.c
@@ -0,0 +1,211 @@
+/* Tests of the HTTP client against a server that answers by script. */
+#include "cassia/test.h"
+
+#include <arpa/inet.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "cassia/http_back.h"
+#include "cassia/http_error.h"
+
+#define TURN_MS 20
+#define TURNS_MAX 100
+#define CONNS_MAX 8
+#define RESPONSE(id)                                                           \
+	"HTTP/1.1 200 OK\r\nId: " id "\r\nContent-Length: 2\r\n\r\nok"
+
+typedef struct fixture {
+	struct tevent_context *ev;
+	http_back_t *back;
+	int listen_fd;
+	uint16_t port;
+	int conns[CONNS_MAX]; /* by arrival */
+	size_t conn_count;
+	int requests[CONNS_MAX]; /* received on each connection */
+	const char *own_id; /* of the response that is expected */
+	int status; /* of the last call, 0: no head was given */
+	bool done;
+	http_result_t result;
+} fixture_t;
+
+static bool is_own(void *private, const http_reply_t *reply)
+{
+	const fixture_t *f = private;
+
+	return cas_str_equal(http_headers_value(reply->headers, CAS_STR("Id")),
+			     cas_str_from(f->own_id));
+}
+
+static void on_head(void *private, const http_reply_t *reply)
+{
+	fixture_t *f = private;
+
+	f->status = reply->status;
+}
+
+static void on_done(void *private, const http_result_t *result)
+{
+	fixture_t *f = private;
+
+	f->done = true;
+	f->result = *result;
+}
+
+static const http_call_ops_t ops = { is_own, on_head, on_done };
+
+static int setup(void **state)
+{
+	fixture_t *f = talloc_zero(NULL, fixture_t);
+	const http_back_settings_t settings = { .connections_max = 16 };
+	struct sockaddr_in address = { .sin_family = AF_INET };
+	socklen_t len = sizeof(address);
+
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	f->ev = tevent_context_init(f);
+	f->back = http_back_create(f, f->ev, &settings);
+	f->listen_fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+	if (!f->back ||
+	    bind(f->listen_fd, (struct sockaddr *)(void *)&address, len) ||
+	    listen(f->listen_fd, CONNS_MAX) ||
+	    getsockname(f->listen_fd, (struct sockaddr *)(void *)&address,
+			&len))
+		return -1;
+	f->port = ntohs(address.sin_port);
+	*state = f;
+	return 0;
+}
+
+static int teardown(void **state)
+{
+	fixture_t *f = *state;
+
+	for (size_t i = 0; i < f->conn_count; i++)
+		close(f->conns[i]);
+	close(f->listen_fd);
+	talloc_free(f);
+	return 0;
+}
+
+static void on_turn(struct tevent_context *ev, struct tevent_timer *te,
+		    struct timeval now, void *private)
+{
+	(void)ev;
+	(void)te;
+	(void)now;
+	*(bool *)private = true;
+}
+
+static void accept_conns(fixture_t *f)
+{
+	int fd = accept4(f->listen_fd, NULL, NULL, SOCK_NONBLOCK);
+
+	if (fd < 0)
+		return;
+	assert_true(f->conn_count < CONNS_MAX);
+	f->conns[f->conn_count++] = fd;
+}
+
+static void read_requests(fixture_t *f)
+{
+	char data[4096];
+
+	for (size_t i = 0; i < f->conn_count; i++) {
+		ssize_t got = recv(f->conns[i], data, sizeof(data), 0);
+
+		if (got > 0)
+			f->requests[i]++;
+	}
+}
+
+/* Handles events of both sides for one turn. */
+static void turn(fixture_t *f)
+{
+	bool over = false;
+
+	tevent_add_timer(f->ev, f,
+			 tevent_timeval_current_ofs(0, TURN_MS * 1000), on_turn,
+			 &over);
+	while (!over)
+		tevent_loop_once(f->ev);
+	accept_conns(f);
+	read_requests(f);
+}
+
+static void start(fixture_t *f, const char *own_id)
+{
+	http_headers_t *headers = http_headers_create(f);
+	const http_call_spec_t spec = {
+		.address.s_addr = htonl(INADDR_LOOPBACK),
+		.port = f->port,
+		.method = CAS_STR("GET"),
+		.target = CAS_STR("/"),
+		.headers = headers,
+		.timeout_us = 5 * CAS_USEC_PER_SEC,
+		.connect_timeout_us = CAS_USEC_PER_SEC,
+	};
+
+	f->own_id = own_id;
+	f->done = false;
+	f->status = 0;
+	assert_non_null(http_call_start(f->back, &spec, &ops, f));
+}
+
+static void wait_request(fixture_t *f, size_t conn, int number)
+{
+	for (int i = 0; i < TURNS_MAX && f->requests[conn] < number; i++)
+		turn(f);
+	assert_int_equal(f->requests[conn], number);
+}
+
+static void wait_done(fixture_t *f)
+{
+	for (int i = 0; i < TURNS_MAX && !f->done; i++)
+		turn(f);
+	assert_true(f->done);
+}
+
+static void answer(const fixture_t *f, size_t conn, const char *text)
+{
+	assert_int_equal(send(f->conns[conn], text, strlen(text), MSG_NOSIGNAL),
+			 strlen(text));
+}
+
+/* Guards against a connection on which every response is off by one: the extra
+ * response ends its call, and the next call gets a connection of its own. */
+static void test_extra_response_closes_connection(void **state)
+{
+	fixture_t *f = *state;
+
+	start(f, "a");
+	wait_request(f, 0, 1);
+	answer(f, 0, RESPONSE("a"));
+	wait_done(f);
+	assert_int_equal(f->status, 200);
+
+	start(f, "b");
+	wait_request(f, 0, 2);
+	answer(f, 0, RESPONSE("a"));
+	wait_done(f);
+	assert_int_equal(f->result.error, HTTP_ECROSSED);
+	assert_true(f->result.sent);
+	assert_int_equal(f->status, 0);
+
+	start(f, "c");
+	wait_request(f, 1, 1);
+	assert_int_equal(f->requests[0], 2);
+	answer(f, 1, RESPONSE("c"));
+	wait_done(f);
+	assert_int_equal(f->result.error, 0);
+	assert_int_equal(f->status, 200);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup_teardown(
+			test_extra_response_closes_connection, setup, teardown),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/programs/cassiad/leg.c
+++ b/programs/cassiad/leg.c
@@ -75,10 +75,10 @@
 	return cas_clock_now(leg->daemon->clock) < leg->context.deadline;
 }
 
-/* Reads the signed outcome. Returns false for a response that does not belong
- * to this attempt. */
-static bool read_report(leg_t *leg, const http_reply_t *reply)
+/* Reads the signed outcome, which tells the attempt that it belongs to. */
+static bool is_own(void *private, const http_reply_t *reply)
 {
+	leg_t *leg = private;
 	attempt_outcome *report = &leg->result.report;
 	cas_str_t text =
 		http_headers_value(reply->headers, CAS_STR("Cassia-Outcome"));
@@ -100,12 +100,6 @@
 {
 	leg_t *leg = private;
 
-	if (!read_report(leg, reply)) {
-		http_call_cancel(leg->call);
-		leg->call = NULL;
-		finish_soon(leg, ATTEMPT_UNKNOWN, REASON_CROSSED);
-		return;
-	}
 	if (leg->result.report.outcome != ATTEMPT_SERVED || leg->asking) {
 		leg->refused = true;
 		return;
@@ -163,6 +157,8 @@
 	own->refused = result->error == HTTP_ECONNECT;
 	if (result->error == HTTP_ETIMEOUT || result->error == HTTP_EEXPIRED)
 		own->reason = REASON_DEADLINE;
+	else if (result->error == HTTP_ECROSSED)
+		own->reason = REASON_CROSSED;
 	else
 		own->reason = leg->ever_sent ? REASON_UPSTREAM_FAILED
 					     : REASON_NO_UPSTREAM;
@@ -191,7 +187,11 @@
 	leg_finish(leg);
 }
 
-static const http_call_ops_t call_ops = { .head = on_head, .done = on_done };
+static const http_call_ops_t call_ops = {
+	.is_own = is_own,
+	.head = on_head,
+	.done = on_done,
+};
 
 static void local_head(void *private, const http_reply_t *reply,
 		       const attempt_outcome *report)
--- a/programs/cassiad/serve.c
+++ b/programs/cassiad/serve.c
@@ -18,7 +18,6 @@
 	leg_result_t result;
 	bool head_given;
 	bool shed_by_upstream;
-	bool crossed;
 	int status;
 };
 
@@ -105,6 +104,8 @@
 		result->sent ? ATTEMPT_UNKNOWN : ATTEMPT_NOT_RUN;
 	if (result->error == HTTP_EEXPIRED || result->error == HTTP_ETIMEOUT)
 		serve->result.reason = REASON_DEADLINE;
+	else if (result->error == HTTP_ECROSSED)
+		serve->result.reason = REASON_CROSSED;
 	else if (!result->sent)
 		serve->result.reason = REASON_NO_UPSTREAM;
 	else
@@ -142,18 +143,6 @@
 	finish(serve);
 }
 
-/* The request ran, but what came back answers another one. */
-static void discard(serve_t *serve)
-{
-	admission_ticket_t *ticket = serve->ticket;
-
-	http_call_cancel(serve->call);
-	serve->call = NULL;
-	serve->ticket = NULL;
-	admission_finish(serve->daemon->admission, ticket, ADMISSION_FAILED);
-	finish_soon(serve, ATTEMPT_UNKNOWN, REASON_CROSSED);
-}
-
 /* The id that a response to this request repeats. */
 static cas_str_t id_of(const serve_t *serve, char text[ATTEMPT_ID_TEXT_BYTES])
 {
@@ -166,13 +155,14 @@
 	return cas_str_from(text);
 }
 
-static bool is_crossed(const serve_t *serve, const http_headers_t *headers)
+static bool is_own(void *private, const http_reply_t *reply)
 {
-	cas_str_t id =
-		http_headers_value(headers, serve->daemon->dialect->request_id);
+	const serve_t *serve = private;
+	cas_str_t id = http_headers_value(reply->headers,
+					  serve->daemon->dialect->request_id);
 	char own[ATTEMPT_ID_TEXT_BYTES];
 
-	return id.len && !cas_str_equal(id, id_of(serve, own));
+	return !id.len || cas_str_equal(id, id_of(serve, own));
 }
 
 static void on_head(void *private, const http_reply_t *reply)
@@ -181,10 +171,6 @@
 	attempt_outcome report;
 
 	serve->status = reply->status;
-	if (is_crossed(serve, reply->headers)) {
-		discard(serve);
-		return;
-	}
 	if (serve->daemon->dialect->is_not_run(reply->status, reply->headers)) {
 		serve->shed_by_upstream = true;
 		return;
@@ -198,6 +184,7 @@
 }
 
 static const http_call_ops_t upstream_ops = {
+	.is_own = is_own,
 	.head = on_head,
 	.done = on_done,
 };
--- a/standins/upstream.c
+++ b/standins/upstream.c
@@ -289,7 +289,8 @@
 	answer(conn);
 }
 
-static const http_call_ops_t child_ops = { child_head, child_done };
+static const http_call_ops_t child_ops = { .head = child_head,
+					   .done = child_done };
 
 static bool call_child(conn_t *conn)
 {
