Write the log to standard output without blocking

Cause: the users collect standard output, and a reader that stops reading the log stopped the daemon, since lines were written with stdio.

Ruled out: O_NONBLOCK on standard output, which changes it for every process that shares it.

Change: each line is one write after a poll; a pipe that polls as writable takes 4096 bytes.

--- a/packages/base/include/cassia/log.h
+++ b/packages/base/include/cassia/log.h
@@ -1,6 +1,7 @@
 /*
  * Structured log: one line of key=value pairs an event, written by log4c to
- * standard error.
+ * standard output. Writing never blocks: lines for which a pipe has no room are
+ * left out, and log_lines_lost tells their number later.
  */
 #ifndef CASSIA_LOG_H
 #define CASSIA_LOG_H
--- a/packages/base/log.c
+++ b/packages/base/log.c
@@ -2,13 +2,17 @@
 #include "cassia/log.h"
 
 #include <log4c.h>
+#include <poll.h>
 #include <stdbool.h>
 #include <stdio.h>
+#include <string.h>
 #include <sys/time.h>
 #include <time.h>
+#include <unistd.h>
 
 #include "cassia/error.h"
 
+/* A pipe that polls as writable takes PIPE_BUF (4096) bytes without blocking. */
 #define LINE_MAX_BYTES 2048
 #define VALUE_MAX_BYTES 512
 
@@ -19,6 +23,7 @@
 
 static cas_log_level_t least_level = CAS_LOG_INFO;
 static log4c_category_t *category;
+static int64_t lost_lines; /* since the last line that was written */
 
 static int priority_of(cas_log_level_t level)
 {
@@ -129,11 +134,30 @@
 	return event->evt_msg;
 }
 
-static int stderr_append(log4c_appender_t *appender,
+static bool is_writable(void)
+{
+	struct pollfd out = { .fd = STDOUT_FILENO, .events = POLLOUT };
+
+	return poll(&out, 1, 0) == 1 && (out.revents & POLLOUT);
+}
+
+static int write_line(const char *text)
+{
+	char line[LINE_MAX_BYTES + 1];
+	int len = snprintf(line, sizeof(line), "%s\n", text);
+
+	return write(STDOUT_FILENO, line, (size_t)len) == len ? 0 : -1;
+}
+
+/* A reader that has stopped reading costs lines, not time. */
+static int stdout_append(log4c_appender_t *appender,
 			 const log4c_logging_event_t *event)
 {
 	(void)appender;
-	return fprintf(stderr, "%s\n", event->evt_rendered_msg);
+	if (is_writable() && write_line(event->evt_rendered_msg) == 0)
+		return 0;
+	lost_lines++;
+	return -1;
 }
 
 static const log4c_layout_type_t plain_layout = {
@@ -141,9 +165,9 @@
 	.format = plain_format,
 };
 
-static const log4c_appender_type_t stderr_appender = {
+static const log4c_appender_type_t stdout_appender = {
 	.name = "cassia",
-	.append = stderr_append,
+	.append = stdout_append,
 };
 
 int cas_log_init(cas_log_level_t level)
@@ -154,9 +178,9 @@
 	if (log4c_init())
 		return BASE_EINVAL;
 	log4c_layout_type_set(&plain_layout);
-	log4c_appender_type_set(&stderr_appender);
+	log4c_appender_type_set(&stdout_appender);
 	appender = log4c_appender_get("cassia");
-	log4c_appender_set_type(appender, &stderr_appender);
+	log4c_appender_set_type(appender, &stdout_appender);
 	log4c_appender_set_layout(appender, log4c_layout_get("cassia"));
 	log4c_layout_set_type(log4c_layout_get("cassia"), &plain_layout);
 	category = log4c_category_get("cassia");
@@ -177,14 +201,12 @@
 	least_level = level;
 }
 
-void cas_log_write(cas_log_level_t level, const char *event,
-		   const cas_log_field_t *fields, size_t count)
+static void write_event(cas_log_level_t level, const char *event,
+			const cas_log_field_t *fields, size_t count)
 {
 	static const char *const names[] = { "error", "warn", "info", "debug" };
 	line_t line = { .len = 0 };
 
-	if (!category || level > least_level)
-		return;
 	append_time(&line);
 	append_z(&line, " level=");
 	append_z(&line, names[level]);
@@ -195,3 +217,26 @@
 	line.text[line.len] = '\0';
 	log4c_category_log(category, priority_of(level), "%s", line.text);
 }
+
+/* Says how many lines are missing before the first one behind the gap. */
+static void write_lost(void)
+{
+	int64_t lost = lost_lines;
+	const cas_log_field_t field = CAS_LOG_INT("count", lost);
+
+	if (!lost || !is_writable())
+		return;
+	lost_lines = 0;
+	write_event(CAS_LOG_WARN, "log_lines_lost", &field, 1);
+	if (lost_lines)
+		lost_lines = lost;
+}
+
+void cas_log_write(cas_log_level_t level, const char *event,
+		   const cas_log_field_t *fields, size_t count)
+{
+	if (!category || level > least_level)
+		return;
+	write_lost();
+	write_event(level, event, fields, count);
+}
--- a/tests/test_examples.sh
+++ b/tests/test_examples.sh
@@ -36,7 +36,7 @@
 "$BUILD/standins/upstream" --address "$NET.11" --port 9000 \
 	> "$SITE/upstream.log" 2>&1 &
 UPSTREAM=$!
-"$BUILD/cassiad" --config "$SITE/booking-1.toml" 2> "$SITE/daemon.log" &
+"$BUILD/cassiad" --config "$SITE/booking-1.toml" > "$SITE/daemon.log" 2>&1 &
 DAEMON=$!
 for i in $(seq 1 150); do
 	STATUS=$(curl -s -o /dev/null -w '%{http_code}' -X POST --max-time 2 \
--- a/tools/site.sh
+++ b/tools/site.sh
@@ -143,7 +143,7 @@
 
 # start_daemon NAME: sets PID.
 start_daemon() {
-	"$BUILD/cassiad" --config "$SITE/$1.toml" 2>> "$SITE/$1.log" &
+	"$BUILD/cassiad" --config "$SITE/$1.toml" >> "$SITE/$1.log" 2>&1 &
 	PID=$!
 	PIDS="$PIDS $PID"
 	echo "$PID" > "$SITE/$1.pid"
