Close the lanes and buffers of idle callers

Ruled out: a smaller pool of libmicrohttpd, which bounds the header.

Change: buffers exist while they hold bytes; lanes of a caller without traffic for a second are closed and opened again with its next request.

--- a/packages/http/pipeline.c
+++ b/packages/http/pipeline.c
@@ -13,6 +13,9 @@
 
 #define READ_BYTES ((size_t)16 * 1024)
 #define ACCEPTS_AT_ONCE 64
+/* Idle time of a caller after which its lanes are closed. Each of them keeps
+ * the memory of a connection of libmicrohttpd. */
+#define LANES_IDLE_US CAS_USEC_PER_SEC
 #define CONTENT_LENGTH "Content-Length:"
 
 typedef struct client client_t;
@@ -46,12 +49,13 @@
 	struct tevent_fd *fde;
 	struct sockaddr_in address;
 	client_mode_t mode;
-	char *in;
+	char *in; /* NULL while it is empty */
 	size_t in_len;
 	int64_t in_since_us; /* of an incomplete head */
 	uint64_t body_left;
 	pipeline_lane_t *body_lane;
-	char *out; /* of the first lane in order, not yet written */
+	/* Of the first lane in order, not yet written; NULL while empty. */
+	char *out;
 	size_t out_len;
 	pipeline_lane_t *lanes;
 	pipeline_lane_t **order; /* busy lanes, by request */
@@ -368,6 +372,23 @@
 	}
 }
 
+/* Returns false when memory is short. */
+static bool open_buffer(client_t *client, char **buffer, size_t size)
+{
+	if (!*buffer)
+		*buffer = talloc_array(client, char, size);
+	return *buffer;
+}
+
+/* Idle callers hold no buffers. */
+static void close_empty_buffers(client_t *client)
+{
+	if (!client->in_len)
+		TALLOC_FREE(client->in);
+	if (!client->out_len)
+		TALLOC_FREE(client->out);
+}
+
 /* Returns false when the caller has left. */
 static bool read_caller(client_t *client)
 {
@@ -379,6 +400,8 @@
 		return true;
 	}
 	TEVENT_FD_READABLE(client->fde);
+	if (!open_buffer(client, &client->in, READ_BYTES * 2))
+		return false;
 	got = recv(client->fd, client->in + client->in_len, room, 0);
 	if (got < 0)
 		return errno == EAGAIN || errno == EINTR;
@@ -411,8 +434,13 @@
 /* Reads from the lane of the oldest request. Returns whether bytes came. */
 static bool read_lane(client_t *client, pipeline_lane_t *lane)
 {
-	ssize_t got = recv(lane->fd, client->out, READ_BYTES, 0);
+	ssize_t got;
 
+	if (!open_buffer(client, &client->out, READ_BYTES)) {
+		lane->cut = true;
+		return false;
+	}
+	got = recv(lane->fd, client->out, READ_BYTES, 0);
 	if (got == 0 || (got < 0 && errno != EAGAIN && errno != EINTR))
 		lane->ended = true;
 	client->out_len = got > 0 ? (size_t)got : 0;
@@ -511,6 +539,7 @@
 		TEVENT_FD_NOT_WRITEABLE(client->fde);
 	drop_ended_lanes(client);
 	watch_lanes(client);
+	close_empty_buffers(client);
 	client->pumping = false;
 }
 
@@ -537,16 +566,13 @@
 	client->fd = fd;
 	client->address = *address;
 	client->used_us = cas_clock_now(pipeline->front->clock);
-	client->in = talloc_array(client, char, READ_BYTES * 2);
-	client->out = talloc_array(client, char, READ_BYTES);
 	client->lanes =
 		talloc_zero_array(client, pipeline_lane_t, pipeline->depth);
 	client->order =
 		talloc_array(client, pipeline_lane_t *, pipeline->depth);
 	client->fde = tevent_add_fd(pipeline->front->ev, client, fd,
 				    TEVENT_FD_READ, on_client, client);
-	if (!client->in || !client->out || !client->lanes || !client->order ||
-	    !client->fde) {
+	if (!client->lanes || !client->order || !client->fde) {
 		talloc_free(client);
 		close(fd);
 		return;
@@ -698,6 +724,14 @@
 	client_end(client, false);
 }
 
+static void close_idle_lanes(client_t *client)
+{
+	if (client->mode != MODE_HEADS || client->in_len || client->out_len)
+		return;
+	for (unsigned int i = 0; i < client->pipeline->depth; i++)
+		lane_close(&client->lanes[i]);
+}
+
 void pipeline_sweep(pipeline_t *pipeline, int64_t now)
 {
 	const http_front_settings_t *settings = &pipeline->front->settings;
@@ -714,5 +748,7 @@
 			 now - client->used_us >
 				 settings->idle_timeout_s * CAS_USEC_PER_SEC)
 			client_end(client, false);
+		else if (now - client->used_us > LANES_IDLE_US)
+			close_idle_lanes(client);
 	}
 }
--- a/packages/http/tests/test_pipeline.c
+++ b/packages/http/tests/test_pipeline.c
@@ -284,6 +284,27 @@
 	wait_text(f, "two");
 }
 
+/* Guards against idle callers that hold the memory of their lanes. */
+static void test_idle_caller_holds_no_lanes(void **state)
+{
+	fixture_t *f = *state;
+
+	send_text(f, GET("/1") GET("/2"));
+	wait_held(f, 2);
+	reply(f, 0, "one");
+	reply(f, 1, "two");
+	wait_text(f, "two");
+	assert_int_equal(http_front_connections(f->front), 2);
+	for (int i = 0; i < TURNS_MAX && http_front_connections(f->front); i++)
+		turn(f);
+	assert_int_equal(http_front_connections(f->front), 0);
+	assert_false(f->ended || f->reset);
+	send_text(f, GET("/3"));
+	wait_held(f, 3);
+	reply(f, 2, "three");
+	wait_text(f, "three");
+}
+
 #define TEST(name) cmocka_unit_test_setup_teardown(name, setup, teardown)
 
 int main(void)
@@ -296,6 +317,7 @@
 		TEST(test_caller_leaves),
 		TEST(test_close_behind_the_last),
 		TEST(test_chunked),
+		TEST(test_idle_caller_holds_no_lanes),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
