Compare errors of an upstream with those of its peers

Cause: an upstream that answers part of its requests with errors, or turns work away without load, kept its traffic: only five failures in a row eject, answers with a server error counted as good, and a data centre with one or two upstreams of a service never ejects.

Ruled out: ejecting by the share of errors alone. When a service behind all upstreams fails, they fail alike, and moving the traffic helps nobody.

Change: each upstream has a smoothed share of failed results. Above a fifth, and above twice the mean of its peers, it is ejected, a third of the service at most. A rejection by an upstream with a known free slot is rejected, not shed, and may be tried again at once.

--- a/packages/admission/admission.c
+++ b/packages/admission/admission.c
@@ -112,6 +112,12 @@
 	dispatch(admission);
 }
 
+bool admission_has_free_slot(const admission_t *admission)
+{
+	return admission->limit.fixed > 0 && !admission->queued &&
+	       limit_allows(&admission->limit);
+}
+
 static int32_t queue_length_max(const admission_t *admission)
 {
 	int32_t limit = (int32_t)admission->limit.limit;
--- a/packages/admission/include/cassia/admission.h
+++ b/packages/admission/include/cassia/admission.h
@@ -90,6 +90,10 @@
  * be found. 0: not known. */
 void admission_set_slots(admission_t *admission, int32_t slots);
 
+/* True when the upstream is known to have a free slot, so that a rejection by
+ * it is no sign of load. */
+bool admission_has_free_slot(const admission_t *admission);
+
 /*
  * Decides on a request. RUN and QUEUED set *ticket; REJECTED sets *reason.
  * The request is copied. QUEUED may call back about other requests before it
--- a/packages/routing/include/cassia/routing.h
+++ b/packages/routing/include/cassia/routing.h
@@ -35,7 +35,10 @@
 typedef enum routing_outcome {
 	ROUTING_OK,
 	ROUTING_SHED, /* rejected by overload control; no sign of a fault */
-	ROUTING_FAILED, /* error response of the upstream, or aborted */
+	/* Answered with a server error or turned work away without load; the
+	 * cause may lie behind it and concern its peers too. */
+	ROUTING_ERROR,
+	ROUTING_FAILED, /* broke off */
 	ROUTING_REFUSED, /* connection refused: ejects at once */
 	ROUTING_EXPIRED, /* no response before the deadline: ejects at once */
 	ROUTING_CANCELLED, /* ended by the caller; says nothing */
--- a/packages/routing/routing_internal.h
+++ b/packages/routing/routing_internal.h
@@ -23,6 +23,8 @@
 	double latency_us; /* smoothed, of successes since the last ejection */
 	int32_t successes;
 	int32_t failures; /* consecutive */
+	double failure_share; /* smoothed, of all results */
+	int32_t results; /* in failure_share, at most FAILURE_RESULTS */
 	int32_t ejections; /* since the last long time without one */
 	int64_t ejected_until_us;
 } upstream_t;
--- a/packages/routing/tests/test_routing.c
+++ b/packages/routing/tests/test_routing.c
@@ -145,6 +145,43 @@
 	talloc_free(f);
 }
 
+/* Guards against an upstream that answers part of its requests with errors and
+ * keeps its traffic because its data centre has no other. */
+static void test_errors_of_one_upstream(void **state)
+{
+	fixture_t *f = create(5, 1, 0);
+
+	(void)state;
+	view(f);
+	for (int n = 0; n < 30; n++) {
+		finish(f, 1000, n % 5 < 2 ? ROUTING_ERROR : ROUTING_OK, 0);
+		finish(f, 1001, ROUTING_OK, 0);
+	}
+	assert_true(routing_is_ejected(f->routing, 1000));
+	assert_int_equal(picks_of(f, 1000, false), 0);
+	assert_false(routing_is_ejected(f->routing, 1001));
+	talloc_free(f);
+}
+
+/* Guards against ejecting sound upstreams for errors of a service behind all
+ * of them, beyond the first second. */
+static void test_errors_of_all_upstreams(void **state)
+{
+	fixture_t *f = create(6, 1, 0);
+
+	(void)state;
+	view(f);
+	for (int n = 0; n < 100; n++) {
+		for (size_t i = 0; i < 6; i++)
+			finish(f, 1000 + i, n % 2 ? ROUTING_ERROR : ROUTING_OK,
+			       0);
+		if (n == 50)
+			cas_clock_advance(f->clock, 2 * CAS_USEC_PER_SEC);
+		assert_in_range(ejected(f), 0, n < 50 ? 2 : 0);
+	}
+	talloc_free(f);
+}
+
 /* Guards against overload being taken for a fault. */
 static void test_shedding_is_no_fault(void **state)
 {
@@ -239,6 +276,8 @@
 		cmocka_unit_test(test_ejects_at_most_a_third),
 		cmocka_unit_test(test_refused_ejects_at_once),
 		cmocka_unit_test(test_misleading_health),
+		cmocka_unit_test(test_errors_of_one_upstream),
+		cmocka_unit_test(test_errors_of_all_upstreams),
 		cmocka_unit_test(test_shedding_is_no_fault),
 		cmocka_unit_test(test_leaving_and_new_hosts),
 		cmocka_unit_test(test_tiers),
--- a/programs/cassiad/entry_send.c
+++ b/programs/cassiad/entry_send.c
@@ -3,6 +3,9 @@
 #include "entry.h"
 #include "stats.h"
 
+/* Statuses from here on are server errors. */
+#define HTTP_SERVER_ERROR 500
+
 static const leg_ops_t attempt_ops;
 
 static retry_budget_t *budget_of(entry_request_t *request)
@@ -178,13 +181,13 @@
 /* An answer with a server error is given up for a retry when that is safe. */
 static bool retry_failed(entry_request_t *request, const http_reply_t *reply)
 {
-	if (reply->status < 500 || !request->context.idempotent ||
+	if (reply->status < HTTP_SERVER_ERROR || !request->context.idempotent ||
 	    !decide_retry(request, RETRY_OUTCOME_FAILED))
 		return false;
 	leg_cancel(request->leg);
 	request->leg = NULL;
 	request->maybe_run = true;
-	finish_routing(request, ROUTING_FAILED, NULL);
+	finish_routing(request, ROUTING_ERROR, NULL);
 	entry_attempt(request);
 	return true;
 }
@@ -203,10 +206,12 @@
 	entry_reply_served(request, reply);
 }
 
-static routing_outcome_t routing_outcome_of(const leg_result_t *result)
+static routing_outcome_t routing_outcome_of(const entry_request_t *request,
+					    const leg_result_t *result)
 {
 	if (result->outcome == ATTEMPT_SERVED)
-		return ROUTING_OK;
+		return request->status >= HTTP_SERVER_ERROR ? ROUTING_ERROR
+							    : ROUTING_OK;
 	if (result->refused)
 		return ROUTING_REFUSED;
 	switch (result->reason) {
@@ -218,6 +223,8 @@
 	case REASON_STARTING:
 	case REASON_OVERLOADED:
 		return ROUTING_SHED;
+	case REASON_REJECTED:
+		return ROUTING_ERROR;
 	default:
 		return ROUTING_FAILED;
 	}
@@ -286,7 +293,7 @@
 
 	request->leg = NULL;
 	log_attempt(request, result);
-	finish_routing(request, routing_outcome_of(result), report);
+	finish_routing(request, routing_outcome_of(request, result), report);
 	routing_count_bytes(request->daemon->routing, current_host(request),
 			    (uint64_t)result->bytes_sent,
 			    (uint64_t)result->bytes_received);
--- a/programs/cassiad/reason.c
+++ b/programs/cassiad/reason.c
@@ -46,6 +46,8 @@
 	[REASON_OVERLOADED] = { "overloaded", 503,
 				"The daemon is short of memory." },
 	[REASON_CANCELLED] = { "cancelled", 499, NULL },
+	[REASON_REJECTED] = { "rejected", 503,
+			      "The upstream turns work away without load." },
 };
 
 const char *reason_name(reason_t reason)
--- a/programs/cassiad/reason.h
+++ b/programs/cassiad/reason.h
@@ -25,6 +25,7 @@
 	REASON_REBIND,
 	REASON_OVERLOADED,
 	REASON_CANCELLED,
+	REASON_REJECTED,
 	REASON_COUNT,
 } reason_t;
 
--- a/programs/cassiad/serve.c
+++ b/programs/cassiad/serve.c
@@ -135,7 +135,10 @@
 	serve->ticket = NULL;
 	if (serve->shed_by_upstream) {
 		serve->result.outcome = ATTEMPT_NOT_RUN;
-		serve->result.reason = REASON_SHED;
+		serve->result.reason =
+			admission_has_free_slot(serve->daemon->admission)
+				? REASON_REJECTED
+				: REASON_SHED;
 	} else if (result->error) {
 		set_failure(serve, result);
 	}
