Serve after a start as soon as the store was read

Cause: after a loss of all machines daemons were ready 0.65 to 1.2 s after they held table and host list, because they asked eight peers, which were starting too.

Ruled out: a shorter wait for peers, which a stale first read needs.

Refusals for starting name a time to come back.

--- a/packages/config/include/cassia/source.h
+++ b/packages/config/include/cassia/source.h
@@ -31,6 +31,8 @@
 	void (*set_watching)(source_t *source, bool watching);
 	/* NULL: never, so that documents also come from peers. */
 	bool (*is_reachable)(source_t *source);
+	/* NULL: never, so that peers are asked at a start. */
+	bool (*is_current)(source_t *source);
 } source_ops_t;
 
 /* Common head of every source. */
@@ -70,6 +72,10 @@
  * that holds something newer is then a reason to check, not to copy it. */
 bool source_is_reachable(source_t *source);
 
+/* True once the source has shown all that the platform had at some moment after
+ * the start of this process, so that peers need not be asked for more. */
+bool source_is_current(source_t *source);
+
 /* Makes this daemon a watcher of the platform, or a reader again. */
 void source_set_watching(source_t *source, bool watching);
 
--- a/packages/config/source.c
+++ b/packages/config/source.c
@@ -35,6 +35,11 @@
 	source->ops->check_now(source);
 }
 
+bool source_is_current(source_t *source)
+{
+	return source->ops->is_current && source->ops->is_current(source);
+}
+
 bool source_is_reachable(source_t *source)
 {
 	return source->ops->is_reachable && source->ops->is_reachable(source);
--- a/programs/cassiad/control.c
+++ b/programs/cassiad/control.c
@@ -330,7 +330,9 @@
 	if (daemon->ready)
 		return;
 	config_boot_tick(control->boot);
-	daemon->ready = config_boot_ready(control->boot);
+	daemon->ready = config_boot_ready(control->boot) ||
+			(daemon->table && daemon->roster &&
+			 source_is_current(daemon->source));
 	if (daemon->ready)
 		cas_log(CAS_LOG_INFO, "ready",
 			CAS_LOG_INT("table_revision", daemon->table->revision),
--- a/programs/cassiad/entry.c
+++ b/programs/cassiad/entry.c
@@ -5,6 +5,9 @@
 #include "children.h"
 #include "stats.h"
 
+/* When a caller comes back to a daemon that has no configuration yet. */
+#define STARTING_RETRY_US (300 * CAS_USEC_PER_MSEC)
+
 static void link_request(entry_request_t *request)
 {
 	cassiad_t *daemon = request->daemon;
@@ -177,7 +180,8 @@
 	}
 	reason = entry_identify(request, local);
 	if (reason != REASON_NONE)
-		entry_refuse(request, reason, 0);
+		entry_refuse(request, reason,
+			     reason == REASON_STARTING ? STARTING_RETRY_US : 0);
 	else if (!is_unlinked_call(request) && is_shed(request))
 		entry_refuse(request, REASON_SHED, CAS_USEC_PER_SEC);
 	else
