--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 JOBS ?= $(shell nproc)
 
 .PHONY: all install build format format-check lint test model check demo soak \
-	bench fuzz clean
+	fault-soak bench fuzz clean
 
 all: build
 
@@ -43,6 +43,9 @@
 soak: build
 	$(BUILD)/soak/soak --seed $(SEED)
 
+fault-soak: build
+	sh soak/fault_soak.sh $(BUILD) $(SEED)
+
 bench: build
 	sh tools/bench.sh $(BUILD)
 
--- a/packages/http/pipeline.c
+++ b/packages/http/pipeline.c
@@ -10,6 +10,7 @@
 #include <unistd.h>
 
 #include "cassia/http_error.h"
+#include "lane_internal.h"
 
 #define READ_BYTES ((size_t)16 * 1024)
 #define ACCEPTS_AT_ONCE 64
@@ -18,22 +19,6 @@
 #define LANES_IDLE_US CAS_USEC_PER_SEC
 #define CONTENT_LENGTH "Content-Length:"
 
-typedef struct client client_t;
-
-struct pipeline_lane {
-	client_t *client;
-	int fd; /* own end, -1: not open */
-	int mhd_fd; /* end of libmicrohttpd until they are joined, or -1 */
-	http_conn_t *conn; /* in libmicrohttpd, NULL once it has ended */
-	struct tevent_fd *fde;
-	bool busy; /* has a request whose response is not passed on whole */
-	bool done; /* libmicrohttpd has written the whole response */
-	bool cut; /* the response ends early */
-	bool ended; /* libmicrohttpd has closed its end */
-	char *unsent; /* bytes for which the lane had no room */
-	size_t unsent_len;
-};
-
 /* How the bytes of a caller are taken. */
 typedef enum client_mode {
 	MODE_HEADS, /* each head goes to a lane of its own */
@@ -74,19 +59,6 @@
 
 static void pump(client_t *client);
 
-static void lane_close(pipeline_lane_t *lane)
-{
-	TALLOC_FREE(lane->fde);
-	TALLOC_FREE(lane->unsent);
-	lane->unsent_len = 0;
-	if (lane->conn)
-		pipeline_part(lane->conn);
-	if (lane->fd >= 0)
-		close(lane->fd);
-	lane->fd = -1;
-	lane->mhd_fd = -1;
-}
-
 static int client_destroy(client_t *client)
 {
 	for (unsigned int i = 0; i < client->pipeline->depth; i++)
@@ -124,31 +96,6 @@
 	pump(lane->client);
 }
 
-static int lane_open(pipeline_lane_t *lane)
-{
-	client_t *client = lane->client;
-	http_front_t *front = client->pipeline->front;
-	int fds[2];
-
-	if (socketpair(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0,
-		       fds))
-		return HTTP_ENOMEM;
-	lane->fd = fds[0];
-	lane->mhd_fd = fds[1];
-	lane->ended = false;
-	lane->fde = tevent_add_fd(front->ev, client, lane->fd, TEVENT_FD_READ,
-				  on_lane, lane);
-	/* libmicrohttpd closes its end also when it refuses it. */
-	if (!lane->fde ||
-	    MHD_add_connection(front->daemon, lane->mhd_fd,
-			       (void *)&client->address,
-			       sizeof(client->address)) != MHD_YES) {
-		lane_close(lane);
-		return HTTP_ENOMEM;
-	}
-	return 0;
-}
-
 static pipeline_lane_t *free_lane(client_t *client)
 {
 	pipeline_lane_t *unopened = NULL;
@@ -166,56 +113,7 @@
 	if (!unopened)
 		return NULL;
 	lane_close(unopened);
-	return lane_open(unopened) ? NULL : unopened;
-}
-
-static int keep_unsent(pipeline_lane_t *lane, const char *data, size_t len)
-{
-	char *unsent = talloc_realloc(lane->client, lane->unsent, char,
-				      lane->unsent_len + len);
-
-	if (!unsent)
-		return HTTP_ENOMEM;
-	memcpy(unsent + lane->unsent_len, data, len);
-	lane->unsent = unsent;
-	lane->unsent_len += len;
-	TEVENT_FD_WRITEABLE(lane->fde);
-	return 0;
-}
-
-static int lane_write(pipeline_lane_t *lane, const char *data, size_t len)
-{
-	ssize_t sent = 0;
-
-	if (lane->ended)
-		return 0;
-	/* libmicrohttpd looks at an added connection only when it runs. */
-	front_run_soon(lane->client->pipeline->front);
-	if (!lane->unsent_len) {
-		sent = send(lane->fd, data, len, MSG_NOSIGNAL);
-		if (sent < 0 && errno != EAGAIN && errno != EINTR)
-			return 0; /* its end shows when it is read */
-		if (sent < 0)
-			sent = 0;
-	}
-	if ((size_t)sent == len)
-		return 0;
-	return keep_unsent(lane, data + sent, len - (size_t)sent);
-}
-
-static void flush_unsent(pipeline_lane_t *lane)
-{
-	ssize_t sent;
-
-	if (!lane->unsent_len || lane->fd < 0)
-		return;
-	sent = send(lane->fd, lane->unsent, lane->unsent_len, MSG_NOSIGNAL);
-	if (sent <= 0)
-		return;
-	lane->unsent_len -= (size_t)sent;
-	memmove(lane->unsent, lane->unsent + sent, lane->unsent_len);
-	if (!lane->unsent_len)
-		TEVENT_FD_NOT_WRITEABLE(lane->fde);
+	return lane_open(unopened, &client->address, on_lane) ? NULL : unopened;
 }
 
 static void take_in(client_t *client, size_t len)
@@ -522,7 +420,7 @@
 		return;
 	client->pumping = true;
 	for (unsigned int i = 0; i < client->pipeline->depth; i++)
-		flush_unsent(&client->lanes[i]);
+		lane_flush(&client->lanes[i]);
 	if ((client->out_len && !write_caller(client)) ||
 	    !read_caller(client)) {
 		client_end(client, true);
@@ -577,11 +475,8 @@
 		close(fd);
 		return;
 	}
-	for (unsigned int i = 0; i < pipeline->depth; i++) {
-		client->lanes[i].client = client;
-		client->lanes[i].fd = -1;
-		client->lanes[i].mhd_fd = -1;
-	}
+	for (unsigned int i = 0; i < pipeline->depth; i++)
+		lane_init(&client->lanes[i], pipeline->front, client);
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 	client->next = pipeline->clients;
 	if (client->next)
--- a/packages/http/pipeline_internal.h
+++ b/packages/http/pipeline_internal.h
@@ -8,10 +8,9 @@
 #ifndef CASSIA_PIPELINE_INTERNAL_H
 #define CASSIA_PIPELINE_INTERNAL_H
 
-#include "front_internal.h"
+#include "lane_internal.h"
 
 typedef struct pipeline pipeline_t;
-typedef struct pipeline_lane pipeline_lane_t;
 
 /* Accepts connections on listen_fd, which becomes owned. Returns a new
  * pipeline with so many lanes at most for each connection, or NULL. */
--- a/programs/cassiad/main.c
+++ b/programs/cassiad/main.c
@@ -30,7 +30,7 @@
 		g_error_free(error);
 		result = 2;
 	} else if (!show_version && !settings_path) {
-		fprintf(stderr, "cassiad: --settings FILE is needed\n");
+		fprintf(stderr, "cassiad: --config FILE is needed\n");
 		result = 2;
 	}
 	g_option_context_free(context);
