Tell requests that libcurl sent twice from unsent ones in the caller stand-in

Change: a refused connection counts as unsent only when no byte of the request was sent before. test_drain and test_at_most_once pass with it.

--- a/standins/caller.c
+++ b/standins/caller.c
@@ -7,6 +7,7 @@
  */
 #include <curl/curl.h>
 #include <glib.h>
+#include <stdbool.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -94,11 +95,21 @@
 	caller->running++;
 }
 
-static const char *outcome_of(const sending_t *sending, long status,
+/* libcurl sends again by itself when a kept connection ends without a response,
+ * so a refused connection alone does not show that nothing was sent. */
+static bool was_sent(CURL *easy)
+{
+	long bytes = 0;
+
+	curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &bytes);
+	return bytes > 0;
+}
+
+static const char *outcome_of(const sending_t *sending, CURL *easy, long status,
 			      CURLcode error)
 {
 	if (error == CURLE_COULDNT_CONNECT)
-		return "unsent";
+		return was_sent(easy) ? "unknown" : "unsent";
 	if (error)
 		return status ? "cut" : "unknown";
 	if (strstr(sending->body, "\"outcome\":\"not-run\""))
@@ -116,7 +127,7 @@
 
 	curl_easy_getinfo(easy, CURLINFO_PRIVATE, &sending);
 	curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
-	outcome = outcome_of(sending, status, error);
+	outcome = outcome_of(sending, easy, status, error);
 	printf("%s %ld %s %lld %lld %d\n", sending->id, status, outcome,
 	       (long long)(sending->sent_us - caller->start_us) / 1000,
 	       (long long)(g_get_monotonic_time() - sending->sent_us) / 1000,
