--- a/programs/cassiactl/command_operators.c
+++ b/programs/cassiactl/command_operators.c
@@ -4,6 +4,8 @@
 #include "ctl_internal.h"
 
 #define ID_MAX_BYTES 128
+/* One for each daemon of the size to design for. */
+#define LOGS_MAX 1000
 
 typedef struct operators_options {
 	char *address; /* --operators */
@@ -99,8 +101,10 @@
 } question_t;
 
 static int answer(ctl_t *ctl, const operators_options_t *options,
-		  const question_t *question, char **argv)
+		  const question_t *question, int argc, char **argv)
 {
+	if (!question->path && argc > 2)
+		return ctl_explain_logs(ctl, argv[1], argc - 2, argv + 2);
 	if (!question->path)
 		return explain(ctl, options, argv[1]);
 	return ask(ctl, options, question->method,
@@ -126,7 +130,7 @@
 
 	if (ctl_parse(ctl, usage, question->stop_path ? entries : without_stop,
 		      &argc, &argv))
-		exit_code = answer(ctl, &options, question, argv);
+		exit_code = answer(ctl, &options, question, argc, argv);
 	else
 		exit_code = ctl->exit_code;
 	g_free(options.address);
@@ -178,8 +182,11 @@
 {
 	static const question_t question = { "GET", NULL, NULL };
 	static const ctl_usage_t usage = {
-		"explain REQUEST_ID --operators ADDRESS:PORT",
-		"Shows what became of a recent request and why.", 1, 1
+		"explain REQUEST_ID [LOG...]",
+		"Shows what became of a request and why: from the logs of all "
+		"daemons that it passed, or for a recent refusal from its entry "
+		"daemon (--operators).",
+		1, LOGS_MAX + 1
 	};
 
 	return run(ctl, &usage, &question, argc, argv);
--- a/programs/cassiactl/ctl_internal.h
+++ b/programs/cassiactl/ctl_internal.h
@@ -36,6 +36,10 @@
 int ctl_drain(ctl_t *ctl, int argc, char **argv);
 int ctl_explain(ctl_t *ctl, int argc, char **argv);
 
+/* Prints what the logs say of a request and its calls, in order of time. Returns
+ * an exit code; CTL_REFUSED when there is no line about it. */
+int ctl_explain_logs(ctl_t *ctl, const char *id, int count, char **paths);
+
 /*
  * Parses the options of a command, which --help, --version and --json are
  * added to. Afterwards argv[1..] are the positional arguments. Returns false
--- a/programs/cassiactl/tests/test_cassiactl.c
+++ b/programs/cassiactl/tests/test_cassiactl.c
@@ -334,6 +334,35 @@
 	assert_int_equal(run(f, ""), CTL_FAILED);
 }
 
+/* Guards against a story that misses calls made for a request, takes in other
+ * requests, or does not follow the time. */
+static void test_explain_logs(void **state)
+{
+	fixture_t *f = *state;
+	const char *call;
+	const char *root;
+
+	write_file(f->path[0],
+		   "time=2026-01-01T00:00:02.000Z level=info event=request "
+		   "id=ab12 reason=upstream-failed status=502\n"
+		   "time=2026-01-01T00:00:02.500Z level=info event=request "
+		   "id=ab123 reason=shed\n"
+		   "time=2026-01-01T00:00:03.000Z level=info event=ready\n");
+	write_file(f->path[1],
+		   "5.1 host-2 time=2026-01-01T00:00:01.000Z level=info "
+		   "event=attempt id=ab12.77 text=\"id=zz in quotes\"\n");
+	assert_int_equal(run_on_files(f, "explain ab12", 2), CTL_OK);
+	call = strstr(f->out, "event=attempt");
+	root = strstr(f->out, "event=request");
+	assert_true(call && root && call < root);
+	assert_null(strstr(f->out, "ab123"));
+	assert_null(strstr(f->out, "event=ready"));
+	assert_int_equal(run_on_files(f, "explain --json ab12", 2), CTL_OK);
+	expect(f->out, "\"id\":\"ab12.77\",\"text\":\"id=zz in quotes\"");
+	assert_int_equal(run_on_files(f, "explain zz", 2), CTL_REFUSED);
+	assert_int_equal(run(f, "explain ab12 /no/such/log"), CTL_FAILED);
+}
+
 #define TEST(name) cmocka_unit_test_setup_teardown(name, setup, teardown)
 
 int main(void)
@@ -345,6 +374,7 @@
 		TEST(test_key),
 		TEST(test_status_and_top),
 		TEST(test_drain_and_explain),
+		TEST(test_explain_logs),
 		TEST(test_help_and_version),
 	};
 
