Log what an upstream's daemon decided about an attempt

Cause: the attempt line of the entry daemon says that another daemon turned a request away, not on what.

--- a/programs/cassiad/serve.c
+++ b/programs/cassiad/serve.c
@@ -2,8 +2,10 @@
 #include "serve.h"
 
 #include "cassia/http_error.h"
+#include "cassia/log.h"
 #include "children.h"
 #include "entry.h"
+#include "stats.h"
 
 struct serve {
 	cassiad_t *daemon;
@@ -58,10 +60,46 @@
 	serve->daemon->serving--;
 }
 
+/* The id that a response to this request repeats. */
+static cas_str_t id_of(const serve_t *serve, char text[ATTEMPT_ID_TEXT_BYTES])
+{
+	const http_dialect_t *dialect = serve->daemon->dialect;
+
+	if (dialect->callers_choose_id)
+		return http_headers_value(serve->spec.headers,
+					  dialect->request_id);
+	attempt_print_id(serve->context.root, text);
+	return cas_str_from(text);
+}
+
+/* What this daemon decided about an attempt that its upstream did not serve,
+ * and on what. */
+static void log_unserved(const serve_t *serve)
+{
+	cassiad_t *daemon = serve->daemon;
+	const leg_result_t *result = &serve->result;
+	char text[ATTEMPT_ID_TEXT_BYTES];
+
+	if (result->outcome == ATTEMPT_SERVED || !stats_may_log(daemon))
+		return;
+	cas_log(CAS_LOG_INFO, "upstream_attempt",
+		CAS_LOG_STR("id", id_of(serve, text)),
+		CAS_LOG_Z("outcome", stats_outcome_name(result->outcome)),
+		CAS_LOG_Z("reason", reason_name(result->reason)),
+		CAS_LOG_INT("error", result->error),
+		CAS_LOG_INT("importance", serve->context.importance),
+		CAS_LOG_INT("left_us", serve->context.deadline -
+					       cas_clock_now(daemon->clock)),
+		CAS_LOG_INT("limit", admission_limit(daemon->admission)),
+		CAS_LOG_INT("running", admission_inflight(daemon->admission)),
+		CAS_LOG_INT("queued", admission_queued(daemon->admission)));
+}
+
 static void finish(serve_t *serve)
 {
 	leg_result_t *result = &serve->result;
 
+	log_unserved(serve);
 	serve_report(serve->daemon, &serve->context, serve->live,
 		     result->outcome, result->reason,
 		     reason_status(result->reason), &result->report);
@@ -146,18 +184,6 @@
 	finish(serve);
 }
 
-/* The id that a response to this request repeats. */
-static cas_str_t id_of(const serve_t *serve, char text[ATTEMPT_ID_TEXT_BYTES])
-{
-	const http_dialect_t *dialect = serve->daemon->dialect;
-
-	if (dialect->callers_choose_id)
-		return http_headers_value(serve->spec.headers,
-					  dialect->request_id);
-	attempt_print_id(serve->context.root, text);
-	return cas_str_from(text);
-}
-
 static bool is_own(void *private, const http_reply_t *reply)
 {
 	const serve_t *serve = private;
