--- a/packages/http/tests/test_back.c
+++ b/packages/http/tests/test_back.c
@@ -8,8 +8,8 @@
 
 #include "cassia/http_back.h"
 #include "cassia/http_error.h"
+#include "loopback.h"
 
-#define TURN_MS 20
 #define TURNS_MAX 100
 #define CONNS_MAX 8
 #define RESPONSE(id)                                                           \
@@ -87,15 +87,6 @@
 	return 0;
 }
 
-static void on_turn(struct tevent_context *ev, struct tevent_timer *te,
-		    struct timeval now, void *private)
-{
-	(void)ev;
-	(void)te;
-	(void)now;
-	*(bool *)private = true;
-}
-
 static void accept_conns(fixture_t *f)
 {
 	int fd = accept4(f->listen_fd, NULL, NULL, SOCK_NONBLOCK);
@@ -121,13 +112,7 @@
 /* Handles events of both sides for one turn. */
 static void turn(fixture_t *f)
 {
-	bool over = false;
-
-	tevent_add_timer(f->ev, f,
-			 tevent_timeval_current_ofs(0, TURN_MS * 1000), on_turn,
-			 &over);
-	while (!over)
-		tevent_loop_once(f->ev);
+	loopback_turn(f->ev);
 	accept_conns(f);
 	read_requests(f);
 }
--- a/packages/http/tests/test_front.c
+++ b/packages/http/tests/test_front.c
@@ -7,8 +7,8 @@
 #include <unistd.h>
 
 #include "cassia/http_front.h"
+#include "loopback.h"
 
-#define TURN_MS 20
 #define GET "GET /1 HTTP/1.1\r\nHost: x\r\n\r\n"
 
 typedef struct fixture {
@@ -54,7 +54,6 @@
 		.read_timeout_us = 10 * CAS_USEC_PER_SEC,
 		.idle_timeout_s = 30,
 	};
-	struct sockaddr_in to = { .sin_family = AF_INET };
 	int error;
 
 	f->ev = tevent_context_init(f);
@@ -62,13 +61,9 @@
 				     &settings, &ops, f, &error);
 	if (!f->front)
 		return -1;
-	to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	to.sin_port = htons(http_front_port(f->front));
-	f->fd = socket(AF_INET, SOCK_STREAM, 0);
-	if (connect(f->fd, (struct sockaddr *)(void *)&to, sizeof(to)))
-		return -1;
+	f->fd = loopback_connect(http_front_port(f->front));
 	*state = f;
-	return 0;
+	return f->fd < 0 ? -1 : 0;
 }
 
 static int teardown(void **state)
@@ -80,33 +75,13 @@
 	return 0;
 }
 
-static void on_turn(struct tevent_context *ev, struct tevent_timer *te,
-		    struct timeval now, void *private)
-{
-	(void)ev;
-	(void)te;
-	(void)now;
-	*(bool *)private = true;
-}
-
-static void turn(fixture_t *f)
-{
-	bool over = false;
-
-	tevent_add_timer(f->ev, f,
-			 tevent_timeval_current_ofs(0, TURN_MS * 1000), on_turn,
-			 &over);
-	while (!over)
-		tevent_loop_once(f->ev);
-}
-
 /* Guards against a stop that ends in an abort because a request arrives at the
  * last moment; found by the fault soak with seed 5. */
 static void test_request_during_the_stop(void **state)
 {
 	fixture_t *f = *state;
 
-	turn(f);
+	loopback_turn(f->ev);
 	assert_int_equal(http_front_connections(f->front), 1);
 	assert_int_equal(send(f->fd, GET, strlen(GET), MSG_NOSIGNAL),
 			 strlen(GET));
@@ -121,7 +96,7 @@
 
 	assert_int_equal(send(f->fd, GET, strlen(GET), MSG_NOSIGNAL),
 			 strlen(GET));
-	turn(f);
+	loopback_turn(f->ev);
 	assert_int_equal(f->requests, 1);
 	TALLOC_FREE(f->front);
 	assert_int_equal(f->closed, 1);
--- a/packages/http/tests/test_pipeline.c
+++ b/packages/http/tests/test_pipeline.c
@@ -9,10 +9,10 @@
 #include <unistd.h>
 
 #include "cassia/http_front.h"
+#include "loopback.h"
 
 #define DEPTH 3
 #define HELD_MAX 16
-#define TURN_MS 20
 #define TURNS_MAX 200
 
 typedef struct fixture {
@@ -68,7 +68,6 @@
 		.idle_timeout_s = 30,
 		.pipeline_depth = DEPTH,
 	};
-	struct sockaddr_in to = { .sin_family = AF_INET };
 	int error;
 
 	f->ev = tevent_context_init(f);
@@ -76,13 +75,9 @@
 				     &settings, &ops, f, &error);
 	if (!f->front)
 		return -1;
-	to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	to.sin_port = htons(http_front_port(f->front));
-	f->fd = socket(AF_INET, SOCK_STREAM, 0);
-	if (connect(f->fd, (struct sockaddr *)(void *)&to, sizeof(to)))
-		return -1;
+	f->fd = loopback_connect(http_front_port(f->front));
 	*state = f;
-	return 0;
+	return f->fd < 0 ? -1 : 0;
 }
 
 static int teardown(void **state)
@@ -109,25 +104,10 @@
 	f->in[f->in_len] = '\0';
 }
 
-static void on_turn(struct tevent_context *ev, struct tevent_timer *te,
-		    struct timeval now, void *private)
-{
-	(void)ev;
-	(void)te;
-	(void)now;
-	*(bool *)private = true;
-}
-
 /* Handles events for one turn. */
 static void turn(fixture_t *f)
 {
-	bool over = false;
-
-	tevent_add_timer(f->ev, f,
-			 tevent_timeval_current_ofs(0, TURN_MS * 1000), on_turn,
-			 &over);
-	while (!over)
-		tevent_loop_once(f->ev);
+	loopback_turn(f->ev);
 	if (f->fd >= 0)
 		receive(f);
 }
