--- a/packages/config/include/cassia/roster.h
+++ b/packages/config/include/cassia/roster.h
@@ -14,6 +14,12 @@
 #include "cassia/hash.h"
 #include "cassia/str.h"
 
+/* Bounds of a host's fields; a list with a value beyond them is refused as a
+ * whole. */
+#define ROSTER_INSTANCE_MAX_BYTES 128
+#define ROSTER_SLOTS_MAX 100000
+#define ROSTER_WARM_UP_MAX_MS INT32_MAX
+
 typedef struct roster_host {
 	cas_id_t id; /* of name */
 	cas_str_t name;
--- a/packages/config/roster.c
+++ b/packages/config/roster.c
@@ -4,9 +4,6 @@
 
 #include "diff_internal.h"
 
-#define INSTANCE_MAX_BYTES 128
-#define SLOTS_MAX 100000
-
 #define HOST_FIELD(key, kind, required, member, min, max)                      \
 	{                                                                      \
 		key, kind, required, offsetof(roster_host_t, member), min, max \
@@ -30,9 +27,10 @@
 		   UINT16_MAX),
 	HOST_FIELD("leaving", FIELD_BOOL, false, leaving, 0, 0),
 	HOST_FIELD("instance", FIELD_TEXT, false, instance, 1,
-		   INSTANCE_MAX_BYTES),
-	HOST_FIELD("slots", FIELD_INT32, false, slots, 0, SLOTS_MAX),
-	HOST_FIELD("cold_ms", FIELD_INT32, false, warm_up_ms, 0, INT32_MAX),
+		   ROSTER_INSTANCE_MAX_BYTES),
+	HOST_FIELD("slots", FIELD_INT32, false, slots, 0, ROSTER_SLOTS_MAX),
+	HOST_FIELD("cold_ms", FIELD_INT32, false, warm_up_ms, 0,
+		   ROSTER_WARM_UP_MAX_MS),
 };
 
 const row_schema_t roster_host_schema = { "host", host_fields,
