Let a few daemons add the tokens of a customer

Cause: within a tolerance every daemon added an equal part of a customer's tokens. Of 95 daemons most have no client of a small customer, their parts are a third of a token, and a round of borrowing reaches 20 of them, so most tokens were saved up and lost where nobody uses them. In the emulated fleet of test_pool_fleet 11% of a surge inside the tolerance were refused, and a flood got 116 of 390 tokens.

Ruled out: more rate and less burst alone (70 of 185 refused in the same test), and borrowing parts of tokens from few daemons (17 of 183).

Change: keepers.c chooses the few daemons that add tokens; the others borrow whole tokens from them, nearest first. The tolerance beyond the customer's own burst is added as rate. A failed round is repeated once before it refuses. A daemon whose only waiting request was cancelled no longer runs its timer without pause (test_cancelled_request).

--- a/packages/quota/pool.c
+++ b/packages/quota/pool.c
@@ -1,10 +1,10 @@
 /*
- * Admission within a tolerance. Every daemon adds the same part of the tokens
- * of a customer, whatever the others do. The parts therefore never add up to
- * more than the customer's limit plus the tolerance, and a daemon can admit
- * requests right after its start. A daemon that runs short borrows tokens from
- * others, the nearest first. Borrowed tokens are not paid back, and a lost
- * reply loses the tokens in it.
+ * Admission within a tolerance. The keepers of a customer each add the same part
+ * of its tokens, whatever the others do. The parts therefore never add up to
+ * more than the customer's limit plus the tolerance, and no daemon needs to
+ * remember anything from before its start. A daemon that runs short borrows
+ * tokens from the keepers, the nearest first. Borrowed tokens are not paid back,
+ * and a lost reply loses the tokens in it.
  */
 #include "quota_internal.h"
 
@@ -16,42 +16,52 @@
 #define BORROWED_LIFE_US CAS_USEC_PER_SEC
 /* Lenders that have not answered after this time are not waited for. */
 #define ROUND_TIMEOUT_US (60 * CAS_USEC_PER_MSEC)
+/* A round that fails is repeated once after this time, unless the one before it
+ * failed as well: the keepers add tokens meanwhile, and a caller that waits is
+ * better off than one that is refused. */
+#define REPEAT_DELAY_US (50 * CAS_USEC_PER_MSEC)
 /* Time to the next round after one in which the lenders had too few tokens,
  * doubled each time. */
 #define BACKOFF_MIN_US (250 * CAS_USEC_PER_MSEC)
 #define BACKOFF_MAX_US (2 * CAS_USEC_PER_SEC)
-#define NEAR_LENDERS_MAX 8 /* asked at once in the own data centre or region */
-#define FAR_LENDERS_MAX 4 /* asked at once in other regions */
-/* Part of the burst that is divided among the daemons. The rest covers borrowed
- * tokens that are not yet used. */
-#define BURST_PERCENT 90
-/* Hosts that were removed from the host list may still run, and are counted for
+/* Part of the tokens beyond the rate that is divided among the daemons. The rest
+ * covers borrowed tokens that are not yet used. */
+#define DIVIDED_PERCENT 90
+/* Keepers that are no longer in the host list may still run, and are counted for
  * this time. */
-#define HOST_COUNT_HOLD_TIME_US (10 * CAS_USEC_PER_SEC)
-
-enum pool_tier {
-	POOL_OWN_DC,
-	POOL_OWN_REGION,
-	POOL_ANYWHERE,
-	POOL_TIERS,
-};
-
-/* Returns the number of hosts among which tokens are divided. It rises at once
- * with the host list, and falls only after HOST_COUNT_HOLD_TIME_US. */
-static int64_t count_hosts(quota_t *quota)
+#define DIVISOR_HOLD_TIME_US (10 * CAS_USEC_PER_SEC)
+/* A daemon that becomes a keeper by a new host list adds no tokens for this
+ * time, in which the list reaches the one that it replaces. One that it does not
+ * reach is out of touch with the others, and lends them nothing. */
+#define NEW_KEEPER_WAIT_US (3 * CAS_USEC_PER_SEC)
+
+/* Returns the number of keepers among which the tokens are divided. It rises at
+ * once, and falls only after DIVISOR_HOLD_TIME_US. */
+static int64_t update_divisor(quota_t *quota, quota_pool_t *pool)
 {
 	int64_t now = cas_clock_now(quota->clock);
-	int64_t listed = 0;
-
-	for (size_t i = 0; i < quota->view->dc_count; i++)
-		listed += (int64_t)quota->view->dcs[i].host_count;
-	if (quota->view->self_dc == quota->view->dc_count)
-		listed++;
-	if (listed >= quota->pool_hosts || now >= quota->pool_hosts_until_us) {
-		quota->pool_hosts = listed;
-		quota->pool_hosts_until_us = now + HOST_COUNT_HOLD_TIME_US;
+	int64_t total = (int64_t)pool->keepers.total;
+
+	if (total >= pool->divisor || now >= pool->divisor_until_us) {
+		pool->divisor = total;
+		pool->divisor_until_us = now + DIVISOR_HOLD_TIME_US;
 	}
-	return quota_max(quota->pool_hosts, 1);
+	return quota_max(pool->divisor, 1);
+}
+
+/* Chooses the keepers. After a change of the host list, the keepers by the older
+ * one may go on for a while. */
+static void update_keepers(quota_t *quota, quota_customer_t *customer)
+{
+	quota_pool_t *pool = &customer->pool;
+	bool is_first = !pool->updated_us;
+	bool was_keeper = pool->keepers.is_self;
+
+	quota_keepers_assign(quota->view, quota->self, customer,
+			     &pool->keepers);
+	if (!is_first && !was_keeper && pool->keepers.is_self)
+		pool->adds_from_us =
+			cas_clock_now(quota->clock) + NEW_KEEPER_WAIT_US;
 }
 
 /* Returns the amount plus the relative part of the tolerance. */
@@ -62,17 +72,31 @@
 			 QUOTA_TOKEN);
 }
 
+/*
+ * In each window, a bucket admits at most its burst and what its rate adds. Of
+ * the tokens that the window allows beyond the rate, the burst gets those of
+ * the customer, and the rest goes to the rate: spread over the daemons, a larger
+ * burst is mostly held by those that get no requests, and lost there.
+ */
 void quota_pool_update_share(quota_t *quota, quota_customer_t *customer)
 {
 	quota_pool_t *pool = &customer->pool;
-	int64_t hosts = count_hosts(quota);
-	int64_t burst = plus_tolerance(quota, customer->burst) +
-			quota->tolerance.slack_micro;
-
+	int64_t beyond_rate = (plus_tolerance(quota, customer->burst) +
+			       quota->tolerance.slack_micro) /
+			      100 * DIVIDED_PERCENT;
+	int64_t burst = quota_min(customer->burst, beyond_rate);
+	double windows_per_s =
+		CAS_USEC_PER_SEC / (double)quota->tolerance.window_us;
+	int64_t rate = plus_tolerance(quota, customer->rate) +
+		       (int64_t)((double)(beyond_rate - burst) * windows_per_s);
+
+	update_keepers(quota, customer);
 	if (!pool->updated_us)
 		pool->updated_us = cas_clock_now(quota->clock);
-	pool->rate = plus_tolerance(quota, customer->rate) / hosts;
-	pool->burst = burst / hosts / 100 * BURST_PERCENT;
+	if (!pool->keepers.is_self)
+		rate = burst = 0;
+	pool->rate = rate / update_divisor(quota, pool);
+	pool->burst = burst / quota_max(pool->divisor, 1);
 	pool->level = quota_min(pool->level, pool->burst);
 }
 
@@ -81,7 +105,8 @@
 {
 	quota_pool_t *pool = &customer->pool;
 	int64_t now = cas_clock_now(quota->clock);
-	double added = (double)pool->rate * (double)(now - pool->updated_us) /
+	int64_t since = quota_max(pool->updated_us, pool->adds_from_us);
+	double added = (double)pool->rate * (double)quota_max(now - since, 0) /
 		       CAS_USEC_PER_SEC;
 
 	pool->updated_us = now;
@@ -109,54 +134,13 @@
 	return true;
 }
 
-/* Returns the tokens that this daemon will probably use in RESERVE_TIME_US. */
+/* Returns the tokens for the requests that this daemon expects in
+ * RESERVE_TIME_US, without parts of a token. */
 static int64_t forecast(const quota_customer_t *customer, int64_t now)
 {
 	return (int64_t)(quota_demand(customer, now) * (double)RESERVE_TIME_US /
-			 CAS_USEC_PER_SEC * (double)QUOTA_TOKEN);
-}
-
-static enum pool_tier tier_of(const quota_view_t *view, const quota_dc_t *dc)
-{
-	const quota_dc_t *own = &view->dcs[view->self_dc];
-
-	if (view->self_dc == view->dc_count)
-		return POOL_ANYWHERE;
-	if (dc == own)
-		return POOL_OWN_DC;
-	return dc->region_id == own->region_id ? POOL_OWN_REGION
-					       : POOL_ANYWHERE;
-}
-
-/* Picks hosts of a tier at random, each with the same probability (reservoir
- * sampling). Returns their number. */
-static size_t pick_lenders(quota_t *quota, enum pool_tier tier,
-			   cas_id_t *picked)
-{
-	const quota_view_t *view = quota->view;
-	size_t limit =
-		tier == POOL_ANYWHERE ? FAR_LENDERS_MAX : NEAR_LENDERS_MAX;
-	size_t seen = 0;
-
-	for (size_t i = 0; i < view->dc_count; i++) {
-		const quota_dc_t *dc = &view->dcs[i];
-
-		if (tier_of(view, dc) != tier)
-			continue;
-		for (size_t j = 0; j < dc->live_count; j++) {
-			size_t index = seen;
-
-			if (dc->live_hosts[j] == quota->self)
-				continue;
-			if (seen >= limit)
-				index = cas_rng_below(quota->rng,
-						      (uint32_t)seen + 1);
-			if (index < limit)
-				picked[index] = dc->live_hosts[j];
-			seen++;
-		}
-	}
-	return seen < limit ? seen : limit;
+			 CAS_USEC_PER_SEC) *
+	       QUOTA_TOKEN;
 }
 
 /* Returns the tokens that pending and expected requests lack. */
@@ -168,27 +152,51 @@
 	       forecast(customer, now) - pool->level - pool->borrowed;
 }
 
-static void ask_lenders(quota_t *quota, quota_customer_t *customer,
-			const cas_id_t *lenders, size_t count)
+/* Returns the keeper that a round asks after those that it has asked. The own
+ * region comes first; inside, the order is rotated. */
+static cas_id_t next_keeper(const quota_pool_t *pool)
+{
+	const quota_keepers_t *keepers = &pool->keepers;
+	bool near = pool->asked < keepers->near_count;
+	size_t first = near ? 0 : keepers->near_count;
+	size_t count = near ? keepers->near_count
+			    : keepers->count - keepers->near_count;
+
+	return keepers
+		->hosts[first + (pool->asked - first + pool->rotation) % count];
+}
+
+/* Asks the next keepers of the round, not those of the own region and others at
+ * once. Each is asked for an equal part of what is lacking, in whole tokens. */
+static void ask_keepers(quota_t *quota, quota_customer_t *customer)
 {
 	quota_pool_t *pool = &customer->pool;
+	const quota_keepers_t *keepers = &pool->keepers;
 	int64_t now = cas_clock_now(quota->clock);
-	/* Some lenders have few tokens, so each is asked for up to twice
-	 * its part. */
-	int64_t need = shortfall(customer, now) * 2 / (int64_t)(count + 1);
+	int64_t lacking =
+		(shortfall(customer, now) + QUOTA_TOKEN - 1) / QUOTA_TOKEN;
+	size_t end = pool->asked < keepers->near_count ? keepers->near_count
+						       : keepers->count;
+	int64_t count =
+		quota_clamp(quota_max(lacking, (int64_t)pool->step_count), 1,
+			    (int64_t)(end - pool->asked));
 	quota_ask ask = {
 		.customer = customer->id,
 		.slots = QUOTA_FROM_DAEMON << 16 | QUOTA_FROM_DAEMON,
-		.need = need,
+		.need = (lacking + count - 1) / count * QUOTA_TOKEN,
 	};
 
+	pool->step_count *= 2;
 	pool->first_sequence = quota->last_sequence + 1;
-	pool->unanswered = count;
+	pool->unanswered = (size_t)count;
 	pool->timeout_us = now + ROUND_TIMEOUT_US;
-	for (size_t i = 0; i < count; i++) {
+	for (; count > 0; count--) {
+		cas_id_t keeper = next_keeper(pool);
+
+		pool->asked++;
 		ask.sequence = ++quota->last_sequence;
 		quota->stats.asks_sent++;
-		quota->ops->send_ask(quota->private_data, lenders[i], &ask);
+		quota->ops->send_ask(quota->private_data, keeper, &ask);
 	}
 }
 
@@ -201,6 +209,7 @@
 	pool->backoff_us = quota_clamp(pool->backoff_us * 2, BACKOFF_MIN_US,
 				       BACKOFF_MAX_US);
 	pool->next_round_us = now + pool->backoff_us;
+	pool->repeat_us = 0;
 	while (customer->first_pending) {
 		quota->stats.refused++;
 		quota_pending_finish(customer->first_pending, QUOTA_REFUSED,
@@ -217,23 +226,30 @@
 	}
 }
 
-/* Asks the next tier that has hosts. After the last tier the round fails. */
-static void ask_next_tier(quota_t *quota, quota_customer_t *customer)
+/* Goes on with the round. It fails when all keepers were asked. */
+static void continue_round(quota_t *quota, quota_customer_t *customer)
 {
 	quota_pool_t *pool = &customer->pool;
-	cas_id_t lenders[NEAR_LENDERS_MAX];
 
 	pool->unanswered = 0;
-	while (customer->pending_count && pool->next_tier < POOL_TIERS) {
-		size_t count = pick_lenders(quota, pool->next_tier++, lenders);
-
-		if (!count)
-			continue;
-		ask_lenders(quota, customer, lenders, count);
-		return;
-	}
-	if (customer->pending_count)
+	if (!customer->pending_count)
+		pool->repeat_us = 0;
+	else if (pool->asked < pool->keepers.count)
+		ask_keepers(quota, customer);
+	else if (pool->backoff_us || pool->repeat_us)
 		refuse_all(quota, customer);
+	else
+		pool->repeat_us = cas_clock_now(quota->clock) + REPEAT_DELAY_US;
+}
+
+static void start_round(quota_t *quota, quota_customer_t *customer)
+{
+	quota_pool_t *pool = &customer->pool;
+
+	pool->rotation = cas_rng_below(quota->rng, QUOTA_KEEPERS_MAX);
+	pool->asked = 0;
+	pool->step_count = 1;
+	continue_round(quota, customer);
 }
 
 int64_t quota_pool_retry_after(const quota_customer_t *customer, int64_t now)
@@ -262,7 +278,8 @@
 	*pending = quota_pending_add(quota, customer, give_up_us);
 	if (!*pending)
 		return QUOTA_REFUSED;
-	if (customer->pending_count == 1 && !pool->unanswered)
+	if (customer->pending_count == 1 && !pool->unanswered &&
+	    !pool->repeat_us)
 		pool->start_round = true;
 	return QUOTA_PENDING;
 }
@@ -277,7 +294,8 @@
 	refill(quota, customer);
 	spare = pool->level - forecast(customer, now) -
 		(int64_t)customer->pending_count * QUOTA_TOKEN;
-	reply->granted = quota_clamp(spare, 0, ask->need);
+	reply->granted =
+		quota_clamp(spare, 0, ask->need) / QUOTA_TOKEN * QUOTA_TOKEN;
 	reply->filled = reply->granted;
 	pool->level -= reply->granted;
 	quota->stats.lent_micro += reply->granted;
@@ -305,7 +323,7 @@
 	    (int32_t)(reply->sequence - pool->first_sequence) < 0)
 		return;
 	if (--pool->unanswered == 0 || !customer->pending_count)
-		ask_next_tier(quota, customer);
+		continue_round(quota, customer);
 }
 
 void quota_pool_tick(quota_t *quota, quota_customer_t *customer)
@@ -313,15 +331,17 @@
 	quota_pool_t *pool = &customer->pool;
 	int64_t now = cas_clock_now(quota->clock);
 
-	if (!customer->pending_count && !pool->unanswered)
+	if (!customer->pending_count)
+		pool->start_round = false;
+	if (!customer->pending_count && !pool->unanswered && !pool->repeat_us)
 		return;
 	serve_pending(quota, customer);
 	if (pool->start_round ||
-	    (pool->unanswered && now >= pool->timeout_us)) {
-		if (pool->start_round)
-			pool->next_tier = POOL_OWN_DC;
+	    (pool->repeat_us && !pool->unanswered && now >= pool->repeat_us)) {
 		pool->start_round = false;
-		ask_next_tier(quota, customer);
+		start_round(quota, customer);
+	} else if (pool->unanswered && now >= pool->timeout_us) {
+		continue_round(quota, customer);
 	}
 }
 
@@ -331,5 +351,7 @@
 
 	if (pool->start_round)
 		return 0;
-	return pool->unanswered ? pool->timeout_us : QUOTA_NEVER;
+	if (pool->unanswered)
+		return pool->timeout_us;
+	return pool->repeat_us ? pool->repeat_us : QUOTA_NEVER;
 }
--- a/packages/quota/quota_internal.h
+++ b/packages/quota/quota_internal.h
@@ -155,8 +155,24 @@
 	size_t account_count;
 } quota_bucket_t;
 
+#define QUOTA_KEEPERS_MAX 16
+
+/* The daemons that add tokens of a customer under a tolerance; see keepers.c. */
+typedef struct quota_keepers {
+	/* Other hosts, those of the own region first. */
+	cas_id_t hosts[QUOTA_KEEPERS_MAX];
+	size_t near_count; /* in the own region */
+	size_t count;
+	size_t total; /* with this host and those that did not fit in */
+	bool is_self; /* this host is one */
+} quota_keepers_t;
+
 /* The tokens of a customer at this daemon under a tolerance; see pool.c. */
 typedef struct quota_pool {
+	quota_keepers_t keepers;
+	int64_t divisor; /* keepers among which the tokens are divided */
+	int64_t divisor_until_us; /* the divisor falls no sooner */
+	int64_t adds_from_us; /* this daemon adds no tokens before */
 	int64_t rate; /* that this daemon adds */
 	int64_t burst;
 	int64_t level;
@@ -164,10 +180,15 @@
 	int64_t borrowed;
 	int64_t borrowed_until_us;
 	bool start_round; /* at the next tick, for all that wait by then */
-	int next_tier; /* enum pool_tier */
-	size_t unanswered; /* asks of the present tier */
-	uint32_t first_sequence; /* of the present tier */
-	int64_t timeout_us; /* of the present tier */
+	/* A round asks the keepers one after another, more at each step. */
+	size_t rotation; /* where the round begins among those of a region */
+	size_t asked; /* in this round */
+	size_t step_count; /* keepers to be asked in the next step, at least */
+	size_t unanswered; /* asks of the present step */
+	uint32_t first_sequence; /* of the present step */
+	int64_t timeout_us; /* of the present step */
+	/* When the round is repeated, 0: not; also set during its repetition. */
+	int64_t repeat_us;
 	int64_t next_round_us; /* until then requests are refused when there is
 				* no token */
 	int64_t backoff_us;
@@ -254,8 +275,6 @@
 	int64_t last_tick_us;
 	uint32_t last_sequence; /* of all asks sent */
 	quota_tolerance_t tolerance;
-	int64_t pool_hosts; /* that share the tokens under a tolerance */
-	int64_t pool_hosts_until_us; /* pool_hosts falls no sooner */
 	quota_view_t *view;
 	quota_customer_t **customers; /* sorted by id */
 	size_t customer_count;
@@ -433,6 +452,12 @@
 void quota_pending_finish(quota_pending_t *pending, quota_result_t result,
 			  int64_t retry_after_us);
 
+/* keepers.c */
+/* Chooses the keepers of a customer by the hosts of the view. */
+void quota_keepers_assign(const quota_view_t *view, cas_id_t self,
+			  const quota_customer_t *customer,
+			  quota_keepers_t *keepers);
+
 /* pool.c */
 /* Computes the part of the customer's tokens that this daemon adds. */
 void quota_pool_update_share(quota_t *quota, quota_customer_t *customer);
