Link child calls on the platform to their requests by id

Cause: calls carry no handle there, so each had the importance of its own route. At the leaf all calls were alike and above most root requests: a paid order lost its ten calls as often as a lookup its five, and what was shed there was drawn anew for each call of a tree.

Ruled out: the parent by its deadline, see docs/decisions.md.

Change: ids of calls begin with that of the request which makes them. The daemon beside the upstream finds that request among those that run there and gives the call its importance, customer, draw and deadline. The customer is not named to the upstream of the call, which has no key. A call whose id names no such request is treated as before. Such calls keep the retries of their own route, are not shed early, and are not cut when their request ends: the upstream does that.

--- a/fuzz/fuzz_attempt.c
+++ b/fuzz/fuzz_attempt.c
@@ -60,7 +60,8 @@
 	cas_clock_t *clock = cas_clock_create_manual(ctx, NOW_US);
 	attempt_table_t *table = attempt_table_create(ctx, clock, 2);
 	attempt_live_t *live = attempt_live_create(ctx);
-	attempt_live_entry_t *entry = attempt_live_add(live, context);
+	attempt_live_entry_t *entry =
+		attempt_live_add(live, context, CAS_STR(""));
 	int first_rc =
 		attempt_table_begin(table, context->attempt, context->deadline);
 
--- a/packages/attempt/include/cassia/attempt.h
+++ b/packages/attempt/include/cassia/attempt.h
@@ -120,16 +120,24 @@
 	int64_t child_period_started_us; /* start of the last period */
 	int64_t child_total_us; /* sum of the periods that have ended */
 	void *private; /* for the owner; initially NULL */
+	cas_id_t id_key; /* of the request id, 0: none */
 } attempt_live_entry_t;
 
 /* Returns an empty set, or NULL when out of memory. */
 attempt_live_t *attempt_live_create(TALLOC_CTX *ctx);
 
-/* Adds a running request under a new handle. The context is copied without its
- * early rejections. Returns the entry (owned by live), or NULL when out of
+/* Adds a running request under a new handle and under its request id, which may
+ * be empty. The context is copied without its early rejections. Returns the entry (owned by live), or NULL when out of
  * memory. talloc_free of the entry removes it from the set. */
 attempt_live_entry_t *attempt_live_add(attempt_live_t *live,
-				       const attempt_context *context);
+				       const attempt_context *context,
+				       cas_str_t request_id);
+
+/* Returns the entry (borrowed) of the request that made the call with a
+ * hierarchical id, which is the id of that request, a dot and a part of its own.
+ * NULL when there is none, as for other ids. */
+attempt_live_entry_t *attempt_live_find_parent(const attempt_live_t *live,
+					       cas_str_t call_id);
 
 /* Returns the entry (borrowed) of a handle in hexadecimal text, or NULL. */
 attempt_live_entry_t *attempt_live_find(attempt_live_t *live, cas_str_t text);
--- a/packages/attempt/tests/test_attempt.c
+++ b/packages/attempt/tests/test_attempt.c
@@ -161,7 +161,8 @@
 	fixture_t *fixture = *state;
 	attempt_live_t *live = attempt_live_create(fixture);
 	attempt_context context = { .budget = 3 };
-	attempt_live_entry_t *entry = attempt_live_add(live, &context);
+	attempt_live_entry_t *entry =
+		attempt_live_add(live, &context, CAS_STR(""));
 	char text[ATTEMPT_ID_TEXT_BYTES];
 
 	attempt_format_id(entry->handle, text);
@@ -173,6 +174,34 @@
 	assert_null(attempt_live_find(live, CAS_STR("zz")));
 }
 
+/* Guards against a call that is taken for that of another request, or of one
+ * that has ended. */
+static void test_parent_by_id(void **state)
+{
+	fixture_t *fixture = *state;
+	attempt_live_t *live = attempt_live_create(fixture);
+	attempt_context context = { .importance = 7 };
+	attempt_live_entry_t *first =
+		attempt_live_add(live, &context, CAS_STR("a.b"));
+	attempt_live_entry_t *second;
+
+	attempt_live_add(live, &context, CAS_STR(""));
+	assert_ptr_equal(attempt_live_find_parent(live, CAS_STR("a.b.c")),
+			 first);
+	assert_null(attempt_live_find_parent(live, CAS_STR("a.b")));
+	assert_null(attempt_live_find_parent(live, CAS_STR("a.b.c.d")));
+	assert_null(attempt_live_find_parent(live, CAS_STR("a")));
+	assert_null(attempt_live_find_parent(live, CAS_STR(".a")));
+	assert_null(attempt_live_find_parent(live, CAS_STR("")));
+	/* A retry of the same request may come before the end of the first. */
+	second = attempt_live_add(live, &context, CAS_STR("a.b"));
+	talloc_free(first);
+	assert_ptr_equal(attempt_live_find_parent(live, CAS_STR("a.b.c")),
+			 second);
+	talloc_free(second);
+	assert_null(attempt_live_find_parent(live, CAS_STR("a.b.c")));
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -188,6 +217,8 @@
 						teardown),
 		cmocka_unit_test_setup_teardown(test_handle_ends_with_request,
 						setup, teardown),
+		cmocka_unit_test_setup_teardown(test_parent_by_id, setup,
+						teardown),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/packages/http/include/cassia/http_profile.h
+++ b/packages/http/include/cassia/http_profile.h
@@ -28,6 +28,9 @@
 	/* Child calls arrive at the listener `front`, without a handle, and
 	 * requests on open routes are taken as child calls. */
 	bool open_routes_take_child_calls;
+	/* Upstreams give a child call an id that begins with that of the
+	 * request which makes it, followed by a dot. */
+	bool ids_are_hierarchical;
 	/* Retry-After may have a fraction of a second. */
 	bool fractional_retry_after;
 	/* True when a response states that the request was not executed. */
--- a/programs/cassiad/entry.c
+++ b/programs/cassiad/entry.c
@@ -158,13 +158,13 @@
 	return cas_rendezvous_weight(context->route, context->depth);
 }
 
-/* Returns whether a request is a child call without a known parent. Such a call
- * is not shed early: that would waste the work that led to it, and its draw is
- * not that of its root request, so the draw does not tell whether the other
- * calls of that request are admitted. */
-static bool is_unlinked_child_call(const entry_request_t *request)
+/* Returns whether a request is a child call where calls carry no handle. Such a
+ * call is not shed early, which would waste the work that led to it: its parent
+ * may be unknown, and then its draw does not tell whether the other calls of the
+ * root request are admitted. The daemon of the upstream decides. */
+static bool is_call_without_handle(const entry_request_t *request)
 {
-	return request->context.depth && !request->parent;
+	return request->context.depth && !request->daemon->profile->handle.len;
 }
 
 /* Compares the draw with the admitted fraction learned from outcomes. A request
@@ -214,7 +214,7 @@
 			     reason == REASON_STARTING ? STARTING_RETRY_US : 0);
 	else if (!is_accepted(request))
 		entry_refuse(request, REASON_DRAINING, ENTRY_STOPPING_RETRY_US);
-	else if (!is_unlinked_child_call(request) && is_shed_early(request))
+	else if (!is_call_without_handle(request) && is_shed_early(request))
 		entry_refuse(request, REASON_SHED, CAS_USEC_PER_SEC);
 	else
 		take_token(request);
--- a/programs/cassiad/entry_attempts.c
+++ b/programs/cassiad/entry_attempts.c
@@ -9,10 +9,12 @@
 
 static const call_attempt_ops_t attempt_ops;
 
-/* All child calls of a running request share its budget. */
+/* All child calls of a running request share its budget. Calls without a handle
+ * have that of their route, as the platform states a number of attempts for
+ * each request. */
 static retry_budget_t *request_retry_budget(entry_request_t *request)
 {
-	if (request->parent)
+	if (request->parent && request->daemon->profile->handle.len)
 		return &request->parent->budget;
 	return &request->own_budget;
 }
--- a/programs/cassiad/entry_head.c
+++ b/programs/cassiad/entry_head.c
@@ -103,18 +103,13 @@
 }
 
 /* Copies customer, importance, draw and deadline from the running request that
- * the handle names, so that all calls of a root request are decided alike. */
-static reason_t inherit_from_parent(entry_request_t *request, cas_str_t handle,
-				    const table_route_t *route)
+ * makes a child call, so that all calls of a root request are decided alike. */
+static void inherit_from_parent(entry_request_t *request,
+				attempt_live_entry_t *parent)
 {
-	attempt_live_entry_t *parent =
-		attempt_live_find(request->daemon->live_requests, handle);
 	attempt_context *context = &request->context;
 
-	if (!parent)
-		return REASON_UNKNOWN_HANDLE;
 	memcpy(context->root, parent->context.root, ATTEMPT_ID_BYTES);
-	attempt_format_id(context->root, request->id_text);
 	context->customer = parent->context.customer;
 	context->weight = parent->context.weight;
 	context->importance = parent->context.importance;
@@ -123,12 +118,39 @@
 	if (parent->context.deadline < context->deadline)
 		context->deadline = parent->context.deadline;
 	request->is_child = true;
-	if (!route->open && keys_check_route(route, context->customer))
-		return REASON_NOT_ALLOWED;
 	child_calls_add(parent, request);
+}
+
+static reason_t inherit_by_handle(entry_request_t *request, cas_str_t handle,
+				  const table_route_t *route)
+{
+	attempt_live_entry_t *parent =
+		attempt_live_find(request->daemon->live_requests, handle);
+
+	if (!parent)
+		return REASON_UNKNOWN_HANDLE;
+	if (!route->open && keys_check_route(route, parent->context.customer))
+		return REASON_NOT_ALLOWED;
+	inherit_from_parent(request, parent);
+	attempt_format_id(request->context.root, request->id_text);
 	return REASON_NONE;
 }
 
+/* Links a call on an open route to the request of this host's upstream that its
+ * id names, if there is one. */
+static void inherit_by_id(entry_request_t *request)
+{
+	const cassiad_t *daemon = request->daemon;
+	cas_str_t id =
+		http_headers_value(http_exchange_headers(request->exchange),
+				   daemon->profile->request_id);
+	attempt_live_entry_t *parent =
+		attempt_live_find_parent(daemon->live_requests, id);
+
+	if (parent)
+		inherit_from_parent(request, parent);
+}
+
 /* Returns how long the caller waits, at most the timeout of the route. */
 static int64_t request_timeout_us(const entry_request_t *request,
 				  const table_route_t *route)
@@ -187,8 +209,13 @@
 {
 	const cassiad_t *daemon = request->daemon;
 	const http_profile_t *profile = daemon->profile;
+	/* A child call without a handle has no key, so its customer is only
+	 * known to the daemons. */
+	bool names_customer = request->has_key || profile->handle.len;
 	const table_customer_t *customer =
-		table_find_customer(daemon->table, request->context.customer);
+		names_customer ? table_find_customer(daemon->table,
+						     request->context.customer)
+			       : NULL;
 	int error = add_if_defined(request->headers, profile->calling_service,
 				   daemon->settings->service);
 
@@ -273,11 +300,13 @@
 	    has_two_keys(http_exchange_headers(exchange)))
 		return REASON_BAD_REQUEST;
 	if (local && handle.len)
-		reason = inherit_from_parent(request, handle, route);
+		reason = inherit_by_handle(request, handle, route);
 	else if (!route->open)
 		reason = authenticate_customer(request, route);
 	if (daemon->profile->open_routes_take_child_calls && route->open)
 		request->context.depth = 1;
+	if (daemon->profile->ids_are_hierarchical && route->open)
+		inherit_by_id(request);
 	/* Without a handle, a call of the upstream cannot be linked to its root
 	 * request: it gets the lowest importance and no retries. */
 	if (local && !handle.len) {
--- a/programs/cassiad/upstream_request.c
+++ b/programs/cassiad/upstream_request.c
@@ -54,12 +54,15 @@
 }
 
 /* Removes the handle, so that it no longer admits child calls, and detaches the
- * running ones. */
+ * running ones. Calls that were only linked by their ids are not cancelled: the
+ * upstream ends them itself. */
 static void remove_live_entry(upstream_request_t *request, bool cancel_children)
 {
 	if (!request->live_entry)
 		return;
-	child_calls_detach(request->live_entry, cancel_children);
+	child_calls_detach(request->live_entry,
+			   cancel_children &&
+				   request->daemon->profile->handle.len);
 	TALLOC_FREE(request->live_entry);
 	request->daemon->upstream_running--;
 }
@@ -352,6 +355,7 @@
 static void start_call(upstream_request_t *request)
 {
 	cassiad_t *daemon = request->daemon;
+	char id_text[ATTEMPT_ID_TEXT_BYTES];
 
 	if (!before_deadline(request)) {
 		abandon(request, REASON_DEADLINE);
@@ -363,7 +367,8 @@
 		return;
 	}
 	request->live_entry =
-		attempt_live_add(daemon->live_requests, &request->context);
+		attempt_live_add(daemon->live_requests, &request->context,
+				 request_id_of(request, id_text));
 	if (!request->live_entry) {
 		abandon(request, REASON_OVERLOADED);
 		return;
--- a/soak/part_attempt_serve.c
+++ b/soak/part_attempt_serve.c
@@ -173,8 +173,8 @@
 		finish_exec(exec, ATTEMPT_NOT_RUN, PART_ATTEMPT_REASON_SHED, 0);
 		return;
 	}
-	exec->live = sim_require(
-		attempt_live_add(part_attempt_state_of(host)->live, context));
+	exec->live = sim_require(attempt_live_add(
+		part_attempt_state_of(host)->live, context, CAS_STR("")));
 	check_root_update_units(host, root, exec->live->budget.left, 0);
 	part_attempt_totals_of(host->fleet)->runs++;
 	check_attempt_run(host, exec->record);
