--- a/packages/quota/tests/pool_fleet.h
+++ b/packages/quota/tests/pool_fleet.h
@@ -179,10 +179,12 @@
 	int count = 0;
 
 	if (f->random_arrivals) {
-		double left = cas_rng_exponential(f->rng, 1);
+		double at = cas_rng_exponential(f->rng, 1);
 
-		for (; left < expected; count++)
-			left += cas_rng_exponential(f->rng, 1);
+		while (at < expected) {
+			count++;
+			at += cas_rng_exponential(f->rng, 1);
+		}
 		return count;
 	}
 	for (*due += expected; *due >= 1; (*due)--)
--- a/packages/routing/tests/test_placement.c
+++ b/packages/routing/tests/test_placement.c
@@ -176,9 +176,11 @@
 	double expected = rate * STEP_US / CAS_USEC_PER_SEC;
 	double at = cas_rng_exponential(fleet->rng, 1);
 
-	for (; at < expected; at += cas_rng_exponential(fleet->rng, 1))
+	while (at < expected) {
 		send_request(fleet, cas_rng_below(fleet->rng, DAEMONS), mean_us,
 			     counts);
+		at += cas_rng_exponential(fleet->rng, 1);
+	}
 }
 
 static void run_fleet(fleet_t *fleet, double short_rate, double long_rate)
