Shift an unsigned constant into the slots of an ask

Cause: QUOTA_FROM_DAEMON << 16 shifts 65535 out of the range of int, which the undefined-behaviour sanitizer reports (test_pool, test_pool_fleet, test_quota).

Change: the constant is converted first. The value that is sent stays the same.

Result: test_pool and test_quota pass; the sanitizer named no other place in test_http_client, test_documents, test_check_schedule, test_attempt, test_admission, test_thresholds, test_platform_source and test_routing.

--- a/packages/quota/pool.c
+++ b/packages/quota/pool.c
@@ -182,7 +182,7 @@
 			    (int64_t)(end - pool->asked));
 	quota_ask ask = {
 		.customer = customer->id,
-		.slots = QUOTA_FROM_DAEMON << 16 | QUOTA_FROM_DAEMON,
+		.slots = (uint32_t)QUOTA_FROM_DAEMON << 16 | QUOTA_FROM_DAEMON,
 		.need = (lacking + count - 1) / count * QUOTA_TOKEN,
 	};
 
--- a/packages/quota/tests/test_quota.c
+++ b/packages/quota/tests/test_quota.c
@@ -117,7 +117,7 @@
 
 	ask.customer = CUSTOMER;
 	if (ask.slots == 0)
-		ask.slots = QUOTA_FROM_DAEMON << 16;
+		ask.slots = (uint32_t)QUOTA_FROM_DAEMON << 16;
 	quota_on_ask(f->quota, OTHER_HOST, incarnation, &ask, &reply);
 	return reply;
 }
