Follow a changed limit at once with the keepers of a customer

Cause: the number of keepers follows the customer's burst. When an operator lowers it, the tokens were still divided among the earlier number for 10 s, a rule made for hosts that leave the host list: in the emulated fleet of 95 a customer whose limit falls to a sixth was refused 61 of 61 requests inside it for 8 s. A raised limit waited 3 s for its new keepers.

Ruled out: equal parts being better in small fleets; in fleets of 24, 77 and 95 at 0.9 to 1.3 of the rate keepers refuse less than equal parts or the same.

Change: a change of the burst puts the new number in force without a wait. The keepers before add tokens by the limit before, so the sum stays within the larger of both.

Result: test_changed_limit failed before (63, 61 and 46 refused after three changes) and passes; the bounds of test_pool and test_pool_fleet hold.

--- a/packages/quota/pool.c
+++ b/packages/quota/pool.c
@@ -35,33 +35,29 @@
  * reach is out of touch with the others, and lends them nothing. */
 #define NEW_KEEPER_WAIT_US (3 * CAS_USEC_PER_SEC)
 
-/* Returns the number of keepers among which the tokens are divided. It rises at
- * once, and falls only after DIVISOR_HOLD_TIME_US. */
-static int64_t update_divisor(quota_t *quota, quota_pool_t *pool)
-{
-	int64_t now = cas_clock_now(quota->clock);
-	int64_t total = (int64_t)pool->keepers.total;
-
-	if (total >= pool->divisor || now >= pool->divisor_until_us) {
-		pool->divisor = total;
-		pool->divisor_until_us = now + DIVISOR_HOLD_TIME_US;
-	}
-	return quota_max(pool->divisor, 1);
-}
-
-/* Chooses the keepers. After a change of the host list, the keepers by the older
- * one may go on for a while. */
+/* Chooses the keepers and the number among which the tokens are divided. After a
+ * change of the host list, the keepers by the older one may go on for a while: a
+ * new keeper waits, and the number falls only after DIVISOR_HOLD_TIME_US. After a
+ * change of the customer's burst, on which their number depends, the keepers
+ * before add tokens by the limit before, so there is nothing to wait for. */
 static void update_keepers(quota_t *quota, quota_customer_t *customer)
 {
 	quota_pool_t *pool = &customer->pool;
-	bool is_first = !pool->updated_us;
+	int64_t now = cas_clock_now(quota->clock);
+	bool same_burst = pool->keepers_burst == customer->burst;
 	bool was_keeper = pool->keepers.is_self;
+	int64_t total;
 
 	quota_keepers_assign(quota->view, quota->self, customer,
 			     &pool->keepers);
-	if (!is_first && !was_keeper && pool->keepers.is_self)
-		pool->adds_from_us =
-			cas_clock_now(quota->clock) + NEW_KEEPER_WAIT_US;
+	pool->keepers_burst = customer->burst;
+	if (same_burst && !was_keeper && pool->keepers.is_self)
+		pool->adds_from_us = now + NEW_KEEPER_WAIT_US;
+	total = quota_max((int64_t)pool->keepers.total, 1);
+	if (same_burst && total < pool->divisor && now < pool->divisor_until_us)
+		return;
+	pool->divisor = total;
+	pool->divisor_until_us = now + DIVISOR_HOLD_TIME_US;
 }
 
 /* Returns the amount plus the relative part of the tolerance. */
@@ -95,8 +91,8 @@
 		pool->updated_us = cas_clock_now(quota->clock);
 	if (!pool->keepers.is_self)
 		rate = burst = 0;
-	pool->rate = rate / update_divisor(quota, pool);
-	pool->burst = burst / quota_max(pool->divisor, 1);
+	pool->rate = rate / pool->divisor;
+	pool->burst = burst / pool->divisor;
 	pool->level = quota_min(pool->level, pool->burst);
 }
 
--- a/packages/quota/quota_internal.h
+++ b/packages/quota/quota_internal.h
@@ -170,6 +170,7 @@
 /* The tokens of a customer at this daemon under a tolerance; see pool.c. */
 typedef struct quota_pool {
 	quota_keepers_t keepers;
+	int64_t keepers_burst; /* of the customer, when they were chosen */
 	int64_t divisor; /* keepers among which the tokens are divided */
 	int64_t divisor_until_us; /* the divisor falls no sooner */
 	int64_t adds_from_us; /* this daemon adds no tokens before */
--- a/packages/quota/tests/test_pool_fleet.c
+++ b/packages/quota/tests/test_pool_fleet.c
@@ -64,6 +64,40 @@
 	assert_true(f->refused * 1000 <= f->admitted);
 }
 
+/* Puts a multiple of the customer's limit in force. */
+static void set_limit(fixture_t *f, int factor)
+{
+	f->customer.rate_micro = (int64_t)factor * RATE * QUOTA_TOKEN;
+	f->customer.burst_micro = (int64_t)factor * BURST * QUOTA_TOKEN;
+	f->table.revision++;
+	for (size_t i = 0; i < HOSTS; i++)
+		quota_set_view(f->nodes[i].quota, &f->table, &f->roster);
+}
+
+/* Guards against refusals inside the limit in the seconds after it has changed:
+ * the number of keepers follows the limit (bench, quota lowered on quiet-1 of
+ * swarmline-ga). */
+static void test_changed_limit(void **state)
+{
+	fixture_t *f = *state;
+	double rate[HOSTS];
+	const int factors[] = { 1, 6 };
+
+	f->random_arrivals = true;
+	set_limit(f, 6);
+	set_active(rate, RATE * 6 * 0.8);
+	run(f, rate, 3 * CAS_USEC_PER_SEC);
+	for (size_t i = 0; i < 2; i++) {
+		set_limit(f, factors[i]);
+		set_active(rate, RATE * factors[i] * 0.8);
+		run(f, rate, CAS_USEC_PER_SEC);
+		f->refused = 0;
+		f->admitted = 0;
+		run(f, rate, 8 * CAS_USEC_PER_SEC);
+		assert_true(f->refused * 1000 <= f->admitted);
+	}
+}
+
 /* Guards against a customer that gets no burst after a pause. */
 static void test_burst_after_a_pause(void **state)
 {
@@ -107,6 +141,8 @@
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_load_inside_the_rate,
 						setup, teardown),
+		cmocka_unit_test_setup_teardown(test_changed_limit, setup,
+						teardown),
 		cmocka_unit_test_setup_teardown(test_burst_after_a_pause, setup,
 						teardown),
 		cmocka_unit_test_setup_teardown(test_flood_of_a_large_fleet,
