--- a/packages/quota/include/cassia/quota.h
+++ b/packages/quota/include/cassia/quota.h
@@ -107,9 +107,10 @@
 		      const quota_ops_t *ops, void *private_data, cas_id_t self,
 		      uint64_t incarnation);
 
-/* Lets admissions exceed the limit by a tolerance. Every daemon then adds an
- * equal part of the tokens and borrows from the others what it lacks; there are
- * no holders. Must be called before the first quota_set_view. */
+/* Lets admissions exceed the limit by a tolerance. A few daemons (keepers) then
+ * each add an equal part of a customer's tokens, and the others borrow from them
+ * what they lack; there are no holders. Must be called before the first
+ * quota_set_view. */
 void quota_set_tolerance(quota_t *quota, const quota_tolerance_t *tolerance);
 
 /*
