Wrap and correct comments of the last changes

Comments only. The format check, test_pool, test_pool_fleet, test_check_schedule and test_documents pass; the whole script was not run again.

--- a/packages/quota/keepers.c
+++ b/packages/quota/keepers.c
@@ -19,7 +19,7 @@
  * smaller. Parts of a token would be of no use to those who borrow. */
 #define KEEPER_BURST (3 * QUOTA_TOKEN)
 
-/* Hosts or regions with the highest weights, highest first. */
+/* The hosts of a region with the highest weights, highest first. */
 typedef struct ranking {
 	cas_id_t ids[KEEPERS_PER_REGION_MAX];
 	uint64_t weights[KEEPERS_PER_REGION_MAX];
--- a/packages/quota/pool.c
+++ b/packages/quota/pool.c
@@ -24,7 +24,7 @@
  * doubled each time. */
 #define BACKOFF_MIN_US (250 * CAS_USEC_PER_MSEC)
 #define BACKOFF_MAX_US (2 * CAS_USEC_PER_SEC)
-/* Part of the tokens beyond the rate that is divided among the daemons. The rest
+/* Part of the tokens beyond the rate that is divided among the keepers. The rest
  * covers borrowed tokens that are not yet used. */
 #define DIVIDED_PERCENT 90
 /* Keepers that are no longer in the host list may still run, and are counted for
--- a/packages/quota/tests/test_pool_fleet.c
+++ b/packages/quota/tests/test_pool_fleet.c
@@ -29,8 +29,8 @@
 
 /* Guards against refusals in a surge that lasts longer than the burst: the
  * tokens of the tolerance must not be lost because they have to be saved up by
- * daemons that get no requests (bench, bursts of 16 s on the large site). The bound is the
- * target for goodput in a surge. */
+ * daemons that get no requests (bench, bursts of 16 s on the large site). The
+ * bound is the target for goodput in a surge. */
 static void test_surge_inside_the_tolerance(void **state)
 {
 	fixture_t *f = *state;
