--- a/review/lib.sh
+++ b/review/lib.sh
@@ -5,9 +5,8 @@
 # Zones z1 and z2 are in one region, z3 is in another. The bounds are those of the
 # small sites.
 
-cd "$(dirname "$0")/../.." || exit 2
-CASE_DIR=$(dirname "$0")
-case $CASE_DIR in /*) ;; *) CASE_DIR=$PWD/review/$(basename "$CASE_DIR") ;; esac
+CASE_DIR=$(cd "$(dirname "$0")" && pwd)
+cd "$CASE_DIR/../.." || exit 2
 STANDIN=target/review/standin
 DAEMON=target/cassiad
 RECORD=$CASE_DIR/record.txt
