Review: run bits, and each script writes its record on every exit

Each run.sh names its record.txt itself. The record is begun at the start, so that a script that can't run leaves one too, and a script whose clients were never served ends with 2.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,7 +3,10 @@
 # the queue of the daemon beside it must not reach it later than drain-s after the
 # store has acknowledged that it is draining.
 set -u
-. "$(dirname "$0")/../lib.sh"
+CASE_DIR=$(cd "$(dirname "$0")" && pwd) || exit 2
+# What was sent, answered and run.
+RECORD=$CASE_DIR/record.txt
+. "$CASE_DIR/../lib.sh"
 DRAIN_S=2
 SLOTS=14
 WORK_MS=360
@@ -51,6 +54,7 @@
 event "i-gate-1 exits"
 wait "$LOAD_PID"
 record_write
+require_served
 ack=$(awk '/ack servers\/i-gate-1/ { at = $1 } END { print at }' \
 	"$WORK/store.log")
 late=$(awk -v ack="$ack" -v bound=$((DRAIN_S * 1000)) '
--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -4,7 +4,10 @@
 # late, shows it as ready again. No request must reach it later than drain-s after
 # the removal.
 set -u
-. "$(dirname "$0")/../lib.sh"
+CASE_DIR=$(cd "$(dirname "$0")" && pwd) || exit 2
+# What was sent, answered and run.
+RECORD=$CASE_DIR/record.txt
+. "$CASE_DIR/../lib.sh"
 DRAIN_S=2
 SLOTS=14
 WORK_MS=360
@@ -51,6 +54,7 @@
 event "i-gate-1 exits"
 wait "$LOAD_PID"
 record_write
+require_served
 gone=$(awk '/ack servers\/i-gate-1 .* DELETE/ { at = $1 } END { print at }' \
 	"$WORK/store.log")
 late=$(awk -v gone="$gone" -v bound=$((DRAIN_S * 1000)) '
--- a/review/lib.sh
+++ b/review/lib.sh
@@ -4,12 +4,13 @@
 #
 # Zones z1 and z2 are in one region, z3 is in another. The bounds are those of the
 # small sites.
+#
+# The caller sets CASE_DIR, its folder, and RECORD, the path of its record.txt. Both
+# are absolute.
 
-CASE_DIR=$(cd "$(dirname "$0")" && pwd)
 cd "$CASE_DIR/../.." || exit 2
 STANDIN=target/review/standin
 DAEMON=target/cassiad
-RECORD=$CASE_DIR/record.txt
 WORK=$(mktemp -d)
 TROUBLE=${TROUBLE:-1}
 PIDS=""
@@ -21,8 +22,12 @@
 READY_PORT=8546
 APP_PORT=8547
 
+RECORDED=0
+echo "the script did not come to its end" > "$RECORD" || exit 2
 [ -x "$STANDIN" ] && [ -x "$DAEMON" ] || {
-	echo "build first: the command of deploy/system.toml, review/build.sh"
+	echo "build first: the command of deploy/system.toml, review/build.sh" |
+		tee "$RECORD"
+	rm -rf "$WORK"
 	exit 2
 }
 
@@ -30,6 +35,7 @@
 	# shellcheck disable=SC2086 # one argument for each process
 	[ -z "$PIDS" ] || kill -KILL $PIDS 2>/dev/null
 	wait 2>/dev/null
+	[ $RECORDED = 1 ] || record_write
 	rm -rf "$WORK"
 }
 trap stop_all EXIT
@@ -134,8 +140,10 @@
 
 # record_write: writes what was sent, answered and run, in the order of time.
 record_write() {
+	RECORDED=1
 	{
-		sed 's/^\([0-9]*\) /\1 store /' "$WORK/store.log"
+		[ ! -f "$WORK/store.log" ] ||
+			sed 's/^\([0-9]*\) /\1 store /' "$WORK/store.log"
 		[ ! -f "$WORK/clients.log" ] ||
 			sed 's/^\([0-9]*\) /\1 client /' "$WORK/clients.log"
 		for log in "$WORK"/backend-*.log; do
@@ -147,6 +155,13 @@
 	} | sort -n -s -k1,1 > "$RECORD"
 }
 
+# require_served: ends the script with 2 if the deployment served no client at all.
+require_served() {
+	grep -q ' answer [^ ]* 200 ' "$WORK/clients.log" && return
+	echo "no request was served" | tee -a "$RECORD"
+	exit 2
+}
+
 # event TEXT: notes what the script does.
 event() {
 	echo "$(now_ms) script $*" >> "$WORK/events.log"
