Send no queued work to an upstream that has left

Cause: the drain is asked when a request is accepted, and not again when the request leaves the queue.

Change: the drain closes the upstream at the end of its announcement. The daemon then empties the queue, and each wait before a request is sent ends with the same question. The same cause on related ways: a host that is taken off the list has its upstream closed at once, and a stop that follows a drain does not open the upstream again. Listing the host as serving opens it. The requests have not run and move on to another upstream.

--- a/packages/drain/drain.c
+++ b/packages/drain/drain.c
@@ -10,6 +10,8 @@
 	int64_t started_us; /* time of drain_begin */
 	int64_t timeout_us; /* from started_us */
 	int64_t gave_up_us; /* valid in DRAIN_GIVING_UP */
+	int64_t upstream_until_us; /* the upstream accepts work before this */
+	bool upstream_closed; /* ops->upstream_closed was called */
 };
 
 drain_t *drain_create(TALLOC_CTX *ctx, const cas_clock_t *clock,
@@ -22,6 +24,7 @@
 	drain->clock = clock;
 	drain->ops = ops;
 	drain->private_data = private_data;
+	drain->upstream_until_us = INT64_MAX;
 	return drain;
 }
 
@@ -32,6 +35,12 @@
 	return goal == DRAIN_GOAL_STOP && drain->goal == DRAIN_GOAL_UPSTREAM;
 }
 
+static void limit_upstream_work(drain_t *drain, int64_t until_us)
+{
+	if (until_us < drain->upstream_until_us)
+		drain->upstream_until_us = until_us;
+}
+
 int drain_begin(drain_t *drain, drain_goal_t goal, int64_t timeout_us)
 {
 	if (!may_begin(drain, goal))
@@ -40,12 +49,32 @@
 	drain->state = DRAIN_ANNOUNCING;
 	drain->started_us = cas_clock_now(drain->clock);
 	drain->timeout_us = timeout_us;
+	if (goal == DRAIN_GOAL_UPSTREAM)
+		limit_upstream_work(drain, drain->started_us +
+						   DRAIN_UPSTREAM_ANNOUNCE_US);
 	drain->ops->announce(drain->private_data);
 	return 0;
 }
 
+static void close_upstream_if_due(drain_t *drain)
+{
+	if (drain->upstream_closed ||
+	    cas_clock_now(drain->clock) < drain->upstream_until_us)
+		return;
+	drain->upstream_closed = true;
+	drain->ops->upstream_closed(drain->private_data);
+}
+
+void drain_close_upstream(drain_t *drain)
+{
+	limit_upstream_work(drain, cas_clock_now(drain->clock));
+	close_upstream_if_due(drain);
+}
+
 void drain_cancel(drain_t *drain)
 {
+	drain->upstream_until_us = INT64_MAX;
+	drain->upstream_closed = false;
 	if (drain->goal == DRAIN_GOAL_UPSTREAM)
 		drain->state = DRAIN_SERVING;
 }
@@ -135,6 +164,7 @@
 
 void drain_tick(drain_t *drain, const drain_load_t *load)
 {
+	close_upstream_if_due(drain);
 	if (drain->goal == DRAIN_GOAL_STOP)
 		tick_stop(drain, load);
 	else
@@ -175,10 +205,8 @@
 
 bool drain_accepts_upstream_work(const drain_t *drain)
 {
-	if (drain_is_stop(drain))
-		return drain->state <= DRAIN_FINISHING;
-	return drain->state == DRAIN_SERVING ||
-	       drain->state == DRAIN_ANNOUNCING;
+	return cas_clock_now(drain->clock) < drain->upstream_until_us &&
+	       drain_accepts_child_call(drain);
 }
 
 int64_t drain_deadline(const drain_t *drain)
--- a/packages/drain/include/cassia/drain.h
+++ b/packages/drain/include/cassia/drain.h
@@ -19,9 +19,10 @@
  * stop and outlasts it, gets a final answer of unknown outcome shortly before
  * the limit (DRAIN_GIVING_UP).
  *
- * While its upstream drains, the daemon stays an entry daemon: after an
- * announcement it refuses new work for the upstream until the drain is
- * cancelled or a stop replaces it.
+ * While its upstream drains, the daemon stays an entry daemon. After an
+ * announcement the upstream is closed: work that has not reached it yet is
+ * refused, wherever it waits, until the drain is cancelled. A stop that replaces
+ * the drain does not open the upstream again.
  */
 #ifndef CASSIA_DRAIN_H
 #define CASSIA_DRAIN_H
@@ -81,6 +82,9 @@
 	/* Called with DRAIN_DONE or DRAIN_TIMED_OUT when a drain ends, unless
 	 * it was cancelled or replaced by a stop before that. */
 	void (*finished)(void *private_data, drain_state_t state);
+	/* Gives up the work that waits for the upstream, which accepts none any
+	 * more; called once per closing of the upstream. */
+	void (*upstream_closed)(void *private_data);
 } drain_ops_t;
 
 /* What a drain waits for. */
@@ -101,8 +105,13 @@
  */
 int drain_begin(drain_t *drain, drain_goal_t goal, int64_t timeout_us);
 
-/* Cancels the drain of an upstream, for example when the host list no longer
- * has its host as leaving. Does nothing during a stop. */
+/* Closes the upstream without an announcement, for example when the host list
+ * no longer has its host. Changes no state: the daemon goes on as an entry
+ * daemon. */
+void drain_close_upstream(drain_t *drain);
+
+/* Opens the upstream again and cancels its drain, for example when the host list
+ * has its host as not leaving. Does not cancel a stop. */
 void drain_cancel(drain_t *drain);
 
 /* Makes the state transitions that are due and calls back; must be called at
@@ -133,8 +142,8 @@
 bool drain_accepts_possible_child_call(const drain_t *drain,
 				       int64_t expected_us);
 
-/* Returns whether an accepted request may be sent to the upstream of this
- * host. */
+/* Returns whether an accepted request may be sent to the upstream of this host.
+ * To be asked again after each wait before the request is sent. */
 bool drain_accepts_upstream_work(const drain_t *drain);
 
 /* Returns the time at which requests in flight get a final answer, INT64_MAX
--- a/packages/drain/tests/test_drain.c
+++ b/packages/drain/tests/test_drain.c
@@ -10,6 +10,7 @@
 	int end_intake_calls;
 	int stop_listening_calls;
 	int give_up_calls;
+	int upstream_closed_calls;
 	drain_load_t load; /* passed to drain_tick */
 	drain_state_t finished_state; /* DRAIN_SERVING: not called */
 } fixture_t;
@@ -39,12 +40,18 @@
 	((fixture_t *)private_data)->finished_state = state;
 }
 
+static void on_upstream_closed(void *private_data)
+{
+	((fixture_t *)private_data)->upstream_closed_calls++;
+}
+
 static const drain_ops_t ops = {
 	.announce = on_announce,
 	.end_intake = on_end_intake,
 	.stop_listening = on_stop_listening,
 	.give_up = on_give_up,
 	.finished = on_finished,
+	.upstream_closed = on_upstream_closed,
 };
 
 static int setup(void **state)
@@ -260,6 +267,58 @@
 	assert_true(drain_accepts_upstream_work(f->drain));
 }
 
+/* Guards against work that waits in the queue and reaches the upstream after the
+ * announcement. */
+static void test_waiting_work_is_given_up_once(void **state)
+{
+	fixture_t *f = *state;
+
+	f->load.inflight = 1;
+	drain_begin(f->drain, DRAIN_GOAL_UPSTREAM, 5000000);
+	advance(f, DRAIN_UPSTREAM_ANNOUNCE_US - 1);
+	assert_int_equal(f->upstream_closed_calls, 0);
+	advance(f, 1);
+	assert_int_equal(f->upstream_closed_calls, 1);
+	advance(f, 1);
+	assert_int_equal(f->upstream_closed_calls, 1);
+}
+
+/* Guards against a stop that sends work to an upstream that was closed before,
+ * and against one that prolongs the announcement of its drain. */
+static void test_stop_does_not_open_the_upstream(void **state)
+{
+	fixture_t *f = *state;
+
+	f->load.inflight = 1;
+	drain_begin(f->drain, DRAIN_GOAL_UPSTREAM, 5000000);
+	advance(f, DRAIN_UPSTREAM_ANNOUNCE_US / 2);
+	drain_begin(f->drain, DRAIN_GOAL_STOP, 30000000);
+	assert_true(drain_accepts_upstream_work(f->drain));
+	advance(f, DRAIN_UPSTREAM_ANNOUNCE_US / 2);
+	assert_false(drain_accepts_upstream_work(f->drain));
+	assert_int_equal(f->upstream_closed_calls, 1);
+	assert_true(drain_accepts_request(f->drain, 1));
+}
+
+/* Guards against work for an upstream that is gone, and against one that gets
+ * none after it has started again. */
+static void test_upstream_closes_without_a_drain(void **state)
+{
+	fixture_t *f = *state;
+
+	drain_close_upstream(f->drain);
+	drain_close_upstream(f->drain);
+	assert_int_equal(f->upstream_closed_calls, 1);
+	assert_false(drain_accepts_upstream_work(f->drain));
+	assert_int_equal(drain_state(f->drain), DRAIN_SERVING);
+	drain_cancel(f->drain);
+	assert_true(drain_accepts_upstream_work(f->drain));
+	drain_begin(f->drain, DRAIN_GOAL_UPSTREAM, 5000000);
+	drain_close_upstream(f->drain);
+	assert_int_equal(f->upstream_closed_calls, 2);
+	assert_false(drain_accepts_upstream_work(f->drain));
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -288,6 +347,12 @@
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(
 			test_upstream_drain_keeps_listening, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+			test_waiting_work_is_given_up_once, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+			test_stop_does_not_open_the_upstream, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+			test_upstream_closes_without_a_drain, setup, teardown),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/programs/cassiad/config.c
+++ b/programs/cassiad/config.c
@@ -175,24 +175,52 @@
 		CAS_LOG_INT("revision", table->revision));
 }
 
-/* Applies the row of this host in the host list: the slots of its upstream, and
- * a drain while the row is marked as leaving. */
-static void apply_own_listing(cassiad_t *daemon)
+static own_listing_t own_listing_of(const cassiad_t *daemon,
+				    const roster_host_t *host)
 {
-	const roster_host_t *listing =
-		roster_find(daemon->roster, daemon->settings->host_id);
+	if (!host)
+		return daemon->own_listing == OWN_LISTING_NONE
+			       ? OWN_LISTING_NONE
+			       : OWN_LISTING_GONE;
+	return host->leaving ? OWN_LISTING_LEAVING : OWN_LISTING_SERVING;
+}
 
-	admission_set_slots(daemon->admission, listing ? listing->slots : 0);
-	if (!listing)
-		return;
-	if (listing->leaving && !daemon->listed_as_leaving) {
-		daemon_drain(daemon, DRAIN_GOAL_UPSTREAM);
-	} else if (!listing->leaving && daemon->listed_as_leaving) {
+static void follow_own_listing(cassiad_t *daemon, own_listing_t previous)
+{
+	switch (daemon->own_listing) {
+	case OWN_LISTING_SERVING:
+		if (previous == OWN_LISTING_NONE)
+			return;
 		drain_cancel(daemon->drain);
 		control_set_draining(daemon, drain_state(daemon->drain) !=
 						     DRAIN_SERVING);
+		return;
+	case OWN_LISTING_LEAVING:
+		daemon_drain(daemon, DRAIN_GOAL_UPSTREAM);
+		return;
+	case OWN_LISTING_GONE:
+		drain_close_upstream(daemon->drain);
+		return;
+	case OWN_LISTING_NONE:
+		return;
 	}
-	daemon->listed_as_leaving = listing->leaving;
+}
+
+/* Applies the row of this host in the host list: the slots of its upstream, and
+ * a drain while the row is marked as leaving. Without a row the upstream is
+ * closed, unless no list has had one yet: other daemons may read first that it
+ * has started. */
+static void apply_own_listing(cassiad_t *daemon)
+{
+	const roster_host_t *host =
+		roster_find(daemon->roster, daemon->settings->host_id);
+	own_listing_t previous = daemon->own_listing;
+
+	daemon->own_listing = own_listing_of(daemon, host);
+	if (daemon->own_listing != previous)
+		follow_own_listing(daemon, previous);
+	/* May start queued requests. */
+	admission_set_slots(daemon->admission, host ? host->slots : 0);
 }
 
 static void on_hosts(void *private, const roster_t *roster)
--- a/programs/cassiad/daemon.h
+++ b/programs/cassiad/daemon.h
@@ -45,6 +45,14 @@
 	int64_t clock_offset_us; /* its clock minus the local one, or less */
 } known_incarnation_t;
 
+/* What the host lists since the start say of the upstream of this host. */
+typedef enum own_listing {
+	OWN_LISTING_NONE, /* no list had it */
+	OWN_LISTING_SERVING,
+	OWN_LISTING_LEAVING,
+	OWN_LISTING_GONE, /* the present list lacks it, an earlier one had it */
+} own_listing_t;
+
 /* Members are owned by the daemon unless they are said to be borrowed. */
 typedef struct cassiad {
 	struct tevent_context *ev;
@@ -61,7 +69,7 @@
 	bool stopped; /* ends the event loop */
 	uint64_t tick_count;
 	bool watches_platform; /* for its data centre */
-	bool listed_as_leaving; /* this host, by the host list in use */
+	own_listing_t own_listing; /* by the host list in use */
 	uint64_t draining_digest; /* of the ids of the draining hosts */
 	uint64_t routed_changes; /* source_change_count of the routing view */
 
--- a/programs/cassiad/stop.c
+++ b/programs/cassiad/stop.c
@@ -81,12 +81,23 @@
 	daemon->stopped = daemon->stopping;
 }
 
+static void on_upstream_closed(void *private)
+{
+	cassiad_t *daemon = private;
+
+	cas_log(CAS_LOG_INFO, "upstream_closed",
+		CAS_LOG_INT("queued", admission_queued(daemon->admission)),
+		CAS_LOG_INT("running", daemon->upstream_running));
+	admission_stop_queue(daemon->admission);
+}
+
 static const drain_ops_t drain_ops = {
 	.announce = on_announce,
 	.end_intake = on_end_intake,
 	.stop_listening = on_stop_listening,
 	.give_up = on_give_up,
 	.finished = on_finished,
+	.upstream_closed = on_upstream_closed,
 };
 
 int stop_create(cassiad_t *daemon)
--- a/programs/cassiad/upstream_request.c
+++ b/programs/cassiad/upstream_request.c
@@ -157,13 +157,22 @@
 	return result->error ? ADMISSION_FAILED : ADMISSION_OK;
 }
 
+static bool before_deadline(const upstream_request_t *request)
+{
+	return cas_clock_now(request->daemon->clock) <
+	       request->context.deadline;
+}
+
 static void set_failure(upstream_request_t *request,
 			const http_result_t *result)
 {
 	request->result.error = result->error;
 	request->result.outcome =
 		result->sent ? ATTEMPT_UNKNOWN : ATTEMPT_NOT_RUN;
-	if (result->error == HTTP_EEXPIRED || result->error == HTTP_ETIMEOUT)
+	if (result->error == HTTP_EEXPIRED && before_deadline(request))
+		request->result.reason = REASON_DRAINING;
+	else if (result->error == HTTP_EEXPIRED ||
+		 result->error == HTTP_ETIMEOUT)
 		request->result.reason = REASON_DEADLINE;
 	else if (result->error == HTTP_ECROSSED)
 		request->result.reason = REASON_CROSSED;
@@ -274,12 +283,14 @@
 	.done = on_done,
 };
 
-static bool before_deadline(void *private)
+/* Asked again when the connection is ready: the upstream may have been closed
+ * while it was opened. */
+static bool may_send(void *private)
 {
-	upstream_request_t *request = private;
+	const upstream_request_t *request = private;
 
-	return cas_clock_now(request->daemon->clock) <
-	       request->context.deadline;
+	return before_deadline(request) &&
+	       drain_accepts_upstream_work(request->daemon->drain);
 }
 
 static int add_id_and_handle(upstream_request_t *request,
@@ -329,7 +340,7 @@
 		.timeout_us = request->context.deadline -
 			      cas_clock_now(daemon->clock),
 		.connect_timeout_us = CAS_USEC_PER_SEC,
-		.may_send = before_deadline,
+		.may_send = may_send,
 	};
 
 	if (!headers || http_headers_forward(headers, request->spec.headers) ||
@@ -362,7 +373,8 @@
 		return;
 	}
 	/* It may have waited in the queue since it was accepted. */
-	if (!stop_has_time(daemon, &request->context, 0)) {
+	if (!drain_accepts_upstream_work(daemon->drain) ||
+	    !stop_has_time(daemon, &request->context, 0)) {
 		abandon(request, REASON_DRAINING);
 		return;
 	}
