Keep an upstream closed that only the source knows to have left

Cause: routing marks an upstream as leaving also if only the source knows of it, because the list in force may be that of a peer that started later. The drain of a daemon's own upstream went by the list alone, so such a list cancelled it, and work for the upstream was accepted again.

Change: the own row counts as leaving in the same cases, and is looked at again when the source has read something new. config_tick calls apply_own_listing, which moved above it unchanged.

--- a/programs/cassiad/config.c
+++ b/programs/cassiad/config.c
@@ -94,6 +94,55 @@
 	update_stopping(daemon);
 }
 
+static own_listing_t own_listing_of(const cassiad_t *daemon,
+				    const roster_host_t *host)
+{
+	if (!host)
+		return daemon->own_listing == OWN_LISTING_NONE
+			       ? OWN_LISTING_NONE
+			       : OWN_LISTING_GONE;
+	return host->leaving || has_left(daemon, host) ? OWN_LISTING_LEAVING
+						       : OWN_LISTING_SERVING;
+}
+
+static void follow_own_listing(cassiad_t *daemon, own_listing_t previous)
+{
+	switch (daemon->own_listing) {
+	case OWN_LISTING_SERVING:
+		if (previous == OWN_LISTING_NONE)
+			return;
+		drain_cancel(daemon->drain);
+		control_set_draining(daemon, drain_state(daemon->drain) !=
+						     DRAIN_SERVING);
+		return;
+	case OWN_LISTING_LEAVING:
+		daemon_drain(daemon, DRAIN_GOAL_UPSTREAM);
+		return;
+	case OWN_LISTING_GONE:
+		drain_close_upstream(daemon->drain);
+		return;
+	case OWN_LISTING_NONE:
+		return;
+	}
+}
+
+/* Applies the row of this host in the host list: the slots of its upstream, and
+ * a drain while the upstream leaves, also if only the source knows of that. Without a row the upstream is
+ * closed, unless no list has had one yet: other daemons may read first that it
+ * has started. */
+static void apply_own_listing(cassiad_t *daemon)
+{
+	const roster_host_t *host =
+		roster_find(daemon->roster, daemon->settings->host_id);
+	own_listing_t previous = daemon->own_listing;
+
+	daemon->own_listing = own_listing_of(daemon, host);
+	if (daemon->own_listing != previous)
+		follow_own_listing(daemon, previous);
+	/* May start queued requests. */
+	admission_set_slots(daemon->admission, host ? host->slots : 0);
+}
+
 void config_apply(cassiad_t *daemon)
 {
 	if (daemon->table)
@@ -151,8 +200,10 @@
 		return;
 	}
 	if (daemon->source &&
-	    daemon->routed_changes != source_change_count(daemon->source))
+	    daemon->routed_changes != source_change_count(daemon->source)) {
+		apply_own_listing(daemon);
 		update_routing(daemon);
+	}
 	for (size_t i = 0; i < daemon->roster->host_count; i++) {
 		cas_id_t id = daemon->roster->hosts[i].id;
 
@@ -175,54 +226,6 @@
 		CAS_LOG_INT("revision", table->revision));
 }
 
-static own_listing_t own_listing_of(const cassiad_t *daemon,
-				    const roster_host_t *host)
-{
-	if (!host)
-		return daemon->own_listing == OWN_LISTING_NONE
-			       ? OWN_LISTING_NONE
-			       : OWN_LISTING_GONE;
-	return host->leaving ? OWN_LISTING_LEAVING : OWN_LISTING_SERVING;
-}
-
-static void follow_own_listing(cassiad_t *daemon, own_listing_t previous)
-{
-	switch (daemon->own_listing) {
-	case OWN_LISTING_SERVING:
-		if (previous == OWN_LISTING_NONE)
-			return;
-		drain_cancel(daemon->drain);
-		control_set_draining(daemon, drain_state(daemon->drain) !=
-						     DRAIN_SERVING);
-		return;
-	case OWN_LISTING_LEAVING:
-		daemon_drain(daemon, DRAIN_GOAL_UPSTREAM);
-		return;
-	case OWN_LISTING_GONE:
-		drain_close_upstream(daemon->drain);
-		return;
-	case OWN_LISTING_NONE:
-		return;
-	}
-}
-
-/* Applies the row of this host in the host list: the slots of its upstream, and
- * a drain while the row is marked as leaving. Without a row the upstream is
- * closed, unless no list has had one yet: other daemons may read first that it
- * has started. */
-static void apply_own_listing(cassiad_t *daemon)
-{
-	const roster_host_t *host =
-		roster_find(daemon->roster, daemon->settings->host_id);
-	own_listing_t previous = daemon->own_listing;
-
-	daemon->own_listing = own_listing_of(daemon, host);
-	if (daemon->own_listing != previous)
-		follow_own_listing(daemon, previous);
-	/* May start queued requests. */
-	admission_set_slots(daemon->admission, host ? host->slots : 0);
-}
-
 static void on_hosts(void *private, const roster_t *roster)
 {
 	cassiad_t *daemon = private;
