Limit the heads and trailer fields of the store's replies

Cause: libcurl 7.88 stores any number of trailer fields. The client for upstreams counts them; those for the platform's store and configuration service, which share curl_loop, did not. A reply without end is read for as long as the call may take, 26.5 s for a watch, and kept in memory.

Change: curl_loop ends a transfer whose head and trailer fields exceed 64 KB, the limit of the client for upstreams.

--- a/packages/config/curl_loop.c
+++ b/packages/config/curl_loop.c
@@ -165,9 +165,26 @@
 	return loop;
 }
 
+/* Header callback of libcurl. A result other than the number of bytes aborts
+ * the transfer. */
+static size_t count_head_bytes(char *data, size_t size, size_t count,
+			       void *private)
+{
+	curl_transfer_t *transfer = private;
+
+	(void)data;
+	transfer->head_bytes += size * count;
+	return transfer->head_bytes > CURL_LOOP_HEAD_MAX_BYTES ? 0
+							       : size * count;
+}
+
 int curl_loop_start(curl_loop_t *loop, curl_transfer_t *transfer)
 {
+	transfer->head_bytes = 0;
 	curl_easy_setopt(transfer->easy, CURLOPT_PRIVATE, transfer);
+	curl_easy_setopt(transfer->easy, CURLOPT_HEADERFUNCTION,
+			 count_head_bytes);
+	curl_easy_setopt(transfer->easy, CURLOPT_HEADERDATA, transfer);
 	return curl_multi_add_handle(loop->multi, transfer->easy) == CURLM_OK
 		       ? 0
 		       : CONFIG_EINVAL;
--- a/packages/config/source_http.c
+++ b/packages/config/source_http.c
@@ -303,7 +303,9 @@
 	read->source = source;
 	read->document = document;
 	read->path = path;
-	read->transfer = (curl_transfer_t){ easy, read_done, read };
+	read->transfer = (curl_transfer_t){ .easy = easy,
+					    .done = read_done,
+					    .private = read };
 	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(easy, CURLOPT_PROXY, "");
 	curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
--- a/tests/test_path_faulty_responses.sh
+++ b/tests/test_path_faulty_responses.sh
@@ -116,6 +116,37 @@
 	-H 'X-Raw-Repeat: 3\r\nabc\r\n'
 check_faulty "body without length and end" cut -X POST \
 	-H "X-Raw: ${OK_HEAD}\\r\\n" -H 'X-Raw-Repeat: abc'
+check_faulty "head of line feeds without end" 502 -X POST \
+	-H 'X-Raw: HTTP/1.1 200 OK\nX-Field: value\n' \
+	-H 'X-Raw-Repeat: X-Field: value\n'
+check_faulty "folded field without end" 502 -X POST \
+	-H "X-Raw: ${OK_HEAD}X-Field: value\\r\\n" -H 'X-Raw-Repeat:  more\r\n'
+check_faulty "another protocol without end" cut -X POST \
+	-H 'X-Raw: HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n' \
+	-H 'X-Raw-Repeat: bytes'
+head -c 190000 /dev/zero > "$SITE/large"
+# A body that is streamed has a connection of its own.
+call_faulty -X POST --data-binary @"$SITE/large" -H 'X-Raw: x' \
+	-H 'X-Raw-Repeat: x'
+expect_equal "bytes without end during a request body" "502 0 1" \
+	"$STATUS $EXIT $NEW_CONNECTIONS"
+expect_equal "bytes without end during a request body end in time" 1 \
+	$((DURATION_MS < LIMIT_MS))
+
+# Callers that hardly read, so that the buffers on the way are full.
+slow_callers=""
+for _ in 1 2 3 4 5 6 7 8; do
+	curl -s --max-time 5 --limit-rate 1k -o /dev/null -X POST \
+		-H "Authorization: Bearer $(key_of acme)" \
+		-H "X-Raw: $CHUNKED_HEAD" -H 'X-Raw-Repeat: 3\r\nabc\r\n' \
+		"http://$NET.11:$FRONT_PORT/book" &
+	slow_callers="$slow_callers $!"
+done
+sleep 1
+call 11 acme /book
+expect_equal "a call beside responses without end is served" 200 "$STATUS"
+# shellcheck disable=SC2086 # one argument for each process
+wait $slow_callers
 GROWTH_KB=$(($(memory_kb) - MEMORY_KB))
 expect_equal "memory grows by at most $MEMORY_GROWTH_MAX_KB KB ($GROWTH_KB)" 1 \
 	$((GROWTH_KB <= MEMORY_GROWTH_MAX_KB))
