--- a/packages/drain/drain.c
+++ b/packages/drain/drain.c
@@ -189,11 +189,16 @@
 	       drain_has_time(drain, expected_us);
 }
 
-bool drain_accepts_child_call(const drain_t *drain)
+static bool serves_accepted_work(const drain_t *drain)
 {
 	return !drain_is_stop(drain) || drain->state <= DRAIN_FINISHING;
 }
 
+bool drain_accepts_child_call(const drain_t *drain)
+{
+	return serves_accepted_work(drain);
+}
+
 bool drain_accepts_possible_child_call(const drain_t *drain,
 				       int64_t expected_us)
 {
@@ -206,7 +211,7 @@
 bool drain_accepts_upstream_work(const drain_t *drain)
 {
 	return cas_clock_now(drain->clock) < drain->upstream_until_us &&
-	       drain_accepts_child_call(drain);
+	       serves_accepted_work(drain);
 }
 
 int64_t drain_deadline(const drain_t *drain)
--- a/programs/cassiad/config.c
+++ b/programs/cassiad/config.c
@@ -127,9 +127,9 @@
 }
 
 /* Applies the row of this host in the host list: the slots of its upstream, and
- * a drain while the upstream leaves, also if only the source knows of that. Without a row the upstream is
- * closed, unless no list has had one yet: other daemons may read first that it
- * has started. */
+ * a drain while the upstream leaves, also if only the source knows of that.
+ * Without a row the upstream is closed, unless no list has had one yet: other
+ * daemons may read first that it has started. */
 static void apply_own_listing(cassiad_t *daemon)
 {
 	const roster_host_t *host =
