--- a/tools/regression.sh
+++ b/tools/regression.sh
@@ -33,7 +33,7 @@
 # The sites in force, the smallest first: their standard days, an incident, and
 # days of other seeds: 40, or 8 where 60 machines or more are played.
 for row in sites/kalebasi-mesh:40 sites/hailnet-orders:40 \
-	large/hailnet-orders-large:8 grown/kalebasi-mesh-grown:8 \
+	large/hailnet-orders-large:8 grown/kalebasi-mesh-grown:40 \
 	grown/hailnet-orders-grown:8; do
 	site=${row%:*}
 	name=${site##*/}
