--- a/tests/test_drain_queue.sh
+++ b/tests/test_drain_queue.sh
@@ -75,7 +75,7 @@
 	"$(queued 13)" 5
 remove_host b2
 write_hosts 3
-# The list is read once a second at most.
+# Time in which the daemon reads the list.
 sleep 1.5
 runs_at_removal=$(upstream_stat 13 requests)
 sleep 2
