--- a/tests/test_path_faulty_responses.sh
+++ b/tests/test_path_faulty_responses.sh
@@ -60,7 +60,7 @@
 				"1 $connections" \
 				"$(is_not_complete) $NEW_CONNECTIONS"
 		fi
-		expect_equal "$name ends in time" 1 \
+		expect_equal "$name ends in time ($DURATION_MS ms)" 1 \
 			$((DURATION_MS < LIMIT_MS))
 	done
 }
@@ -130,7 +130,7 @@
 	-H 'X-Raw-Repeat: x'
 expect_equal "bytes without end during a request body" "502 0 1" \
 	"$STATUS $EXIT $NEW_CONNECTIONS"
-expect_equal "bytes without end during a request body end in time" 1 \
+expect_equal "bytes without end during a request body end in time ($DURATION_MS ms)" 1 \
 	$((DURATION_MS < LIMIT_MS))
 
 # Callers that hardly read, so that the buffers on the way are full.
