Add interfaces for regions, evacuation, warm-up, load reports and placement

Cause: routing, admission and the adapter get several new features at once, which need the same types.

Change: name lists in documents; regions of routes and customers, warm-up of services, evacuated data centres, settings of warm-up and processor share; header fields of the upstream's load; an optional load in signed outcomes; routing_pick takes a query. One function on each side decides whether an upstream may get work: routing_fitness and upstream_gate_check.

--- a/bench/sim_daemon.c
+++ b/bench/sim_daemon.c
@@ -306,15 +306,19 @@
 static bool choose_upstream(sim_t *sim, sim_call_t *call)
 {
 	sim_host_t *host = &sim->hosts[call->from_host];
+	const routing_query_t query = {
+		.service = service_id(sim, call),
+		.exclude = call->tried_hosts,
+		.exclude_count = (size_t)call->attempts,
+		.last_resort = call->attempts > 0,
+	};
 	routing_choice_t choice;
 
 	if (!sim->control) {
 		call->to_host = random_upstream(sim, call);
 		return true;
 	}
-	if (routing_pick(host->routing, service_id(sim, call),
-			 call->tried_hosts, (size_t)call->attempts,
-			 call->attempts > 0, &choice))
+	if (routing_pick(host->routing, &query, &choice))
 		return false;
 	call->to_host = (int)(choice.host - sim->hosts[0].id);
 	call->tried_hosts[call->attempts] = choice.host;
--- a/packages/attempt/messages/attempt.x
+++ b/packages/attempt/messages/attempt.x
@@ -42,6 +42,28 @@
 const ATTEMPT_NOT_RUN = 1;
 const ATTEMPT_UNKNOWN = 2;
 
+/* Load of the upstream and of the daemon beside it. */
+struct attempt_load {
+	unsigned int slowdown;		/* of its host: percent of the usual
+					 * time of work; 0: not reported */
+	unsigned int room;		/* requests that could start now */
+	unsigned int wait_us;		/* expected wait of a new request */
+	unsigned int own_us;		/* usual time of this kind of request,
+					 * without child calls; 0: unknown */
+	unsigned int turned_away;	/* arrivals that were refused lately,
+					 * in per mille */
+	unsigned int processor;		/* use of the daemon's share of the
+					 * processor, in per mille */
+	unsigned int warming_up;	/* 0 or 1: its pace is being found */
+};
+
+union attempt_load_option switch (unsigned int known) {
+case 1:
+	attempt_load load;
+default:
+	void;
+};
+
 struct attempt_outcome {
 	unsigned hyper host;
 	unsigned hyper incarnation;	/* of the host */
@@ -55,4 +77,6 @@
 	unsigned int unspent;		/* retries left of the budget */
 	unsigned int limit;		/* concurrency limit; 0: unknown */
 	int busy;			/* per mille of limit; -1: unknown */
+	/* Only if the upstream reports the load of its host or warms up. */
+	attempt_load_option load;
 };
--- a/packages/config/diff.c
+++ b/packages/config/diff.c
@@ -94,6 +94,17 @@
 	return talloc_asprintf(ctx, "%lld", (long long)integer);
 }
 
+static char *format_names(TALLOC_CTX *ctx, const name_list_t *list)
+{
+	char *text = talloc_strdup(ctx, "");
+
+	for (size_t i = 0; i < list->count; i++)
+		text = talloc_asprintf_append_buffer(
+			text, "%s%.*s", i ? ", " : "",
+			CAS_STR_ARG(list->names[i]));
+	return text;
+}
+
 cas_str_t diff_format_value(TALLOC_CTX *ctx, const field_t *field,
 			    const void *row)
 {
@@ -119,6 +130,8 @@
 	case FIELD_HEX:
 		return cas_str_from_cstr(
 			format_hex(ctx, value, (size_t)field->max));
+	case FIELD_NAMES:
+		return cas_str_from_cstr(format_names(ctx, value));
 	case FIELD_ENDPOINT:
 	case FIELD_NODE:
 		break;
--- a/packages/config/include/cassia/roster.h
+++ b/packages/config/include/cassia/roster.h
@@ -12,6 +12,7 @@
 
 #include "cassia/fault.h"
 #include "cassia/hash.h"
+#include "cassia/name_list.h"
 #include "cassia/str.h"
 
 /* Bounds of a host's fields; a list with a value beyond them is refused as a
@@ -41,6 +42,9 @@
 	int64_t revision; /* 1 or more */
 	roster_host_t *hosts; /* sorted by id */
 	size_t host_count;
+	/* Data centres whose upstreams must get no requests. Their daemons go
+	 * on as entry daemons. */
+	name_list_t evacuated;
 	cas_str_t source; /* the text it was read from, sent to peers */
 	/* Hash of the content; comments and layout do not count. */
 	uint64_t fingerprint;
@@ -59,4 +63,7 @@
 /* Returns the host with this id (borrowed from the roster), or NULL. */
 const roster_host_t *roster_find(const roster_t *roster, cas_id_t id);
 
+/* Returns whether the data centre is evacuated. */
+bool roster_is_evacuated(const roster_t *roster, cas_id_t data_centre);
+
 #endif
--- a/packages/config/include/cassia/settings.h
+++ b/packages/config/include/cassia/settings.h
@@ -61,6 +61,13 @@
 	int64_t window_allowance_micro;
 } settings_tolerance_t;
 
+/* The most requests that a cold upstream may get in any one second: the rate of
+ * its service, see table_service_t, times the factor, plus the slack. */
+typedef struct settings_warm_up {
+	int64_t factor_micro; /* of the rate, in millionths; default 1 */
+	int64_t slack_micro; /* requests, in millionths */
+} settings_warm_up_t;
+
 /* A data centre and its region. Given in the settings if the source of the
  * table does not list the data centres. */
 typedef struct settings_data_centre {
@@ -101,6 +108,10 @@
 	size_t seed_count;
 	settings_protocol_t protocol;
 	settings_tolerance_t tolerance;
+	settings_warm_up_t warm_up;
+	/* Share of a processor core that this daemon may use, in millionths;
+	 * 0: not known. */
+	int64_t processor_share_micro;
 	/* Retry budget: number of first attempts for each permitted retry. */
 	int32_t first_per_retry;
 	settings_data_centre_t *data_centres; /* NULL if none are given */
--- a/packages/config/include/cassia/table.h
+++ b/packages/config/include/cassia/table.h
@@ -13,6 +13,7 @@
 
 #include "cassia/fault.h"
 #include "cassia/hash.h"
+#include "cassia/name_list.h"
 #include "cassia/roster.h"
 #include "cassia/str.h"
 
@@ -37,6 +38,12 @@
 	cas_id_t id;
 	cas_str_t name;
 	int32_t connections; /* limit of connections to one upstream, 0: none */
+	/* Requests a second, in millionths, that an upstream can take while it
+	 * is cold; 0: no bound. */
+	int64_t warm_up_rate_micro;
+	int32_t warm_up_ms; /* how long an upstream is cold after its start */
+	cas_str_t
+		health_path; /* of the upstreams' health checks; may be empty */
 } table_service_t;
 
 /* One of the services that the requests of a route are split between. */
@@ -66,6 +73,7 @@
 	int32_t retries; /* retry budget of a root request */
 	cas_id_t *customers; /* allowed customers, sorted; empty: all */
 	size_t customer_count;
+	name_list_t regions; /* that may run the requests; empty: all */
 } table_route_t;
 
 typedef struct table_customer {
@@ -76,6 +84,7 @@
 	int64_t burst_micro; /* micro-tokens, at least one token */
 	int32_t importance; /* upper bound of the route's, unless
 			     * customer_first; default 15 */
+	name_list_t regions; /* that may run the requests; empty: all */
 } table_customer_t;
 
 typedef struct table_key {
@@ -142,6 +151,12 @@
  * from 0 to below 1. Returns NULL when the route is not split. */
 const table_part_t *table_pick_part(const table_route_t *route, double point);
 
+/* Returns whether the requests of a route and customer may be run in a region:
+ * it must be allowed by each of them that limits its regions. A route or
+ * customer that is not in the table limits nothing. */
+bool table_allows_region(const table_t *table, cas_id_t route,
+			 cas_id_t customer, cas_id_t region);
+
 /*
  * Returns the importance of a request, 0..15. customer is NULL for a request
  * without one, and then counts as the highest importance. With customer_first,
--- a/packages/config/roster.c
+++ b/packages/config/roster.c
@@ -4,6 +4,8 @@
 
 #include "diff_internal.h"
 
+#define EVACUATED_MAX 256 /* data centres */
+
 #define HOST_FIELD(key, kind, required, member, min, max)                      \
 	{                                                                      \
 		key, kind, required, offsetof(roster_host_t, member), min, max \
@@ -41,6 +43,7 @@
 /* Top level of a separate host list. */
 typedef struct roster_root {
 	int64_t revision;
+	name_list_t evacuated;
 	const toml_node_t *hosts; /* [[host]] rows */
 	const toml_node_t *end; /* [end] section */
 } roster_root_t;
@@ -48,6 +51,8 @@
 static const field_t root_fields[] = {
 	{ "revision", FIELD_INT64, true, offsetof(roster_root_t, revision), 1,
 	  INT64_MAX },
+	{ "evacuated", FIELD_NAMES, false, offsetof(roster_root_t, evacuated),
+	  0, EVACUATED_MAX },
 	{ "host", FIELD_NODE, true, offsetof(roster_root_t, hosts), 0, 0 },
 	{ "end", FIELD_NODE, false, offsetof(roster_root_t, end), 0, 0 },
 };
@@ -156,6 +161,7 @@
 			   sizeof(root_fields) / sizeof(root_fields[0]),
 			   &fields);
 	roster->revision = fields.revision;
+	roster->evacuated = fields.evacuated;
 	roster->fingerprint = toml_fingerprint(root, 0);
 	roster->source = cas_str_dup(roster, text);
 	if (!roster->source.ptr)
@@ -216,3 +222,8 @@
 	return bsearch(&key, roster->hosts, roster->host_count,
 		       sizeof(*roster->hosts), host_compare);
 }
+
+bool roster_is_evacuated(const roster_t *roster, cas_id_t data_centre)
+{
+	return name_list_has(&roster->evacuated, data_centre);
+}
--- a/packages/config/schema.c
+++ b/packages/config/schema.c
@@ -246,6 +246,46 @@
 		report_invalid_value(value, expected);
 }
 
+static bool names_are_valid(const toml_node_t *list, int64_t max)
+{
+	if (list->kind != TOML_KIND_ARRAY || (int64_t)list->count > max)
+		return false;
+	for (size_t i = 0; i < list->count; i++)
+		if (list->children[i].kind != TOML_KIND_STRING ||
+		    !name_is_valid(list->children[i].text))
+			return false;
+	return true;
+}
+
+static void read_names(const value_t *value)
+{
+	const toml_node_t *node = value->node;
+	name_list_t list = { .count = node->count };
+	char expected[80];
+
+	if (!names_are_valid(node, value->field->max)) {
+		snprintf(expected, sizeof(expected),
+			 "a list of up to %lld names",
+			 (long long)value->field->max);
+		report_invalid_value(value, expected);
+		return;
+	}
+	list.names = reader_alloc_array(value->reader, sizeof(*list.names),
+					list.count);
+	list.ids = reader_alloc_array(value->reader, sizeof(*list.ids),
+				      list.count);
+	if (value->reader->rc)
+		return;
+	for (size_t i = 0; i < list.count; i++) {
+		list.names[i] =
+			cas_str_dup(value->reader->ctx, node->children[i].text);
+		list.ids[i] = cas_id_of(list.names[i]);
+		if (!list.names[i].ptr)
+			value->reader->rc = CONFIG_ENOMEM;
+	}
+	*(name_list_t *)value->out = list;
+}
+
 static void read_value(const value_t *value)
 {
 	switch (value->field->kind) {
@@ -275,6 +315,9 @@
 	case FIELD_HEX:
 		read_hex(value);
 		break;
+	case FIELD_NAMES:
+		read_names(value);
+		break;
 	case FIELD_NODE:
 		*(const toml_node_t **)value->out = value->node;
 		break;
--- a/packages/config/schema_internal.h
+++ b/packages/config/schema_internal.h
@@ -7,6 +7,7 @@
 
 #include "cassia/fault.h"
 #include "cassia/hash.h"
+#include "cassia/name_list.h"
 #include "toml_internal.h"
 
 /* Kind of a field: the C type of the structure member and the accepted values.
@@ -22,6 +23,7 @@
 	FIELD_ADDRESS, /* struct in_addr from a dotted IPv4 address */
 	FIELD_ENDPOINT, /* settings_endpoint_t from ADDRESS:PORT */
 	FIELD_HEX, /* uint8_t[max] from 2 * max hexadecimal digits */
+	FIELD_NAMES, /* name_list_t of up to max different names */
 	FIELD_NODE, /* const toml_node_t *: read by the caller */
 } field_kind_t;
 
--- a/packages/config/settings.c
+++ b/packages/config/settings.c
@@ -24,6 +24,7 @@
 #define IDLE_DEFAULT_MS 60000
 #define FIRST_PER_RETRY_DEFAULT 10
 #define FIRST_PER_RETRY_MAX 100000
+#define MICRO_PER_UNIT INT64_C(1000000)
 #define MICRO_MAX (INT64_C(1000000) * 1000000) /* a million, in millionths */
 
 #define ARRAY_LENGTH(array) (sizeof(array) / sizeof((array)[0]))
@@ -45,6 +46,8 @@
 	const toml_node_t *limits;
 	const toml_node_t *quota;
 	const toml_node_t *retry;
+	const toml_node_t *warm_up;
+	const toml_node_t *processor;
 	const toml_node_t *data_centres;
 	cas_str_t protocol;
 	cas_str_t trust;
@@ -78,6 +81,8 @@
 	SECTION_FIELD("limits", false, limits),
 	SECTION_FIELD("quota", false, quota),
 	SECTION_FIELD("retry", false, retry),
+	SECTION_FIELD("warm_up", false, warm_up),
+	SECTION_FIELD("processor", false, processor),
 	SECTION_FIELD("region", false, data_centres),
 	{ "protocol", FIELD_TEXT, false, offsetof(settings_root_t, protocol), 1,
 	  16 },
@@ -191,6 +196,19 @@
 	  offsetof(settings_t, first_per_retry), 1, FIRST_PER_RETRY_MAX },
 };
 
+static const field_t warm_up_fields[] = {
+	{ "factor", FIELD_MICRO, true,
+	  offsetof(settings_t, warm_up.factor_micro), MICRO_PER_UNIT,
+	  MICRO_MAX },
+	{ "slack", FIELD_MICRO, true, offsetof(settings_t, warm_up.slack_micro),
+	  0, MICRO_MAX },
+};
+
+static const field_t processor_fields[] = {
+	{ "share", FIELD_MICRO, true,
+	  offsetof(settings_t, processor_share_micro), 1, MICRO_MAX },
+};
+
 static const field_t data_centre_fields[] = {
 	{ "data_centre", FIELD_NAME, true,
 	  offsetof(settings_data_centre_t, name), 0, 0 },
@@ -537,6 +555,10 @@
 		     ARRAY_LENGTH(quota_fields), settings);
 	read_section(reader, root->retry, retry_fields,
 		     ARRAY_LENGTH(retry_fields), settings);
+	read_section(reader, root->warm_up, warm_up_fields,
+		     ARRAY_LENGTH(warm_up_fields), settings);
+	read_section(reader, root->processor, processor_fields,
+		     ARRAY_LENGTH(processor_fields), settings);
 	read_data_centres(reader, root->data_centres, settings);
 	read_protocol(reader, root, settings);
 	read_trust(reader, root, settings);
@@ -557,6 +579,7 @@
 					 .log_level = CAS_LOG_INFO,
 					 .first_per_retry =
 						 FIRST_PER_RETRY_DEFAULT,
+					 .warm_up.factor_micro = MICRO_PER_UNIT,
 					 .drain_timeout_ms = DRAIN_DEFAULT_MS,
 					 .max_connections = CONNECTIONS_DEFAULT,
 					 .max_header_bytes =
--- a/packages/config/table.c
+++ b/packages/config/table.c
@@ -159,3 +159,19 @@
 	return customer_importance < route->importance ? customer_importance
 						       : route->importance;
 }
+
+static bool allows_region(const name_list_t *regions, cas_id_t region)
+{
+	return !regions->count || name_list_has(regions, region);
+}
+
+bool table_allows_region(const table_t *table, cas_id_t route,
+			 cas_id_t customer, cas_id_t region)
+{
+	const table_route_t *route_row = table_find_route(table, route);
+	const table_customer_t *customer_row =
+		table_find_customer(table, customer);
+
+	return (!route_row || allows_region(&route_row->regions, region)) &&
+	       (!customer_row || allows_region(&customer_row->regions, region));
+}
--- a/packages/config/table_rows.c
+++ b/packages/config/table_rows.c
@@ -20,6 +20,7 @@
 #define METHOD_MAX_BYTES 16
 #define HOST_MAX_BYTES 253
 #define LABEL_MAX_BYTES 128
+#define REGIONS_MAX 256 /* allowed regions of one row */
 
 #define ROOT_FIELD(key, kind, required, member, min, max)                      \
 	{                                                                      \
@@ -58,6 +59,12 @@
 	{ "name", FIELD_NAME, true, offsetof(table_service_t, name), 0, 0 },
 	{ "connections", FIELD_INT32, false,
 	  offsetof(table_service_t, connections), 0, CONNECTIONS_MAX },
+	{ "warm_up_rate", FIELD_MICRO, false,
+	  offsetof(table_service_t, warm_up_rate_micro), 0, RATE_MAX_MICRO },
+	{ "warm_up_ms", FIELD_INT32, false,
+	  offsetof(table_service_t, warm_up_ms), 0, TIMEOUT_MAX_MS },
+	{ "health_path", FIELD_TEXT, false,
+	  offsetof(table_service_t, health_path), 1, PATH_MAX_BYTES },
 };
 
 #define ROUTE_FIELD(key, kind, required, member, min, max)                     \
@@ -85,6 +92,7 @@
 	ROUTE_FIELD("retries", FIELD_INT32, false, retries, 0, RETRIES_MAX),
 	{ "customers", FIELD_NODE, false, offsetof(route_row_t, customers), 0,
 	  0 },
+	ROUTE_FIELD("regions", FIELD_NAMES, false, regions, 0, REGIONS_MAX),
 };
 
 static const field_t part_fields[] = {
@@ -108,6 +116,7 @@
 		       RATE_MAX_MICRO),
 	CUSTOMER_FIELD("importance", FIELD_INT32, false, importance, 0,
 		       TABLE_IMPORTANCE_MAX),
+	CUSTOMER_FIELD("regions", FIELD_NAMES, false, regions, 0, REGIONS_MAX),
 };
 
 static const field_t key_fields[] = {
--- a/packages/config/tests/test_store.c
+++ b/packages/config/tests/test_store.c
@@ -267,7 +267,7 @@
 {
 	fixture_t *f = *state;
 	roster_host_t hosts[40] = { 0 };
-	roster_t roster = { 1, hosts, 40, { 0 }, 0 };
+	roster_t roster = { .revision = 1, .hosts = hosts, .host_count = 40 };
 
 	for (size_t i = 0; i < roster.host_count; i++)
 		hosts[i].id = i + 1;
--- a/packages/http/include/cassia/http_profile.h
+++ b/packages/http/include/cassia/http_profile.h
@@ -22,6 +22,13 @@
 	cas_str_t instance;
 	cas_str_t customer; /* name of the customer */
 	cas_str_t calling_service;
+	/* Load of the upstream, in its responses: requests that run, requests
+	 * that wait, slots and, on a host that it shares with others, how long
+	 * work takes there now in percent of the usual time. */
+	cas_str_t server_load;
+	/* Milliseconds for which the upstream is still cold, in its responses
+	 * to health checks. */
+	cas_str_t warm_up_left;
 	/* Any text may be a key, so keys cannot be recognized outside the
 	 * Authorization field. */
 	bool opaque_keys;
--- a/packages/routing/include/cassia/routing.h
+++ b/packages/routing/include/cassia/routing.h
@@ -57,14 +57,46 @@
 	routing_tier_t tier;
 } routing_choice_t;
 
+/* What the daemon of an upstream reports with an outcome, see attempt_load. */
+typedef struct routing_load {
+	bool known; /* the other members are valid */
+	bool warming_up; /* the pace of the upstream is being found */
+	int32_t slowdown; /* percent of the usual time of work, 0: unknown */
+	int32_t room; /* requests that could start now */
+	int64_t wait_us; /* expected wait of a new request */
+	int64_t own_us; /* usual time without child calls, 0: unknown */
+	int32_t turned_away_permille; /* of the arrivals lately */
+	int32_t processor_permille; /* of the daemon's share in use */
+} routing_load_t;
+
 /* What routing learns from a request that has ended. */
 typedef struct routing_result {
 	routing_outcome_t outcome;
 	int64_t latency_us; /* from the start of the attempt to its end */
 	int32_t limit_hint; /* concurrency limit of the upstream, 0: unknown */
 	int32_t busy_permille; /* (in flight + queued) / limit, -1: unknown */
+	cas_id_t kind; /* as in routing_query_t, 0: unknown */
+	routing_load_t load;
 } routing_result_t;
 
+/* A request that an upstream is chosen for. */
+typedef struct routing_query {
+	cas_id_t service;
+	cas_id_t route; /* 0: limits no regions */
+	cas_id_t customer; /* 0: limits no regions */
+	/* Requests of one kind take similar times, see admission_request_t. */
+	cas_id_t kind;
+	int64_t body_bytes; /* of the request, 0: none, -1: unknown */
+	const cas_id_t *exclude; /* hosts */
+	size_t exclude_count;
+	/* Allows the tier ROUTING_OTHER_REGION and, when no other upstream is
+	 * left in any tier, those whose daemon is stopping, then ejected ones
+	 * unless they were unreachable, then those to which all of this
+	 * daemon's connections are in use, if they have room for the request.
+	 * Set it only for work that would otherwise be rejected. */
+	bool last_resort;
+} routing_query_t;
+
 /* Callbacks to the owner of the router; a NULL member is not called. */
 typedef struct routing_ops {
 	/* The host is ejected until until_us, on the clock of the router. */
@@ -94,17 +126,9 @@
  * any. A host that is not listed is ignored. */
 void routing_set_stopping(routing_t *routing, cas_id_t host, bool stopping);
 
-/*
- * Chooses an upstream of the service that is not among the excluded hosts and
- * writes it to choice. last_resort allows the tier ROUTING_OTHER_REGION and,
- * when no other upstream is left in any tier, those whose daemon is stopping,
- * then ejected ones unless they were unreachable, then those to which all of
- * this daemon's connections are in use, if they have room for the request; set
- * it only for work that would otherwise be rejected. Returns 0, ROUTING_ESERVICE, ROUTING_ENONE or
- * ROUTING_EBUSY; choice is unchanged on error.
- */
-int routing_pick(routing_t *routing, cas_id_t service, const cas_id_t *exclude,
-		 size_t exclude_count, bool last_resort,
+/* Chooses an upstream and writes it to choice. Returns 0, ROUTING_ESERVICE,
+ * ROUTING_ENONE or ROUTING_EBUSY; choice is unchanged on error. */
+int routing_pick(routing_t *routing, const routing_query_t *query,
 		 routing_choice_t *choice);
 
 /* Counts a request to the host as outstanding, until routing_finish. A host
--- a/packages/routing/routing.c
+++ b/packages/routing/routing.c
@@ -69,10 +69,10 @@
 	return weight < 1 ? weight : 1;
 }
 
-static bool is_excluded(cas_id_t host, const cas_id_t *exclude, size_t count)
+static bool is_excluded(const routing_query_t *query, cas_id_t host)
 {
-	for (size_t i = 0; i < count; i++)
-		if (exclude[i] == host)
+	for (size_t i = 0; i < query->exclude_count; i++)
+		if (query->exclude[i] == host)
 			return true;
 	return false;
 }
@@ -101,31 +101,13 @@
 	       age_us < BUSY_REPORT_MAX_AGE_US;
 }
 
-/* Whether an upstream is fit for requests, the best first. */
-typedef enum fitness {
-	RUNNING,
-	STOPPING, /* its daemon announces a stop */
-	EJECTED,
-	UNFIT, /* leaving, not in the subset, or ejected as unreachable */
-} fitness_t;
-
-static fitness_t fitness_of(const upstream_t *upstream, int64_t now_us)
-{
-	if (upstream->leaving || !upstream->max_connections)
-		return UNFIT;
-	if (now_us < upstream->ejected_until_us)
-		return upstream->unreachable ? UNFIT : EJECTED;
-	return upstream->stopping ? STOPPING : RUNNING;
-}
-
 /* The upstreams of a service and the conditions for a candidate. */
 typedef struct candidates {
 	upstream_t *upstreams; /* all of the service */
 	size_t count;
 	routing_tier_t tier; /* the only one considered */
 	fitness_t fitness; /* the only one considered */
-	const cas_id_t *exclude; /* hosts */
-	size_t exclude_count;
+	const routing_query_t *query;
 	/* An upstream was skipped because all its connections are in use. */
 	bool connections_exhausted;
 	/* Includes such upstreams if they have room for a request. */
@@ -146,10 +128,10 @@
 	int64_t now_us = cas_clock_now(routing->clock);
 
 	if (upstream->tier != candidates->tier ||
-	    fitness_of(upstream, now_us) != candidates->fitness)
+	    routing_fitness(routing, candidates->query, upstream, now_us) !=
+		    candidates->fitness)
 		return false;
-	if (is_excluded(upstream->host, candidates->exclude,
-			candidates->exclude_count))
+	if (is_excluded(candidates->query, upstream->host))
 		return false;
 	if (upstream->outstanding < upstream->max_connections)
 		return true;
@@ -227,33 +209,34 @@
 {
 	upstream_t *upstream = NULL;
 
-	for (int i = RUNNING; i <= (int)last_fitness && !upstream; i++) {
+	for (int i = FITNESS_RUNNING; i <= (int)last_fitness && !upstream;
+	     i++) {
 		candidates->fitness = (fitness_t)i;
 		upstream = pick_from_tiers(routing, candidates, last_tier);
 	}
 	return upstream;
 }
 
-int routing_pick(routing_t *routing, cas_id_t service, const cas_id_t *exclude,
-		 size_t exclude_count, bool last_resort,
+int routing_pick(routing_t *routing, const routing_query_t *query,
 		 routing_choice_t *choice)
 {
-	candidates_t candidates = { .exclude = exclude,
-				    .exclude_count = exclude_count };
+	candidates_t candidates = { .query = query };
+	bool last_resort = query->last_resort;
 	routing_tier_t last_tier =
 		last_resort ? ROUTING_OTHER_REGION : ROUTING_OWN_REGION;
 	upstream_t *upstream;
 
-	candidates.upstreams =
-		routing_service_upstreams(routing, service, &candidates.count);
+	candidates.upstreams = routing_service_upstreams(
+		routing, query->service, &candidates.count);
 	if (!candidates.count)
 		return ROUTING_ESERVICE;
 	upstream = pick_fittest(routing, &candidates,
-				last_resort ? EJECTED : RUNNING, last_tier);
+				last_resort ? FITNESS_EJECTED : FITNESS_RUNNING,
+				last_tier);
 	if (!upstream && last_resort && candidates.connections_exhausted) {
 		candidates.beyond_share = true;
-		upstream =
-			pick_fittest(routing, &candidates, STOPPING, last_tier);
+		upstream = pick_fittest(routing, &candidates, FITNESS_STOPPING,
+					last_tier);
 	}
 	if (!upstream)
 		return candidates.connections_exhausted ? ROUTING_EBUSY
--- a/packages/routing/routing_internal.h
+++ b/packages/routing/routing_internal.h
@@ -55,6 +55,20 @@
 	cas_id_t self_region; /* of the own host */
 };
 
+/* Whether an upstream is fit for a request, the best first. */
+typedef enum fitness {
+	FITNESS_RUNNING,
+	FITNESS_STOPPING, /* its daemon announces a stop */
+	FITNESS_EJECTED,
+	FITNESS_UNFIT, /* must not get the request */
+} fitness_t;
+
+/* Returns whether an upstream may get a request now, the only place that every
+ * choice asks. Connections in use are not considered. */
+fitness_t routing_fitness(const routing_t *routing,
+			  const routing_query_t *query,
+			  const upstream_t *upstream, int64_t now_us);
+
 /* Returns the upstreams of the service (borrowed) and their count. */
 upstream_t *routing_service_upstreams(const routing_t *routing,
 				      cas_id_t service, size_t *count);
--- a/packages/routing/tests/test_placement.c
+++ b/packages/routing/tests/test_placement.c
@@ -113,12 +113,12 @@
 			 bool counts)
 {
 	request_t *request = &fleet->requests[fleet->request_count++];
+	const routing_query_t query = { .service = SERVICE };
 	routing_choice_t choice;
 	upstream_t *upstream;
 
 	assert_true(fleet->request_count < RUNNING_MAX);
-	assert_int_equal(routing_pick(fleet->daemons[daemon], SERVICE, NULL, 0,
-				      false, &choice),
+	assert_int_equal(routing_pick(fleet->daemons[daemon], &query, &choice),
 			 0);
 	routing_begin(fleet->daemons[daemon], choice.host);
 	*request = (request_t){ .daemon = daemon,
--- a/packages/routing/tests/test_routing.c
+++ b/packages/routing/tests/test_routing.c
@@ -60,6 +60,21 @@
 			 0);
 }
 
+/* Chooses an upstream of the first service, as routing_pick. */
+static int pick(fixture_t *fixture, const cas_id_t *exclude,
+		size_t exclude_count, bool last_resort,
+		routing_choice_t *choice)
+{
+	const routing_query_t query = {
+		.service = FIRST_SERVICE_ID,
+		.exclude = exclude,
+		.exclude_count = exclude_count,
+		.last_resort = last_resort,
+	};
+
+	return routing_pick(fixture->routing, &query, choice);
+}
+
 /* Returns how many of 1000 choices are the host. */
 static int count_picks(fixture_t *fixture, cas_id_t host, bool last_resort)
 {
@@ -68,8 +83,7 @@
 	for (int i = 0; i < 1000; i++) {
 		routing_choice_t choice;
 
-		if (!routing_pick(fixture->routing, FIRST_SERVICE_ID, NULL, 0,
-				  last_resort, &choice))
+		if (!pick(fixture, NULL, 0, last_resort, &choice))
 			picks += choice.host == host;
 	}
 	return picks;
@@ -296,17 +310,13 @@
 	set_view(fixture);
 	finish_request(fixture, 1000, ROUTING_REFUSED, 0);
 	assert_int_equal(count_picks(fixture, 1000, true), 0);
-	assert_int_equal(routing_pick(fixture->routing, FIRST_SERVICE_ID,
-				      others, 4, false, &choice),
+	assert_int_equal(pick(fixture, others, 4, false, &choice),
 			 ROUTING_ENONE);
-	assert_int_equal(routing_pick(fixture->routing, FIRST_SERVICE_ID,
-				      others, 4, true, &choice),
-			 0);
+	assert_int_equal(pick(fixture, others, 4, true, &choice), 0);
 	assert_int_equal(choice.host, 1000);
 	cas_clock_advance(fixture->clock, 2 * CAS_USEC_PER_SEC);
 	finish_request(fixture, 1000, ROUTING_UNREACHABLE, 300000);
-	assert_int_equal(routing_pick(fixture->routing, FIRST_SERVICE_ID,
-				      others, 4, true, &choice),
+	assert_int_equal(pick(fixture, others, 4, true, &choice),
 			 ROUTING_ENONE);
 	talloc_free(fixture);
 }
@@ -331,17 +341,11 @@
 						 FIRST_SERVICE_ID, 1000 + i);
 		     used++)
 			routing_begin(fixture->routing, 1000 + i);
-	assert_int_equal(routing_pick(fixture->routing, FIRST_SERVICE_ID, NULL,
-				      0, false, &choice),
-			 ROUTING_EBUSY);
-	assert_int_equal(routing_pick(fixture->routing, FIRST_SERVICE_ID, NULL,
-				      0, true, &choice),
-			 0);
+	assert_int_equal(pick(fixture, NULL, 0, false, &choice), ROUTING_EBUSY);
+	assert_int_equal(pick(fixture, NULL, 0, true, &choice), 0);
 	for (size_t i = 0; i < 5; i++)
 		routing_finish(fixture->routing, 1000 + i, &saturated);
-	assert_int_equal(routing_pick(fixture->routing, FIRST_SERVICE_ID, NULL,
-				      0, true, &choice),
-			 ROUTING_EBUSY);
+	assert_int_equal(pick(fixture, NULL, 0, true, &choice), ROUTING_EBUSY);
 	talloc_free(fixture);
 }
 
@@ -385,9 +389,7 @@
 	assert_int_equal(count_picks(fixture, 1000, false), 0);
 	set_all_stopping(fixture, true);
 	routing_set_stopping(fixture->routing, 1003, false);
-	assert_int_equal(routing_pick(fixture->routing, FIRST_SERVICE_ID, NULL,
-				      0, false, &choice),
-			 ROUTING_ENONE);
+	assert_int_equal(pick(fixture, NULL, 0, false, &choice), ROUTING_ENONE);
 	assert_int_equal(count_picks(fixture, 1003, true), 1000);
 	talloc_free(fixture);
 }
@@ -443,12 +445,9 @@
 	routing_begin(fixture->routing, 1000);
 	routing_finish(fixture->routing, 1000, &saturated);
 	assert_int_equal(count_picks(fixture, 1000, false), 0);
-	assert_int_equal(routing_pick(fixture->routing, FIRST_SERVICE_ID,
-				      own_region_hosts, 3, false, &choice),
+	assert_int_equal(pick(fixture, own_region_hosts, 3, false, &choice),
 			 ROUTING_ENONE);
-	assert_int_equal(routing_pick(fixture->routing, FIRST_SERVICE_ID,
-				      own_region_hosts, 3, true, &choice),
-			 0);
+	assert_int_equal(pick(fixture, own_region_hosts, 3, true, &choice), 0);
 	assert_int_equal(choice.tier, ROUTING_OTHER_REGION);
 	talloc_free(fixture);
 }
--- a/programs/cassiad/daemon.c
+++ b/programs/cassiad/daemon.c
@@ -13,6 +13,8 @@
 #include "stop.h"
 
 #define TICK_MS 10
+/* How long one report of a slowdown shows that hosts are shared. */
+#define SLOWDOWN_KEEP_US (60 * CAS_USEC_PER_SEC)
 /* For a whole header, and for a whole body. */
 #define READ_TIMEOUT_US (10 * CAS_USEC_PER_SEC)
 #define OPERATOR_CONNECTIONS 64U
@@ -199,6 +201,13 @@
 				  daemon);
 }
 
+bool daemon_hosts_are_shared(const cassiad_t *daemon)
+{
+	return daemon->slowdown_seen_us &&
+	       cas_clock_now(daemon->clock) - daemon->slowdown_seen_us <
+		       SLOWDOWN_KEEP_US;
+}
+
 int daemon_start(cassiad_t *daemon)
 {
 	int error;
--- a/programs/cassiad/daemon.h
+++ b/programs/cassiad/daemon.h
@@ -107,6 +107,9 @@
 	entry_request_t *requests; /* list; owned by their exchanges */
 	peer_request_t *peer_requests; /* list; owned by their exchanges */
 	unsigned int upstream_running; /* requests at the upstream */
+	/* When an upstream last reported the slowdown of its host: the own one,
+	 * or another one in an outcome; 0: never. */
+	int64_t slowdown_seen_us;
 
 	cas_metrics_t *metrics;
 	stats_t *stats;
@@ -121,6 +124,11 @@
  * or 1 if the drain timed out. */
 int daemon_run(cassiad_t *daemon);
 
+/* Returns whether upstreams of this deployment share their hosts with others,
+ * as one has reported lately. Placement, admission and retries then follow the
+ * reported load. */
+bool daemon_hosts_are_shared(const cassiad_t *daemon);
+
 /* config.c: creates the store of the table and the host list. Returns 0 or
  * CONFIG_ENOMEM. */
 int config_start(cassiad_t *daemon);
--- a/programs/cassiad/entry_attempts.c
+++ b/programs/cassiad/entry_attempts.c
@@ -30,14 +30,24 @@
 static int pick_host(entry_request_t *request, routing_choice_t *choice)
 {
 	routing_t *routing = request->daemon->routing;
-	cas_id_t service = request->context.service;
-	int error = routing_pick(routing, service, request->tried_hosts,
-				 request->tried_host_count, false, choice);
+	const attempt_context *context = &request->context;
+	routing_query_t query = {
+		.service = context->service,
+		.route = context->route,
+		.customer = context->customer,
+		.kind = entry_chain_key(context),
+		.body_bytes = request->has_body ? http_exchange_content_length(
+							  request->exchange)
+						: 0,
+		.exclude = request->tried_hosts,
+		.exclude_count = request->tried_host_count,
+	};
+	int error = routing_pick(routing, &query, choice);
 
 	if (!error)
 		return 0;
-	return routing_pick(routing, service, request->tried_hosts,
-			    request->tried_host_count, true, choice);
+	query.last_resort = true;
+	return routing_pick(routing, &query, choice);
 }
 
 static bool has_untried_host(entry_request_t *request)
@@ -164,19 +174,51 @@
 	request->granted_retries = 0;
 }
 
+/* Limits a number of a report to the type that it is kept in. */
+static int32_t int32_of(u_int number)
+{
+	return number < INT32_MAX ? (int32_t)number : INT32_MAX;
+}
+
+/* Returns the load in an outcome (may be NULL). */
+static routing_load_t routing_load_of(const attempt_outcome *report)
+{
+	const attempt_load *load;
+
+	if (!report || !report->load.known)
+		return (routing_load_t){ .known = false };
+	load = &report->load.attempt_load_option_u.load;
+	return (routing_load_t){
+		.known = true,
+		.warming_up = load->warming_up,
+		.slowdown = int32_of(load->slowdown),
+		.room = int32_of(load->room),
+		.wait_us = load->wait_us,
+		.own_us = load->own_us,
+		.turned_away_permille = int32_of(load->turned_away),
+		.processor_permille = int32_of(load->processor),
+	};
+}
+
 static void report_routing_result(entry_request_t *request,
 				  routing_outcome_t outcome,
 				  const attempt_outcome *report)
 {
 	cassiad_t *daemon = request->daemon;
+	const routing_load_t load = routing_load_of(report);
 	const routing_result_t result = {
 		.outcome = outcome,
 		.latency_us = cas_clock_now(daemon->clock) -
 			      request->attempt_started_us,
 		.limit_hint = report ? (int32_t)report->limit : 0,
 		.busy_permille = report ? report->busy : -1,
+		.kind = entry_chain_key(&request->context),
+		.load = load,
 	};
 
+	if (load.slowdown)
+		daemon->slowdown_seen_us = cas_clock_now(daemon->clock);
+
 	routing_finish(daemon->routing, current_host(request), &result);
 }
 
--- a/programs/cassiad/upstream_request.c
+++ b/programs/cassiad/upstream_request.c
@@ -7,6 +7,7 @@
 #include "entry.h"
 #include "stats.h"
 #include "stop.h"
+#include "upstream_gate.h"
 
 struct upstream_request {
 	cassiad_t *daemon;
@@ -289,8 +290,8 @@
 {
 	const upstream_request_t *request = private;
 
-	return before_deadline(request) &&
-	       drain_accepts_upstream_work(request->daemon->drain);
+	return upstream_gate_check(request->daemon, &request->context) ==
+	       REASON_NONE;
 }
 
 static int add_id_and_handle(upstream_request_t *request,
@@ -367,15 +368,14 @@
 {
 	cassiad_t *daemon = request->daemon;
 	char id_text[ATTEMPT_ID_TEXT_BYTES];
-
-	if (!before_deadline(request)) {
-		abandon(request, REASON_DEADLINE);
-		return;
-	}
 	/* It may have waited in the queue since it was accepted. */
-	if (!drain_accepts_upstream_work(daemon->drain) ||
-	    !stop_has_time(daemon, &request->context, 0)) {
-		abandon(request, REASON_DRAINING);
+	reason_t reason = upstream_gate_check(daemon, &request->context);
+
+	if (reason == REASON_NONE &&
+	    !stop_has_time(daemon, &request->context, 0))
+		reason = REASON_DRAINING;
+	if (reason != REASON_NONE) {
+		abandon(request, reason);
 		return;
 	}
 	request->live_entry =
