Plan the repeats of calls that a service rejects

Cause: when a service rejects 55% of its arrivals as not run, a tree with four calls to it succeeds in 4% of the cases. One retry for 20 calls, spread evenly, changes little, and nearly all accepted work is wasted.

Change: each daemon works out from the repeats that the limit allows which share of the trees of each importance can be completed. These get all repeats that they need; the others are refused at the root. The signed context says whether a run is a repeat, so that its calls count as repeats. In force only where hosts are shared.

--- a/packages/attempt/messages/attempt.x
+++ b/packages/attempt/messages/attempt.x
@@ -34,6 +34,8 @@
 	unsigned int depth;		/* in the call chain; 0 for a root */
 	unsigned int budget;		/* retries for calls of the receiver */
 	unsigned int idempotent;	/* 0 or 1 */
+	unsigned int repeat;		/* 1: this run, or one that led to it,
+					 * is beyond the first of its request */
 	attempt_early early<ATTEMPT_EARLY_MAX>;
 };
 
--- a/packages/config/include/cassia/settings.h
+++ b/packages/config/include/cassia/settings.h
@@ -114,6 +114,9 @@
 	int64_t processor_share_micro;
 	/* Retry budget: number of first attempts for each permitted retry. */
 	int32_t first_per_retry;
+	/* Limit of the fleet on the repeats of calls to a service, as a
+	 * fraction of the calls in 10 s, in millionths; 0: not given. */
+	int64_t repeat_ratio_micro;
 	settings_data_centre_t *data_centres; /* NULL if none are given */
 	size_t data_centre_count;
 	cas_log_level_t log_level;
--- a/packages/config/settings.c
+++ b/packages/config/settings.c
@@ -194,6 +194,8 @@
 static const field_t retry_fields[] = {
 	{ "first_per_retry", FIELD_INT32, true,
 	  offsetof(settings_t, first_per_retry), 1, FIRST_PER_RETRY_MAX },
+	{ "repeat_ratio", FIELD_MICRO, false,
+	  offsetof(settings_t, repeat_ratio_micro), 0, MICRO_MAX },
 };
 
 static const field_t warm_up_fields[] = {
--- a/packages/routing/gate.c
+++ b/packages/routing/gate.c
@@ -13,3 +13,13 @@
 		return upstream->unreachable ? FITNESS_UNFIT : FITNESS_EJECTED;
 	return upstream->stopping ? FITNESS_STOPPING : FITNESS_RUNNING;
 }
+
+bool routing_may_use(const routing_t *routing, const routing_query_t *query,
+		     cas_id_t host)
+{
+	const upstream_t *upstream = routing_find_upstream(routing, host);
+
+	return upstream && routing_fitness(routing, query, upstream,
+					   cas_clock_now(routing->clock)) ==
+				   FITNESS_RUNNING;
+}
--- a/packages/routing/include/cassia/routing.h
+++ b/packages/routing/include/cassia/routing.h
@@ -131,6 +131,11 @@
 int routing_pick(routing_t *routing, const routing_query_t *query,
 		 routing_choice_t *choice);
 
+/* Returns whether the upstream on the host may get the request, without a
+ * comparison with others. */
+bool routing_may_use(const routing_t *routing, const routing_query_t *query,
+		     cas_id_t host);
+
 /* Counts a request to the host as outstanding, until routing_finish. A host
  * that is not listed is ignored by both. */
 void routing_begin(routing_t *routing, cas_id_t host);
--- a/programs/cassiad/daemon.c
+++ b/programs/cassiad/daemon.c
@@ -168,13 +168,14 @@
 	daemon->routing =
 		routing_create(daemon, daemon->clock, daemon->rng, NULL, NULL);
 	daemon->throttle = retry_throttle_create(daemon, daemon->clock);
+	daemon->retry_plan = entry_create_retry_plan(daemon);
 	daemon->known_incarnations = g_hash_table_new_full(
 		g_int64_hash, g_int64_equal, NULL, g_free);
 	if (!daemon->metrics || !daemon->stats || !daemon->keys ||
 	    !daemon->peer_client || !daemon->upstream_client ||
 	    !daemon->attempts || !daemon->live_requests ||
 	    !daemon->thresholds || !daemon->routing || !daemon->throttle ||
-	    stop_create(daemon))
+	    !daemon->retry_plan || stop_create(daemon))
 		return BASE_ENOMEM;
 	retry_throttle_set_ratio(daemon->throttle,
 				 (uint32_t)daemon->settings->first_per_retry);
--- a/programs/cassiad/daemon.h
+++ b/programs/cassiad/daemon.h
@@ -22,6 +22,7 @@
 #include "cassia/http_server.h"
 #include "cassia/keys.h"
 #include "cassia/retry.h"
+#include "cassia/retry_plan.h"
 #include "cassia/rng.h"
 #include "cassia/routing.h"
 #include "cassia/settings.h"
@@ -100,6 +101,7 @@
 	thresholds_t *thresholds; /* admitted fractions from outcomes */
 	routing_t *routing;
 	retry_throttle_t *throttle; /* limits retries by service */
+	retry_plan_t *retry_plan; /* of calls that services reject */
 	control_t *control; /* heartbeats, fence and tokens */
 	drain_t *drain;
 	drain_times_t *times; /* of served requests, by entry_chain_key */
@@ -163,6 +165,9 @@
 extern const http_server_ops_t entry_front_ops;
 extern const http_server_ops_t entry_local_ops;
 
+/* entry_repeats.c: returns a new plan of retries, or NULL when out of memory. */
+retry_plan_t *entry_create_retry_plan(cassiad_t *daemon);
+
 /* Rejects requests that were not sent yet and whose key was withdrawn. */
 void entry_recheck_keys(cassiad_t *daemon);
 
--- a/programs/cassiad/entry.h
+++ b/programs/cassiad/entry.h
@@ -47,6 +47,11 @@
 	int32_t granted_retries; /* units passed with the attempt */
 	cas_id_t tried_hosts[ENTRY_ATTEMPTS_MAX]; /* in order of attempts */
 	size_t tried_host_count;
+	cas_id_t next_host; /* decided on for a repeat, 0: none */
+	/* Hosts whose upstream an attempt has reached, each once. */
+	cas_id_t arrived_hosts[ENTRY_ATTEMPTS_MAX];
+	size_t arrived_host_count;
+	size_t hosts_max; /* upstreams that may get the request */
 	control_token_wait_t *token_wait; /* pending token, NULL: none */
 	call_attempt_t *attempt; /* running attempt, NULL: none */
 	int64_t attempt_started_us;
@@ -78,6 +83,23 @@
  * deadline has passed or no upstream is left. */
 void entry_start_attempt(entry_request_t *request);
 
+/* entry_repeats.c: counts a first attempt or a repeat in the plan of retries. */
+void entry_count_call(const entry_request_t *request);
+
+/* Returns whether the called service, if it rejects a share of its arrivals,
+ * leaves the request enough retries to be completed. */
+bool entry_may_be_completed(const entry_request_t *request);
+
+/* Tells the plan of retries about an attempt that has ended, if it reached the
+ * upstream of the host. */
+void entry_record_arrival(entry_request_t *request, cas_id_t host,
+			  const call_attempt_result_t *result);
+
+/* Decides whether to send a request again that its upstream has rejected as not
+ * run although it had room. If so, sets next_host; the body is at its start.
+ * Since nothing has run, no retry unit is used; the plan limits these repeats. */
+bool entry_plan_repeat(entry_request_t *request, const routing_query_t *query);
+
 /* entry_reply.c: sends the error response of a refused request; status, outcome
  * and reason are set. */
 void entry_reply_refusal(entry_request_t *request, int64_t retry_after_us);
--- a/programs/cassiad/entry_attempts.c
+++ b/programs/cassiad/entry_attempts.c
@@ -24,14 +24,11 @@
 	return request->tried_hosts[request->tried_host_count - 1];
 }
 
-/* Picks a host that was not tried. Another region is used only when no upstream
- * in this region is left, and a daemon that is stopping, or else an ejected
- * upstream, only when no other one is. Returns as routing_pick. */
-static int pick_host(entry_request_t *request, routing_choice_t *choice)
+static routing_query_t routing_query_of(const entry_request_t *request)
 {
-	routing_t *routing = request->daemon->routing;
 	const attempt_context *context = &request->context;
-	routing_query_t query = {
+
+	return (routing_query_t){
 		.service = context->service,
 		.route = context->route,
 		.customer = context->customer,
@@ -42,6 +39,15 @@
 		.exclude = request->tried_hosts,
 		.exclude_count = request->tried_host_count,
 	};
+}
+
+/* Picks a host that was not tried. Another region is used only when no upstream
+ * in this region is left, and a daemon that is stopping, or else an ejected
+ * upstream, only when no other one is. Returns as routing_pick. */
+static int pick_host(entry_request_t *request, routing_choice_t *choice)
+{
+	routing_t *routing = request->daemon->routing;
+	routing_query_t query = routing_query_of(request);
 	int error = routing_pick(routing, &query, choice);
 
 	if (!error)
@@ -58,12 +64,20 @@
 	       pick_host(request, &choice) == 0;
 }
 
-/* Picks a host that was tried before if no other one is left. */
+/* Picks the host that was decided on for a repeat, or one that was tried before
+ * if no other one is left. */
 static int pick_host_or_repeat(entry_request_t *request,
 			       routing_choice_t *choice)
 {
 	size_t saved_count = request->tried_host_count;
-	int error = pick_host(request, choice);
+	int error;
+
+	if (request->next_host) {
+		choice->host = request->next_host;
+		request->next_host = 0;
+		return 0;
+	}
+	error = pick_host(request, choice);
 
 	if (!error || !saved_count)
 		return error;
@@ -140,9 +154,11 @@
 		entry_refuse(request, REASON_NO_UPSTREAM, CAS_USEC_PER_SEC);
 		return;
 	}
-	if (!request->tried_host_count)
+	if (!request->tried_host_count) {
 		retry_throttle_count_first(daemon->throttle,
 					   request->context.service);
+		entry_count_call(request);
+	}
 	request->tried_hosts[request->tried_host_count++] = choice.host;
 	request->attempt_started_us = cas_clock_now(daemon->clock);
 	routing_begin(daemon->routing, choice.host);
@@ -243,8 +259,15 @@
 			   now - request->attempt_started_us) ||
 	    (request->has_body && !http_body_rewind(body)))
 		return false;
-	return retry_decide(&query, request_retry_budget(request),
-			    daemon->throttle, now) == RETRY_ALLOWED;
+	if (daemon_hosts_are_shared(daemon) &&
+	    !retry_plan_has_room(daemon->retry_plan, query.service))
+		return false;
+	if (retry_decide(&query, request_retry_budget(request),
+			 daemon->throttle, now) != RETRY_ALLOWED)
+		return false;
+	request->context.repeat = 1;
+	entry_count_call(request);
+	return true;
 }
 
 /* Logs an attempt that did not serve its request, with the values that led to
@@ -367,6 +390,19 @@
 	       (!request->has_body || http_body_rewind(body));
 }
 
+/* Decides whether to send a request once more. */
+static bool decide_repeat(entry_request_t *request,
+			  const call_attempt_result_t *result)
+{
+	const routing_query_t query = routing_query_of(request);
+
+	if (daemon_hosts_are_shared(request->daemon) &&
+	    result->outcome == ATTEMPT_NOT_RUN &&
+	    result->reason == REASON_REJECTED)
+		return entry_plan_repeat(request, &query);
+	return decide_retry(request, retry_outcome_of(result));
+}
+
 static void on_done(void *private, const call_attempt_result_t *result)
 {
 	entry_request_t *request = private;
@@ -380,6 +416,7 @@
 	routing_count_bytes(request->daemon->routing, current_host(request),
 			    (uint64_t)result->bytes_sent,
 			    (uint64_t)result->bytes_received);
+	entry_record_arrival(request, current_host(request), result);
 	if (request->answered) {
 		if (result->outcome != ATTEMPT_SERVED) {
 			request->outcome = ATTEMPT_UNKNOWN;
@@ -391,8 +428,7 @@
 		apply_report(request, report);
 	if (result->outcome == ATTEMPT_UNKNOWN)
 		request->may_have_run = true;
-	if (try_reroute(request, result) ||
-	    decide_retry(request, retry_outcome_of(result)))
+	if (try_reroute(request, result) || decide_repeat(request, result))
 		entry_start_attempt(request);
 	else
 		entry_refuse(request, result->reason,
--- a/programs/cassiad/entry_head.c
+++ b/programs/cassiad/entry_head.c
@@ -115,6 +115,7 @@
 	context->importance = parent->context.importance;
 	context->draw = parent->context.draw;
 	context->depth = parent->context.depth + 1;
+	context->repeat = parent->context.repeat;
 	if (parent->context.deadline < context->deadline)
 		context->deadline = parent->context.deadline;
 	request->is_child = true;
@@ -187,6 +188,7 @@
 		request->started_us + request_timeout_us(request, route);
 	request->max_body_bytes = route->max_body_bytes;
 	request->own_budget = retry_budget_of(route->retries);
+	request->hosts_max = (size_t)route->retries + 1;
 }
 
 /* Upstreams trust these fields, so values from the caller are dropped. */
--- /dev/null
+++ b/programs/cassiad/entry_repeats.c
@@ -0,0 +1,149 @@
+/* Repeats of requests that an upstream has rejected as not run: what the plan of
+ * retries counts, and which repeats it allows. */
+#include "cassia/log.h"
+#include "entry.h"
+#include "stop.h"
+
+#define MICRO_PER_UNIT 1e6
+#define PERMILLE 1000
+
+static retry_call_t retry_call_of(const entry_request_t *request)
+{
+	const attempt_context *context = &request->context;
+
+	return (retry_call_t){
+		.service = context->service,
+		.importance = (int32_t)context->importance,
+		.draw = context->draw,
+		.repeat = context->repeat,
+	};
+}
+
+void entry_count_call(const entry_request_t *request)
+{
+	const retry_call_t call = retry_call_of(request);
+
+	retry_plan_count_call(request->daemon->retry_plan, &call);
+}
+
+bool entry_may_be_completed(const entry_request_t *request)
+{
+	const retry_call_t call = retry_call_of(request);
+
+	return !daemon_hosts_are_shared(request->daemon) ||
+	       retry_plan_includes(request->daemon->retry_plan, &call);
+}
+
+/* Remembers a host whose upstream the request has reached. */
+static void add_arrived_host(entry_request_t *request, cas_id_t host)
+{
+	for (size_t i = 0; i < request->arrived_host_count; i++)
+		if (request->arrived_hosts[i] == host)
+			return;
+	if (request->arrived_host_count < ENTRY_ATTEMPTS_MAX)
+		request->arrived_hosts[request->arrived_host_count++] = host;
+}
+
+/* The share of trees that can be completed limits the admitted fraction of the
+ * request that makes this call; with its response it travels up to the root. */
+static void limit_parent(entry_request_t *request)
+{
+	const attempt_context *context = &request->context;
+	double share;
+
+	if (!request->parent || !daemon_hosts_are_shared(request->daemon))
+		return;
+	share = retry_plan_share(request->daemon->retry_plan, context->service,
+				 (int32_t)context->importance);
+	if (share < request->parent->fraction)
+		request->parent->fraction = share;
+}
+
+void entry_record_arrival(entry_request_t *request, cas_id_t host,
+			  const call_attempt_result_t *result)
+{
+	const retry_call_t call = retry_call_of(request);
+	bool rejected = result->outcome == ATTEMPT_NOT_RUN;
+
+	if (rejected && result->reason != REASON_REJECTED)
+		return;
+	add_arrived_host(request, host);
+	retry_plan_record_arrival(request->daemon->retry_plan, &call, rejected);
+	limit_parent(request);
+}
+
+/* Returns whether another attempt can end in time, if it takes as long as the
+ * last one. */
+static bool has_time(const entry_request_t *request)
+{
+	const cassiad_t *daemon = request->daemon;
+	int64_t now_us = cas_clock_now(daemon->clock);
+	int64_t expected_us = now_us - request->attempt_started_us;
+
+	return now_us + expected_us < request->context.deadline &&
+	       stop_has_time(daemon, &request->context, expected_us);
+}
+
+/* Picks another upstream, or the same one once as many as the route allows have
+ * been reached: the upstream rejects at random, so a repeat there may succeed.
+ * Returns 0 or a negative error of routing. */
+static int pick_repeat_host(entry_request_t *request,
+			    const routing_query_t *query, cas_id_t *host)
+{
+	const routing_t *routing = request->daemon->routing;
+	routing_choice_t choice;
+
+	*host = request->tried_hosts[request->tried_host_count - 1];
+	if (request->arrived_host_count < request->hosts_max &&
+	    !routing_pick(request->daemon->routing, query, &choice))
+		*host = choice.host;
+	return routing_may_use(routing, query, *host) ? 0 : ROUTING_ENONE;
+}
+
+bool entry_plan_repeat(entry_request_t *request, const routing_query_t *query)
+{
+	const retry_call_t call = retry_call_of(request);
+	http_body_t *body = http_exchange_body(request->exchange);
+	cas_id_t host;
+
+	if (request->tried_host_count == ENTRY_ATTEMPTS_MAX ||
+	    !has_time(request) ||
+	    (request->has_body && !http_body_rewind(body)) ||
+	    pick_repeat_host(request, query, &host) ||
+	    !retry_plan_allow_repeat(request->daemon->retry_plan, &call))
+		return false;
+	request->context.repeat = 1;
+	request->next_host = host;
+	return true;
+}
+
+static void on_plan_changed(void *private, const retry_plan_state_t *state,
+			    bool limited)
+{
+	cassiad_t *daemon = private;
+	const table_service_t *service =
+		daemon->table
+			? table_find_service(daemon->table, state->service)
+			: NULL;
+
+	/* Otherwise nothing follows from the plan. */
+	if (!daemon_hosts_are_shared(daemon))
+		return;
+	cas_log(CAS_LOG_INFO, limited ? "retries_short" : "retries_suffice",
+		CAS_LOG_STR("service", service ? service->name : CAS_STR("-")),
+		CAS_LOG_INT("rejected_permille",
+			    (int64_t)(state->rejected_share * PERMILLE)),
+		CAS_LOG_INT("lowest_share_permille",
+			    (int64_t)(state->lowest_share * PERMILLE)),
+		CAS_LOG_INT("repeats_max", (int64_t)state->repeats_max));
+}
+
+retry_plan_t *entry_create_retry_plan(cassiad_t *daemon)
+{
+	const retry_plan_ops_t ops = { .changed = on_plan_changed };
+
+	return retry_plan_create(daemon, daemon->clock,
+				 (double)daemon->settings->repeat_ratio_micro /
+					 MICRO_PER_UNIT,
+				 &ops, daemon);
+}
