--- a/packages/config/settings.c
+++ b/packages/config/settings.c
@@ -46,6 +46,7 @@
 	const toml_node_t *limits;
 	const toml_node_t *quota;
 	const toml_node_t *retry;
+	const toml_node_t *retry_plan;
 	const toml_node_t *warm_up;
 	const toml_node_t *processor;
 	const toml_node_t *data_centres;
@@ -81,6 +82,7 @@
 	SECTION_FIELD("limits", false, limits),
 	SECTION_FIELD("quota", false, quota),
 	SECTION_FIELD("retry", false, retry),
+	SECTION_FIELD("retry_plan", false, retry_plan),
 	SECTION_FIELD("warm_up", false, warm_up),
 	SECTION_FIELD("processor", false, processor),
 	SECTION_FIELD("region", false, data_centres),
@@ -194,7 +196,10 @@
 static const field_t retry_fields[] = {
 	{ "first_per_retry", FIELD_INT32, true,
 	  offsetof(settings_t, first_per_retry), 1, FIRST_PER_RETRY_MAX },
-	{ "repeat_ratio", FIELD_MICRO, false,
+};
+
+static const field_t retry_plan_fields[] = {
+	{ "repeat_ratio", FIELD_MICRO, true,
 	  offsetof(settings_t, repeat_ratio_micro), 0, MICRO_MAX },
 };
 
@@ -557,6 +562,8 @@
 		     ARRAY_LENGTH(quota_fields), settings);
 	read_section(reader, root->retry, retry_fields,
 		     ARRAY_LENGTH(retry_fields), settings);
+	read_section(reader, root->retry_plan, retry_plan_fields,
+		     ARRAY_LENGTH(retry_plan_fields), settings);
 	read_section(reader, root->warm_up, warm_up_fields,
 		     ARRAY_LENGTH(warm_up_fields), settings);
 	read_section(reader, root->processor, processor_fields,
