--- a/packages/config/include/cassia/table.h
+++ b/packages/config/include/cassia/table.h
@@ -157,6 +157,9 @@
 bool table_allows_region(const table_t *table, cas_id_t route,
 			 cas_id_t customer, cas_id_t region);
 
+/* Returns whether any route or customer limits its regions. */
+bool table_limits_regions(const table_t *table);
+
 /*
  * Returns the importance of a request, 0..15. customer is NULL for a request
  * without one, and then counts as the highest importance. With customer_first,
--- a/packages/config/table.c
+++ b/packages/config/table.c
@@ -175,3 +175,14 @@
 	return (!route_row || allows_region(&route_row->regions, region)) &&
 	       (!customer_row || allows_region(&customer_row->regions, region));
 }
+
+bool table_limits_regions(const table_t *table)
+{
+	for (size_t i = 0; i < table->route_count; i++)
+		if (table->routes[i].regions.count)
+			return true;
+	for (size_t i = 0; i < table->customer_count; i++)
+		if (table->customers[i].regions.count)
+			return true;
+	return false;
+}
