Choose upstreams only in the allowed regions

Cause: routing chose upstreams by distance and load alone, and used other regions as the last resort.

A query may carry a further list, that of the table with which a request was accepted. routing_check_host repeats the check for a host that was chosen before. A daemon whose subset has no upstream in a listed region takes one connection there from the reserve.

--- a/packages/routing/include/cassia/routing.h
+++ b/packages/routing/include/cassia/routing.h
@@ -23,6 +23,7 @@
 	ROUTING_ENONE = -1603, /* none is usable in the tiers allowed */
 	ROUTING_ESELF = -1604, /* the data centre of the own host is unknown */
 	ROUTING_EBUSY = -1605, /* all connections to usable hosts are in use */
+	ROUTING_EREGION = -1606, /* the region of the host is not allowed */
 };
 
 /* Distance of an upstream from the own host, nearest first. */
@@ -84,6 +85,11 @@
 	cas_id_t service;
 	cas_id_t route; /* 0: limits no regions */
 	cas_id_t customer; /* 0: limits no regions */
+	/* The only regions allowed, besides the lists of route and customer in
+	 * the view: from the table with which the request was accepted. NULL:
+	 * no further limit. */
+	const cas_id_t *regions;
+	size_t region_count; /* 0 with regions set: no region is allowed */
 	/* Requests of one kind take similar times, see admission_request_t. */
 	cas_id_t kind;
 	int64_t body_bytes; /* of the request, 0: none, -1: unknown */
@@ -131,6 +137,15 @@
 int routing_pick(routing_t *routing, const routing_query_t *query,
 		 routing_choice_t *choice);
 
+/* Checks again whether a request may be sent to a host that was chosen for it
+ * before. Returns 0 or ROUTING_EREGION. A host that is no longer listed may get
+ * only requests without a limit of regions. */
+int routing_check_host(const routing_t *routing, const routing_query_t *query,
+		       cas_id_t host);
+
+/* Returns the region of the own host, or 0 before the first routing_set_view. */
+cas_id_t routing_own_region(const routing_t *routing);
+
 /* Counts a request to the host as outstanding, until routing_finish. A host
  * that is not listed is ignored by both. */
 void routing_begin(routing_t *routing, cas_id_t host);
--- a/packages/routing/routing_internal.h
+++ b/packages/routing/routing_internal.h
@@ -7,6 +7,9 @@
 /* Value of max_connections for an upstream without a limit. */
 #define ROUTING_NO_LIMIT INT32_MAX
 
+/* Allowed regions of the routes and customers that have a list. */
+typedef struct region_limits region_limits_t;
+
 typedef struct upstream {
 	/* From the table and the host list. */
 	cas_id_t host;
@@ -53,6 +56,7 @@
 	link_bytes_t *links; /* one for each region, added when first used */
 	size_t link_count;
 	cas_id_t self_region; /* of the own host */
+	region_limits_t *limits; /* NULL: the table limits no regions */
 };
 
 /* Whether an upstream is fit for a request, the best first. */
@@ -95,6 +99,19 @@
 			       const table_t *table, const roster_t *roster,
 			       cas_id_t self, cas_id_t self_dc);
 
+/* Copies the lists of allowed regions of a table to *limits (owned by ctx),
+ * which is NULL if it has none. Returns 0 or ROUTING_ENOMEM. */
+int region_limits_create(TALLOC_CTX *ctx, const table_t *table,
+			 region_limits_t **limits);
+
+/* Returns whether a request may be run in a region. limits may be NULL. */
+bool region_limits_allow(const region_limits_t *limits,
+			 const routing_query_t *query, cas_id_t region);
+
+/* Returns whether the list of a route or customer has the region. limits may be
+ * NULL. */
+bool region_limits_name(const region_limits_t *limits, cas_id_t region);
+
 /* Returns the region of a data centre, or 0 when it is not in the table. */
 cas_id_t routing_region_of(const table_t *table, cas_id_t data_centre);
 
--- a/packages/routing/subset.c
+++ b/packages/routing/subset.c
@@ -118,8 +118,10 @@
 }
 
 /* A daemon that got no upstream of the service takes one connection from the
- * reserve, to the upstream with the highest rendezvous weight. */
-static void assign_reserve(upstream_t *upstreams, size_t count, cas_id_t self)
+ * reserve, to the upstream with the highest rendezvous weight. region 0: among
+ * all upstreams; else among those of the region. */
+static void assign_reserve(upstream_t *upstreams, size_t count, cas_id_t self,
+			   cas_id_t region)
 {
 	upstream_t *best = NULL;
 	uint64_t best_weight = 0;
@@ -128,6 +130,8 @@
 		uint64_t weight =
 			cas_rendezvous_weight(upstreams[i].host, self);
 
+		if (region && upstreams[i].region != region)
+			continue;
 		if (upstreams[i].max_connections)
 			return;
 		if (best && weight <= best_weight)
@@ -139,6 +143,18 @@
 		best->max_connections = 1;
 }
 
+/* Requests that are limited to a region need a connection to an upstream there,
+ * also when the daemon has upstreams in other regions. */
+static void assign_region_reserves(const region_limits_t *limits,
+				   upstream_t *upstreams, size_t count,
+				   cas_id_t self)
+{
+	for (size_t i = 0; i < count; i++)
+		if (region_limits_name(limits, upstreams[i].region))
+			assign_reserve(upstreams, count, self,
+				       upstreams[i].region);
+}
+
 /* Sets the connections of the daemon self to one upstream. */
 static void assign_upstream_connections(upstream_t *upstream,
 					const daemon_location_t *locations,
@@ -178,7 +194,9 @@
 				&upstreams[i], locations, roster->host_count,
 				&self_location, max_connections);
 	}
-	assign_reserve(upstreams, count, self);
+	assign_reserve(upstreams, count, self, 0);
+	if (routing->limits)
+		assign_region_reserves(routing->limits, upstreams, count, self);
 	talloc_free(locations);
 	return 0;
 }
--- a/packages/routing/view.c
+++ b/packages/routing/view.c
@@ -135,13 +135,29 @@
 	return 0;
 }
 
+/* Takes over the allowed regions before anything that may fail, so that they
+ * also bind when the upstreams stay those of an earlier table. */
+static int set_limits(routing_t *routing, const table_t *table)
+{
+	region_limits_t *limits;
+	int err = region_limits_create(routing, table, &limits);
+
+	if (err)
+		return err;
+	talloc_free(routing->limits);
+	routing->limits = limits;
+	return 0;
+}
+
 int routing_set_view(routing_t *routing, const table_t *table,
 		     const roster_t *roster, cas_id_t self, cas_id_t self_dc)
 {
 	const roster_host_t *self_host = find_host(roster, self);
 	upstream_t *upstreams;
-	int err;
+	int err = set_limits(routing, table);
 
+	if (err)
+		return err;
 	if (self_host)
 		self_dc = self_host->data_centre_id;
 	if (!routing_region_of(table, self_dc))
