Keep requests in their allowed regions in the daemons

Cause: work may wait at the entry, for a connection or in the queue of the upstream's daemon while a new table comes into force, and the daemons may have different tables.

Change: an entry request keeps the regions that the table allowed when it was accepted. The host is checked again before each transmission, and the daemon of the upstream checks the table in force before it sends the request on; it refuses with the new reason `region`, which another host may serve without a retry unit. Requests without an allowed upstream are rejected before their body is read. Calls of an unknown parent stay in the region of their host while any customer has a list.

--- a/programs/cassiad/call_attempt.c
+++ b/programs/cassiad/call_attempt.c
@@ -34,6 +34,7 @@
 	bool refused_by_daemon; /* the response is not from the upstream */
 	bool possibly_sent; /* the daemon may have received the attempt */
 	bool resent; /* sent again although possibly received before */
+	reason_t send_refusal; /* by ops->check_send, REASON_NONE: none */
 };
 
 static void finish_attempt(call_attempt_t *attempt)
@@ -79,14 +80,27 @@
 	known->clock_offset_us = report->now - cas_clock_now(daemon->clock);
 }
 
-static bool before_deadline(void *private)
+static bool before_deadline(const call_attempt_t *attempt)
 {
-	call_attempt_t *attempt = private;
-
 	return cas_clock_now(attempt->daemon->clock) <
 	       attempt->context.deadline;
 }
 
+/* Asked when the connection is ready: the choice of the host may not hold any
+ * more after the wait for it. */
+static bool may_send(void *private)
+{
+	call_attempt_t *attempt = private;
+
+	if (!before_deadline(attempt))
+		return false;
+	attempt->send_refusal =
+		attempt->ops->check_send
+			? attempt->ops->check_send(attempt->private)
+			: REASON_NONE;
+	return attempt->send_refusal == REASON_NONE;
+}
+
 /* Checks that a response has a signed outcome for this attempt from the host to
  * which it was sent. Records the outcome and the incarnation. */
 static bool verify_outcome(void *private, const http_reply_t *reply)
@@ -173,7 +187,11 @@
 	attempt_result->outcome =
 		attempt->possibly_sent ? ATTEMPT_UNKNOWN : ATTEMPT_NOT_RUN;
 	attempt_result->connect_failed = result->error == HTTP_ECONNECT;
-	if (result->error == HTTP_ETIMEOUT || result->error == HTTP_EEXPIRED)
+	if (result->error == HTTP_EEXPIRED &&
+	    attempt->send_refusal != REASON_NONE)
+		attempt_result->reason = attempt->send_refusal;
+	else if (result->error == HTTP_ETIMEOUT ||
+		 result->error == HTTP_EEXPIRED)
 		attempt_result->reason = REASON_DEADLINE;
 	else if (result->error == HTTP_ECROSSED)
 		attempt_result->reason = REASON_CROSSED;
@@ -288,7 +306,7 @@
 		.timeout_us = attempt->context.deadline -
 			      cas_clock_now(daemon->clock),
 		.connect_timeout_us = CALL_ATTEMPT_CONNECT_TIMEOUT_US,
-		.may_send = before_deadline,
+		.may_send = may_send,
 		.new_connection = fresh,
 	};
 
--- a/programs/cassiad/call_attempt.h
+++ b/programs/cassiad/call_attempt.h
@@ -47,6 +47,10 @@
 		     const attempt_outcome *report);
 	/* The attempt is over and is freed after this call. */
 	void (*done)(void *private, const call_attempt_result_t *result);
+	/* Asked before each transmission to another host, when the connection
+	 * is ready. Returns REASON_NONE, or why the request must not be sent
+	 * there. NULL: always REASON_NONE. */
+	reason_t (*check_send)(void *private);
 } call_attempt_ops_t;
 
 /* Starts an attempt. Returns it (owned by the daemon, freed after done), or
--- a/programs/cassiad/config.c
+++ b/programs/cassiad/config.c
@@ -216,11 +216,25 @@
 	update_stopping(daemon);
 }
 
+/* Logs when the first list of allowed regions comes into force, or the last one
+ * ends. */
+static void follow_region_limits(cassiad_t *daemon)
+{
+	bool limits_regions = table_limits_regions(daemon->table);
+
+	if (limits_regions != daemon->limits_regions)
+		cas_log(CAS_LOG_INFO, "allowed_regions",
+			CAS_LOG_INT("limited", limits_regions),
+			CAS_LOG_INT("revision", daemon->table->revision));
+	daemon->limits_regions = limits_regions;
+}
+
 static void on_table(void *private, const table_t *table)
 {
 	cassiad_t *daemon = private;
 
 	daemon->table = table;
+	follow_region_limits(daemon);
 	config_apply(daemon);
 	cas_log(CAS_LOG_INFO, "table_accepted",
 		CAS_LOG_INT("revision", table->revision));
--- a/programs/cassiad/daemon.h
+++ b/programs/cassiad/daemon.h
@@ -76,6 +76,7 @@
 	config_store_t *store;
 	source_t *source;
 	const table_t *table; /* borrowed from the store */
+	bool limits_regions; /* a route or customer of the table does */
 	const roster_t *roster; /* the host list, borrowed from the store */
 	keys_t *keys;
 	bool fetch_running[CONFIG_DOCUMENT_COUNT]; /* from another daemon */
--- a/programs/cassiad/entry.c
+++ b/programs/cassiad/entry.c
@@ -199,6 +199,19 @@
 	return stop_accepts_request(daemon, &request->context);
 }
 
+/* Refuses a request whose allowed regions have no upstream, before its body is
+ * read and before a token is spent. */
+static void refuse_without_upstream(entry_request_t *request)
+{
+	cas_counter_t *counter =
+		cas_metrics_counter(request->daemon->metrics,
+				    "cassia_no_allowed_upstream_total", "");
+
+	if (counter)
+		counter->value++;
+	entry_refuse(request, REASON_NO_UPSTREAM, ENTRY_NO_UPSTREAM_RETRY_US);
+}
+
 static void on_request(cassiad_t *daemon, http_exchange_t *exchange, bool local)
 {
 	entry_request_t *request = request_create(daemon, exchange);
@@ -214,6 +227,8 @@
 			     reason == REASON_STARTING ? STARTING_RETRY_US : 0);
 	else if (!is_accepted(request))
 		entry_refuse(request, REASON_DRAINING, ENTRY_STOPPING_RETRY_US);
+	else if (!entry_has_allowed_upstream(request))
+		refuse_without_upstream(request);
 	else if (!is_call_without_handle(request) && is_shed_early(request))
 		entry_refuse(request, REASON_SHED, CAS_USEC_PER_SEC);
 	else
--- a/programs/cassiad/entry.h
+++ b/programs/cassiad/entry.h
@@ -17,6 +17,9 @@
 /* Retry-After of a daemon that stops: about the time until it is back after a
  * restart, for callers that know no other daemon. */
 #define ENTRY_STOPPING_RETRY_US CAS_USEC_PER_SEC
+/* Retry-After when no upstream can be chosen: ejected and stopped ones are back
+ * after about this time. */
+#define ENTRY_NO_UPSTREAM_RETRY_US CAS_USEC_PER_SEC
 /* A body below this size is buffered completely before it is sent, so that a
  * retry can send it again. */
 #define ENTRY_BODY_REPLAY_BYTES (64 * 1024)
@@ -42,6 +45,10 @@
 	bool is_child; /* stays set when the parent has ended */
 	bool has_body;
 	int64_t max_body_bytes;
+	/* The regions allowed by the table with which the request was accepted
+	 * (a talloc array), NULL: all. Later tables can only limit further. */
+	cas_id_t *regions;
+	size_t region_count;
 	int64_t started_us;
 	retry_budget_t own_budget; /* used while there is no parent */
 	int32_t granted_retries; /* units passed with the attempt */
@@ -74,6 +81,16 @@
  * or the reason for which it is refused. */
 reason_t entry_check_head(entry_request_t *request, bool local);
 
+/* entry_regions.c: keeps the list of regions that the table in force allows to
+ * a request whose route and customer are known. is_orphan: it may be a child
+ * call whose parent, and with it the customer, is unknown. Returns 0, or -1
+ * when out of memory. */
+int entry_keep_regions(entry_request_t *request, bool is_orphan);
+
+/* entry_attempts.c: returns false if the regions of the request are limited and
+ * no upstream in them can be chosen now. */
+bool entry_has_allowed_upstream(entry_request_t *request);
+
 /* entry_attempts.c: starts the next attempt, or refuses the request when its
  * deadline has passed or no upstream is left. */
 void entry_start_attempt(entry_request_t *request);
--- a/programs/cassiad/entry_attempts.c
+++ b/programs/cassiad/entry_attempts.c
@@ -24,17 +24,17 @@
 	return request->tried_hosts[request->tried_host_count - 1];
 }
 
-/* Picks a host that was not tried. Another region is used only when no upstream
- * in this region is left, and a daemon that is stopping, or else an ejected
- * upstream, only when no other one is. Returns as routing_pick. */
-static int pick_host(entry_request_t *request, routing_choice_t *choice)
+/* Returns the query for a host that was not tried; borrows from the request. */
+static routing_query_t routing_query_of(const entry_request_t *request)
 {
-	routing_t *routing = request->daemon->routing;
 	const attempt_context *context = &request->context;
-	routing_query_t query = {
+
+	return (routing_query_t){
 		.service = context->service,
 		.route = context->route,
 		.customer = context->customer,
+		.regions = request->regions,
+		.region_count = request->region_count,
 		.kind = entry_chain_key(context),
 		.body_bytes = request->has_body ? http_exchange_content_length(
 							  request->exchange)
@@ -42,6 +42,15 @@
 		.exclude = request->tried_hosts,
 		.exclude_count = request->tried_host_count,
 	};
+}
+
+/* Picks a host that was not tried. Another region is used only when no upstream
+ * in this region is left, and a daemon that is stopping, or else an ejected
+ * upstream, only when no other one is. Returns as routing_pick. */
+static int pick_host(entry_request_t *request, routing_choice_t *choice)
+{
+	routing_t *routing = request->daemon->routing;
+	routing_query_t query = routing_query_of(request);
 	int error = routing_pick(routing, &query, choice);
 
 	if (!error)
@@ -58,6 +67,30 @@
 	       pick_host(request, &choice) == 0;
 }
 
+/* Connections in use are no reason to reject the request at once. */
+bool entry_has_allowed_upstream(entry_request_t *request)
+{
+	routing_choice_t choice;
+	int error;
+
+	if (!request->regions)
+		return true;
+	error = pick_host(request, &choice);
+	return !error || error == ROUTING_EBUSY;
+}
+
+/* The table may have changed since the host was chosen. */
+static reason_t check_send(void *private)
+{
+	const entry_request_t *request = private;
+	const routing_query_t query = routing_query_of(request);
+
+	return routing_check_host(request->daemon->routing, &query,
+				  current_host(request))
+		       ? REASON_REGION
+		       : REASON_NONE;
+}
+
 /* Picks a host that was tried before if no other one is left. */
 static int pick_host_or_repeat(entry_request_t *request,
 			       routing_choice_t *choice)
@@ -137,7 +170,8 @@
 	}
 	stop_limit_deadline(daemon, &request->context);
 	if (pick_host_or_repeat(request, &choice)) {
-		entry_refuse(request, REASON_NO_UPSTREAM, CAS_USEC_PER_SEC);
+		entry_refuse(request, REASON_NO_UPSTREAM,
+			     ENTRY_NO_UPSTREAM_RETRY_US);
 		return;
 	}
 	if (!request->tried_host_count)
@@ -333,6 +367,7 @@
 	case REASON_SHED:
 	case REASON_STARTING:
 	case REASON_OVERLOADED:
+	case REASON_REGION: /* the daemon there has another table */
 		return ROUTING_SHED;
 	case REASON_REJECTED:
 		return ROUTING_ERROR;
@@ -351,7 +386,8 @@
 
 /* Decides whether to send a request to another host without a retry unit. It
  * has reached no upstream, because its daemon is stopping or starting or cannot
- * be reached, so another attempt adds no load to the service. No host is tried
+ * be reached, or must not run it, so another attempt adds no load to the
+ * service. No host is tried
  * twice. */
 static bool try_reroute(entry_request_t *request,
 			const call_attempt_result_t *result)
@@ -361,12 +397,21 @@
 	if (result->outcome != ATTEMPT_NOT_RUN ||
 	    (result->reason != REASON_DRAINING &&
 	     result->reason != REASON_STARTING &&
+	     result->reason != REASON_REGION &&
 	     result->reason != REASON_NO_UPSTREAM))
 		return false;
 	return has_untried_host(request) &&
 	       (!request->has_body || http_body_rewind(body));
 }
 
+/* Returns when the caller may try again, 0: no estimate. */
+static int64_t retry_after_us(const call_attempt_result_t *result)
+{
+	if (result->reason == REASON_REGION && !result->retry_after_ms)
+		return ENTRY_NO_UPSTREAM_RETRY_US;
+	return result->retry_after_ms * CAS_USEC_PER_MSEC;
+}
+
 static void on_done(void *private, const call_attempt_result_t *result)
 {
 	entry_request_t *request = private;
@@ -395,9 +440,11 @@
 	    decide_retry(request, retry_outcome_of(result)))
 		entry_start_attempt(request);
 	else
-		entry_refuse(request, result->reason,
-			     result->retry_after_ms * CAS_USEC_PER_MSEC);
+		entry_refuse(request, result->reason, retry_after_us(result));
 }
 
-static const call_attempt_ops_t attempt_ops = { .head = on_head,
-						.done = on_done };
+static const call_attempt_ops_t attempt_ops = {
+	.head = on_head,
+	.done = on_done,
+	.check_send = check_send,
+};
--- a/programs/cassiad/entry_head.c
+++ b/programs/cassiad/entry_head.c
@@ -137,8 +137,9 @@
 }
 
 /* Links a call on an open route to the request of this host's upstream that its
- * id names, if there is one. */
-static void inherit_by_id(entry_request_t *request)
+ * id names, if there is one. Returns whether the id has the form of a child
+ * call's, but names no such request. */
+static bool inherit_by_id(entry_request_t *request)
 {
 	const cassiad_t *daemon = request->daemon;
 	cas_str_t id =
@@ -149,6 +150,7 @@
 
 	if (parent)
 		inherit_from_parent(request, parent);
+	return !parent && id.len && memchr(id.ptr, '.', id.len);
 }
 
 /* Returns how long the caller waits, at most the timeout of the route. */
@@ -283,6 +285,7 @@
 					      daemon->profile->handle);
 	const table_route_t *route;
 	reason_t reason = REASON_NONE;
+	bool is_orphan = false;
 
 	use_caller_id(request);
 	if (!daemon->ready || !daemon->table)
@@ -306,13 +309,17 @@
 	if (daemon->profile->open_routes_take_child_calls && route->open)
 		request->context.depth = 1;
 	if (daemon->profile->ids_are_hierarchical && route->open)
-		inherit_by_id(request);
+		is_orphan = inherit_by_id(request);
+	if (local && !handle.len && route->open)
+		is_orphan = !request->parent;
 	/* Without a handle, a call of the upstream cannot be linked to its root
 	 * request: it gets the lowest importance and no retries. */
 	if (local && !handle.len) {
 		request->context.importance = 0;
 		request->own_budget = retry_budget_of(0);
 	}
+	if (reason == REASON_NONE && entry_keep_regions(request, is_orphan))
+		reason = REASON_OVERLOADED;
 	if (reason == REASON_NONE)
 		reason = check_body(request);
 	return reason == REASON_NONE ? copy_headers(request) : reason;
--- a/programs/cassiad/reason.c
+++ b/programs/cassiad/reason.c
@@ -49,6 +49,9 @@
 	[REASON_CANCELLED] = { "cancelled", 499, NULL },
 	[REASON_REJECTED] = { "rejected", 503,
 			      "The upstream turns work away without load." },
+	[REASON_REGION] = { "region", 503,
+			    "The upstream is in a region that is not "
+			    "allowed." },
 };
 
 const char *reason_name(reason_t reason)
--- a/programs/cassiad/reason.h
+++ b/programs/cassiad/reason.h
@@ -27,6 +27,7 @@
 	REASON_OVERLOADED, /* the daemon is short of memory */
 	REASON_CANCELLED, /* the caller has gone */
 	REASON_REJECTED, /* by an upstream that has a free slot */
+	REASON_REGION, /* the region of the upstream is not allowed */
 	REASON_COUNT,
 } reason_t;
 
--- a/programs/cassiad/upstream_gate.c
+++ b/programs/cassiad/upstream_gate.c
@@ -1,6 +1,31 @@
 /* Conditions for sending a request to the upstream of this host. */
 #include "upstream_gate.h"
 
+/* Returns the region of this host in the table in force; 0: unknown. The host
+ * list is preferred, as senders also choose by it. */
+static cas_id_t own_region(const cassiad_t *daemon)
+{
+	const settings_t *settings = daemon->settings;
+	const roster_host_t *host =
+		daemon->roster ? roster_find(daemon->roster, settings->host_id)
+			       : NULL;
+	const table_data_centre_t *data_centre = table_find_data_centre(
+		daemon->table,
+		host ? host->data_centre_id : settings->data_centre_id);
+
+	return data_centre ? data_centre->region_id : 0;
+}
+
+/* The sender has checked its own table, so nothing is known to forbid the
+ * request while this daemon has none. */
+static bool is_region_allowed(const cassiad_t *daemon,
+			      const attempt_context *context)
+{
+	return !daemon->limits_regions ||
+	       table_allows_region(daemon->table, context->route,
+				   context->customer, own_region(daemon));
+}
+
 reason_t upstream_gate_check(const cassiad_t *daemon,
 			     const attempt_context *context)
 {
@@ -8,5 +33,7 @@
 		return REASON_DEADLINE;
 	if (!drain_accepts_upstream_work(daemon->drain))
 		return REASON_DRAINING;
+	if (!is_region_allowed(daemon, context))
+		return REASON_REGION;
 	return REASON_NONE;
 }
--- a/programs/cassiad/upstream_request.c
+++ b/programs/cassiad/upstream_request.c
@@ -114,10 +114,25 @@
 		CAS_LOG_INT("queued", admission_queued(daemon->admission)));
 }
 
+/* The counter is made with the first refusal, so that it exists only where
+ * regions are limited. */
+static void count_region_refusal(const upstream_request_t *request)
+{
+	cas_counter_t *counter;
+
+	if (request->result.reason != REASON_REGION)
+		return;
+	counter = cas_metrics_counter(request->daemon->metrics,
+				      "cassia_region_refused_total", "");
+	if (counter)
+		counter->value++;
+}
+
 static void finish_request(upstream_request_t *request)
 {
 	call_attempt_result_t *result = &request->result;
 
+	count_region_refusal(request);
 	log_unserved(request);
 	upstream_request_fill_outcome(
 		request->daemon, &request->context, request->live_entry,
@@ -164,6 +179,18 @@
 	       request->context.deadline;
 }
 
+/* Returns why may_send refused a request before its deadline. The cause may
+ * have ended since; only a closed upstream opens again that soon. */
+static reason_t refused_by_gate(const upstream_request_t *request)
+{
+	reason_t reason =
+		upstream_gate_check(request->daemon, &request->context);
+
+	return reason == REASON_NONE || reason == REASON_DEADLINE
+		       ? REASON_DRAINING
+		       : reason;
+}
+
 static void set_failure(upstream_request_t *request,
 			const http_result_t *result)
 {
@@ -171,7 +198,7 @@
 	request->result.outcome =
 		result->sent ? ATTEMPT_UNKNOWN : ATTEMPT_NOT_RUN;
 	if (result->error == HTTP_EEXPIRED && before_deadline(request))
-		request->result.reason = REASON_DRAINING;
+		request->result.reason = refused_by_gate(request);
 	else if (result->error == HTTP_EEXPIRED ||
 		 result->error == HTTP_ETIMEOUT)
 		request->result.reason = REASON_DEADLINE;
@@ -461,6 +488,7 @@
 {
 	upstream_request_t *request = talloc_zero(daemon, upstream_request_t);
 	const attempt_context *context = spec->context;
+	reason_t reason;
 
 	if (!request)
 		return NULL;
@@ -484,10 +512,12 @@
 	}
 	request->context.early.early_len = 0;
 	request->context.early.early_val = NULL;
-	if (drain_accepts_upstream_work(daemon->drain))
+	reason = upstream_gate_check(daemon, context);
+	/* Admission counts the requests whose deadline has passed. */
+	if (reason == REASON_NONE || reason == REASON_DEADLINE)
 		offer_to_admission(request);
 	else
-		schedule_finish(request, ATTEMPT_NOT_RUN, REASON_DRAINING);
+		schedule_finish(request, ATTEMPT_NOT_RUN, reason);
 	return request;
 }
 
