--- a/programs/cassiad/entry_attempts.c
+++ b/programs/cassiad/entry_attempts.c
@@ -24,6 +24,7 @@
 	return request->tried_hosts[request->tried_host_count - 1];
 }
 
+/* Returns the query for a host that was not tried; borrows from the request. */
 static routing_query_t routing_query_of(const entry_request_t *request)
 {
 	const attempt_context *context = &request->context;
@@ -32,6 +33,8 @@
 		.service = context->service,
 		.route = context->route,
 		.customer = context->customer,
+		.regions = request->regions,
+		.region_count = request->region_count,
 		.kind = entry_chain_key(context),
 		.body_bytes = request->has_body ? http_exchange_content_length(
 							  request->exchange)
@@ -64,6 +67,30 @@
 	       pick_host(request, &choice) == 0;
 }
 
+/* Connections in use are no reason to reject the request at once. */
+bool entry_has_allowed_upstream(entry_request_t *request)
+{
+	routing_choice_t choice;
+	int error;
+
+	if (!request->regions)
+		return true;
+	error = pick_host(request, &choice);
+	return !error || error == ROUTING_EBUSY;
+}
+
+/* The table may have changed since the host was chosen. */
+static reason_t check_send(void *private)
+{
+	const entry_request_t *request = private;
+	const routing_query_t query = routing_query_of(request);
+
+	return routing_check_host(request->daemon->routing, &query,
+				  current_host(request))
+		       ? REASON_REGION
+		       : REASON_NONE;
+}
+
 /* Picks the host that was decided on for a repeat, or one that was tried before
  * if no other one is left. */
 static int pick_host_or_repeat(entry_request_t *request,
@@ -151,7 +178,8 @@
 	}
 	stop_limit_deadline(daemon, &request->context);
 	if (pick_host_or_repeat(request, &choice)) {
-		entry_refuse(request, REASON_NO_UPSTREAM, CAS_USEC_PER_SEC);
+		entry_refuse(request, REASON_NO_UPSTREAM,
+			     ENTRY_NO_UPSTREAM_RETRY_US);
 		return;
 	}
 	if (!request->tried_host_count) {
@@ -356,6 +384,7 @@
 	case REASON_SHED:
 	case REASON_STARTING:
 	case REASON_OVERLOADED:
+	case REASON_REGION: /* the daemon there has another table */
 		return ROUTING_SHED;
 	case REASON_REJECTED:
 		return ROUTING_ERROR;
@@ -374,7 +403,8 @@
 
 /* Decides whether to send a request to another host without a retry unit. It
  * has reached no upstream, because its daemon is stopping or starting or cannot
- * be reached, so another attempt adds no load to the service. No host is tried
+ * be reached, or must not run it, so another attempt adds no load to the
+ * service. No host is tried
  * twice. */
 static bool try_reroute(entry_request_t *request,
 			const call_attempt_result_t *result)
@@ -384,6 +414,7 @@
 	if (result->outcome != ATTEMPT_NOT_RUN ||
 	    (result->reason != REASON_DRAINING &&
 	     result->reason != REASON_STARTING &&
+	     result->reason != REASON_REGION &&
 	     result->reason != REASON_NO_UPSTREAM))
 		return false;
 	return has_untried_host(request) &&
@@ -403,6 +434,14 @@
 	return decide_retry(request, retry_outcome_of(result));
 }
 
+/* Returns when the caller may try again, 0: no estimate. */
+static int64_t retry_after_us(const call_attempt_result_t *result)
+{
+	if (result->reason == REASON_REGION && !result->retry_after_ms)
+		return ENTRY_NO_UPSTREAM_RETRY_US;
+	return result->retry_after_ms * CAS_USEC_PER_MSEC;
+}
+
 static void on_done(void *private, const call_attempt_result_t *result)
 {
 	entry_request_t *request = private;
@@ -431,9 +470,11 @@
 	if (try_reroute(request, result) || decide_repeat(request, result))
 		entry_start_attempt(request);
 	else
-		entry_refuse(request, result->reason,
-			     result->retry_after_ms * CAS_USEC_PER_MSEC);
+		entry_refuse(request, result->reason, retry_after_us(result));
 }
 
-static const call_attempt_ops_t attempt_ops = { .head = on_head,
-						.done = on_done };
+static const call_attempt_ops_t attempt_ops = {
+	.head = on_head,
+	.done = on_done,
+	.check_send = check_send,
+};
