Take every configuration that the platform accepts

One route with an escape in its prefix, or a weight with a fraction, made the whole table invalid, and a configuration below the store's limit of 1 MiB could exceed the limit of 1 MiB as a table. The version before stayed in force for good, with withdrawn keys, and daemons that started had no table.

Change: a path may have escapes, whose digits match in either case. Documents may have 8 MiB.

--- a/packages/config/include/cassia/name_list.h
+++ b/packages/config/include/cassia/name_list.h
@@ -24,4 +24,8 @@
 	return false;
 }
 
+/* Returns whether text may be a name: 1 to 64 letters, digits, '.', '_' or
+ * '-'. */
+bool config_name_is_valid(cas_str_t text);
+
 #endif
--- a/packages/config/include/cassia/table.h
+++ b/packages/config/include/cassia/table.h
@@ -17,10 +17,20 @@
 #include "cassia/roster.h"
 #include "cassia/str.h"
 
-/* Largest settings, table or host list document, in bytes. */
-#define CONFIG_DOCUMENT_MAX (1 << 20)
+/* Largest settings, table or host list document, in bytes. A configuration of the
+ * users' platform has up to 1 MiB of JSON. As a table it grows fivefold in the
+ * worst case, that of nearly nothing but keys. */
+#define CONFIG_DOCUMENT_MAX (8 << 20)
 
 #define TABLE_IMPORTANCE_MAX 15
+/* Limits of values in a table. */
+#define TABLE_CONNECTIONS_MAX 1000000
+#define TABLE_WEIGHT_MAX 1000000 /* of a part of a split */
+#define TABLE_TIMEOUT_MAX_MS 600000
+#define TABLE_BODY_MAX_BYTES (INT64_C(1) << 30)
+#define TABLE_RETRIES_MAX 100
+#define TABLE_PATH_MAX_BYTES 1024
+#define TABLE_HOST_MAX_BYTES 253
 #define TABLE_KEY_HASH_BYTES 32
 #define TABLE_SALT_BYTES 16
 /* Sum of the shares of all data centres, in thousandths. */
@@ -151,6 +161,11 @@
  * from 0 to below 1. Returns NULL when the route is not split. */
 const table_part_t *table_pick_part(const table_route_t *route, double point);
 
+/* Returns whether a path may be the path of a route: it starts with '/', has no
+ * character that ends the path of a URL or has to be escaped, and no incomplete
+ * escape. */
+bool table_path_is_valid(cas_str_t path);
+
 /* Returns whether the requests of a route and customer may be run in a region:
  * it must be allowed by each of them that limits its regions. A route or
  * customer that is not in the table limits nothing. */
--- a/packages/config/schema.c
+++ b/packages/config/schema.c
@@ -85,8 +85,7 @@
 			 "%s must be %s", value->field->key, expected);
 }
 
-/* Returns whether text is a valid value of FIELD_NAME. */
-static bool name_is_valid(cas_str_t text)
+bool config_name_is_valid(cas_str_t text)
 {
 	if (!text.len || text.len > NAME_MAX_BYTES)
 		return false;
@@ -121,7 +120,7 @@
 static void read_name(const value_t *value)
 {
 	if (value->node->kind != TOML_KIND_STRING ||
-	    !name_is_valid(value->node->text))
+	    !config_name_is_valid(value->node->text))
 		report_invalid_value(
 			value, "1 to 64 letters, digits, '.', '_' or '-'");
 	else
@@ -252,7 +251,7 @@
 		return false;
 	for (size_t i = 0; i < list->count; i++)
 		if (list->children[i].kind != TOML_KIND_STRING ||
-		    !name_is_valid(list->children[i].text))
+		    !config_name_is_valid(list->children[i].text))
 			return false;
 	return true;
 }
--- a/packages/config/table.c
+++ b/packages/config/table.c
@@ -2,6 +2,7 @@
  * request. */
 #include "cassia/table.h"
 
+#include <ctype.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -52,21 +53,41 @@
 	return NULL;
 }
 
+static char to_lower(char c)
+{
+	return c >= 'A' && c <= 'Z' ? (char)(c - 'A' + 'a') : c;
+}
+
+/* Returns whether a path starts with a prefix. In an escape such as %C3, the
+ * case of the digits does not count (RFC 3986, section 6.2.2.1). */
+static bool starts_with_prefix(cas_str_t prefix, cas_str_t path)
+{
+	int digits = 0; /* left in an escape */
+
+	if (path.len < prefix.len)
+		return false;
+	for (size_t i = 0; i < prefix.len; i++) {
+		char expected = prefix.ptr[i];
+		char found = path.ptr[i];
+
+		if (digits ? to_lower(expected) != to_lower(found)
+			   : expected != found)
+			return false;
+		digits = expected == '%' ? 2 : digits - (digits > 0);
+	}
+	return true;
+}
+
 /* Returns whether a path starts with the whole path segments of a prefix: /pay
  * matches /pay/1, but not /payments. */
 static bool prefix_matches(cas_str_t prefix, cas_str_t path)
 {
-	if (!cas_str_starts_with(path, prefix))
+	if (!starts_with_prefix(prefix, path))
 		return false;
 	return path.len == prefix.len || prefix.ptr[prefix.len - 1] == '/' ||
 	       path.ptr[prefix.len] == '/' || path.ptr[prefix.len] == '?';
 }
 
-static char to_lower(char c)
-{
-	return c >= 'A' && c <= 'Z' ? (char)(c - 'A' + 'a') : c;
-}
-
 /* Returns whether a request's host, which may include a port, is the expected
  * one; case does not count. An empty expected host matches every host. */
 static bool host_matches(cas_str_t expected, cas_str_t host)
@@ -175,3 +196,25 @@
 	return (!route_row || allows_region(&route_row->regions, region)) &&
 	       (!customer_row || allows_region(&customer_row->regions, region));
 }
+
+/* Returns whether a '%' with two hexadecimal digits is at index. */
+static bool is_escape_at(cas_str_t path, size_t index)
+{
+	return index + 2 < path.len &&
+	       isxdigit((unsigned char)path.ptr[index + 1]) &&
+	       isxdigit((unsigned char)path.ptr[index + 2]);
+}
+
+bool table_path_is_valid(cas_str_t path)
+{
+	for (size_t i = 0; i < path.len; i++) {
+		char c = path.ptr[i];
+
+		if (c <= ' ' || c > '~' || strchr("?#\\\"<>", c))
+			return false;
+		if (c == '%' && !is_escape_at(path, i))
+			return false;
+	}
+	return path.len && path.len <= TABLE_PATH_MAX_BYTES &&
+	       path.ptr[0] == '/';
+}
--- a/packages/config/table_read.c
+++ b/packages/config/table_read.c
@@ -188,16 +188,6 @@
 	sort_by_id(route->customers, list->count, sizeof(cas_id_t));
 }
 
-/* Returns whether a path starts with '/' and contains no character that ends
- * the path of a URL, is escaped in it, or must be escaped. */
-static bool path_is_valid(cas_str_t path)
-{
-	for (size_t i = 0; i < path.len; i++)
-		if (strchr(" ?#%\\\"<>", path.ptr[i]))
-			return false;
-	return path.len && path.ptr[0] == '/';
-}
-
 static bool method_is_valid(cas_str_t method)
 {
 	for (size_t i = 0; i < method.len; i++)
@@ -212,11 +202,12 @@
 {
 	const table_route_t *route = &parsed->route;
 
-	if (route->path_prefix.ptr && !path_is_valid(route->path_prefix))
+	if (route->path_prefix.ptr && !table_path_is_valid(route->path_prefix))
 		reader_add_fault(
 			&reader->base, toml_get(row, "path"), row, row_name,
-			"path must begin with '/' and must not contain a "
-			"space or any of ? # %% \\ \" < >");
+			"path must begin with '/', must not contain a space "
+			"or any of ? # \\ \" < >, and needs two hexadecimal "
+			"digits after %%");
 	if (!method_is_valid(route->method))
 		reader_add_fault(&reader->base, toml_get(row, "method"), row,
 				 row_name, "method must be in capital letters");
@@ -279,7 +270,7 @@
  * path is missing or invalid. */
 static cas_id_t match_conditions_id(const table_route_t *route)
 {
-	char text[768];
+	char text[TABLE_PATH_MAX_BYTES + TABLE_HOST_MAX_BYTES + 64];
 	int len;
 
 	if (!route->path_prefix.ptr)
--- a/packages/config/table_rows.c
+++ b/packages/config/table_rows.c
@@ -10,15 +10,8 @@
  */
 #define RATE_MAX_MICRO (MICRO_PER_UNIT * MICRO_PER_UNIT)
 #define RATE_MIN_MICRO 1
-#define CONNECTIONS_MAX 1000000
 #define WEIGHT_MAX 10000
-#define PART_WEIGHT_MAX 1000000
-#define TIMEOUT_MAX_MS 600000
-#define BODY_MAX_BYTES (INT64_C(1) << 30)
-#define RETRIES_MAX 100
-#define PATH_MAX_BYTES 256
 #define METHOD_MAX_BYTES 16
-#define HOST_MAX_BYTES 253
 #define LABEL_MAX_BYTES 128
 #define REGIONS_MAX 256 /* allowed regions of one row */
 
@@ -58,13 +51,13 @@
 static const field_t service_fields[] = {
 	{ "name", FIELD_NAME, true, offsetof(table_service_t, name), 0, 0 },
 	{ "connections", FIELD_INT32, false,
-	  offsetof(table_service_t, connections), 0, CONNECTIONS_MAX },
+	  offsetof(table_service_t, connections), 0, TABLE_CONNECTIONS_MAX },
 	{ "warm_up_rate", FIELD_MICRO, false,
 	  offsetof(table_service_t, warm_up_rate_micro), 0, RATE_MAX_MICRO },
 	{ "warm_up_ms", FIELD_INT32, false,
-	  offsetof(table_service_t, warm_up_ms), 0, TIMEOUT_MAX_MS },
+	  offsetof(table_service_t, warm_up_ms), 0, TABLE_TIMEOUT_MAX_MS },
 	{ "health_path", FIELD_TEXT, false,
-	  offsetof(table_service_t, health_path), 1, PATH_MAX_BYTES },
+	  offsetof(table_service_t, health_path), 1, TABLE_PATH_MAX_BYTES },
 };
 
 #define ROUTE_FIELD(key, kind, required, member, min, max)                     \
@@ -74,8 +67,9 @@
 
 static const field_t route_fields[] = {
 	ROUTE_FIELD("name", FIELD_NAME, true, name, 0, 0),
-	ROUTE_FIELD("host", FIELD_TEXT, false, host, 1, HOST_MAX_BYTES),
-	ROUTE_FIELD("path", FIELD_TEXT, true, path_prefix, 1, PATH_MAX_BYTES),
+	ROUTE_FIELD("host", FIELD_TEXT, false, host, 1, TABLE_HOST_MAX_BYTES),
+	ROUTE_FIELD("path", FIELD_TEXT, true, path_prefix, 1,
+		    TABLE_PATH_MAX_BYTES),
 	ROUTE_FIELD("method", FIELD_TEXT, false, method, 0, METHOD_MAX_BYTES),
 	ROUTE_FIELD("service", FIELD_NAME, false, service, 0, 0),
 	{ "split", FIELD_NODE, false, offsetof(route_row_t, split), 0, 0 },
@@ -84,12 +78,13 @@
 	ROUTE_FIELD("open", FIELD_BOOL, false, open, 0, 0),
 	ROUTE_FIELD("idempotent", FIELD_BOOL, false, idempotent, 0, 0),
 	ROUTE_FIELD("timeout_ms", FIELD_INT32, false, timeout_ms, 1,
-		    TIMEOUT_MAX_MS),
+		    TABLE_TIMEOUT_MAX_MS),
 	ROUTE_FIELD("objective_ms", FIELD_INT32, false, objective_ms, 1,
-		    TIMEOUT_MAX_MS),
+		    TABLE_TIMEOUT_MAX_MS),
 	ROUTE_FIELD("max_body", FIELD_INT64, false, max_body_bytes, 0,
-		    BODY_MAX_BYTES),
-	ROUTE_FIELD("retries", FIELD_INT32, false, retries, 0, RETRIES_MAX),
+		    TABLE_BODY_MAX_BYTES),
+	ROUTE_FIELD("retries", FIELD_INT32, false, retries, 0,
+		    TABLE_RETRIES_MAX),
 	{ "customers", FIELD_NODE, false, offsetof(route_row_t, customers), 0,
 	  0 },
 	ROUTE_FIELD("regions", FIELD_NAMES, false, regions, 0, REGIONS_MAX),
@@ -98,7 +93,7 @@
 static const field_t part_fields[] = {
 	{ "service", FIELD_NAME, true, offsetof(table_part_t, service), 0, 0 },
 	{ "weight", FIELD_INT32, true, offsetof(table_part_t, weight), 0,
-	  PART_WEIGHT_MAX },
+	  TABLE_WEIGHT_MAX },
 };
 
 #define CUSTOMER_FIELD(key, kind, required, member, min, max)                  \
--- a/programs/cassiad/fetch.c
+++ b/programs/cassiad/fetch.c
@@ -13,7 +13,9 @@
 #include "compressed_document.h"
 #include "control.h"
 
-#define DOCUMENT_MAX_BYTES ((size_t)2 * 1024 * 1024) /* compressed */
+/* Of a compressed document. A table of the largest size that holds mostly keys,
+ * whose hashes do not compress, has about 2 MB. */
+#define DOCUMENT_MAX_BYTES ((size_t)4 * 1024 * 1024)
 #define FETCH_TIMEOUT_US (5 * CAS_USEC_PER_SEC)
 #define SEED_PERIOD_US (200 * CAS_USEC_PER_MSEC) /* between two fetches */
 #define MAC_HEADER "Cassia-Document-Mac"
