Measure what one request costs each daemon

Cause: the cost of a request was known only from profiles taken by hand, so that a change of it could not be shown. Allocations come from a build of the daemon with a counting allocator, system calls from strace.

--- a/bench/site.c
+++ b/bench/site.c
@@ -14,6 +14,7 @@
 #define LOCAL_PORT 18084
 #define KEY_SALT "000102030405060708090a0b0c0d0e0f"
 #define PROCESSES_MAX 8
+#define STRACE "/usr/bin/strace"
 
 /* First three bytes of the addresses, with a final dot. They depend on the
  * process id, so that runs at the same time do not share addresses. */
@@ -136,28 +137,66 @@
 	write_file(talloc_asprintf(ctx, "%s.toml", name), text);
 }
 
+static void start_upstream(TALLOC_CTX *ctx, const char *build, const char *name,
+			   int host_number, const char *delay_us)
+{
+	char *argv[] = { talloc_asprintf(ctx, "%s/standins/upstream", build),
+			 "--address",
+			 talloc_asprintf(ctx, "%s%d", address_prefix,
+					 host_number),
+			 "--port",
+			 talloc_asprintf(ctx, "%d", UPSTREAM_PORT),
+			 "--delay-us",
+			 talloc_strdup(ctx, delay_us),
+			 NULL };
+
+	start_process(talloc_asprintf(ctx, "%s.up.log", name), argv);
+}
+
 pid_t site_start_host(TALLOC_CTX *ctx, const char *build, const char *name,
 		      const char *service, int host_number,
 		      const char *delay_us)
 {
-	char *daemon_argv[] = {
-		talloc_asprintf(ctx, "%s/cassiad", build), "--config",
-		talloc_asprintf(ctx, "%s/%s.toml", site_dir, name), NULL
-	};
-	char *upstream_argv[] = {
-		talloc_asprintf(ctx, "%s/standins/upstream", build),
-		"--address",
-		talloc_asprintf(ctx, "%s%d", address_prefix, host_number),
-		"--port",
-		talloc_asprintf(ctx, "%d", UPSTREAM_PORT),
-		"--delay-us",
-		talloc_strdup(ctx, delay_us),
-		NULL
-	};
+	char *argv[] = { talloc_asprintf(ctx, "%s/cassiad", build), "--config",
+			 talloc_asprintf(ctx, "%s/%s.toml", site_dir, name),
+			 NULL };
+
+	write_settings(ctx, name, service, host_number);
+	start_upstream(ctx, build, name, host_number, delay_us);
+	return start_process(talloc_asprintf(ctx, "%s.log", name), argv);
+}
+
+pid_t site_start_counted_host(TALLOC_CTX *ctx, const char *build,
+			      const char *name, const char *service,
+			      int host_number, const char *delay_us)
+{
+	/* With -D the process that is started is the daemon, not strace. */
+	char *argv[] = { STRACE,
+			 "-D",
+			 "-f",
+			 "-o",
+			 talloc_asprintf(ctx, "%s/%s.trace", site_dir, name),
+			 talloc_asprintf(ctx, "%s/bench/cassiad_counted",
+					 build),
+			 "--config",
+			 talloc_asprintf(ctx, "%s/%s.toml", site_dir, name),
+			 NULL };
+	char **counted_argv = site_has_strace() ? argv : argv + 5;
 
 	write_settings(ctx, name, service, host_number);
-	start_process(talloc_asprintf(ctx, "%s.up.log", name), upstream_argv);
-	return start_process(talloc_asprintf(ctx, "%s.log", name), daemon_argv);
+	start_upstream(ctx, build, name, host_number, delay_us);
+	return start_process(talloc_asprintf(ctx, "%s.log", name),
+			     counted_argv);
+}
+
+bool site_has_strace(void)
+{
+	return access(STRACE, X_OK) == 0;
+}
+
+const char *site_file(TALLOC_CTX *ctx, const char *name)
+{
+	return talloc_asprintf(ctx, "%s/%s", site_dir, name);
 }
 
 const char *site_address(TALLOC_CTX *ctx, int host_number)
--- a/bench/site.h
+++ b/bench/site.h
@@ -6,6 +6,7 @@
 #ifndef CASSIA_BENCH_SITE_H
 #define CASSIA_BENCH_SITE_H
 
+#include <stdbool.h>
 #include <sys/types.h>
 #include <talloc.h>
 
@@ -30,6 +31,19 @@
 		      const char *service, int host_number,
 		      const char *delay_us);
 
+/* The same with the daemon that counts its allocations, whose system calls
+ * strace writes to the file NAME.trace, if strace is installed. */
+pid_t site_start_counted_host(TALLOC_CTX *ctx, const char *build,
+			      const char *name, const char *service,
+			      int host_number, const char *delay_us);
+
+/* Returns whether system calls can be counted. */
+bool site_has_strace(void);
+
+/* Returns the path of a file of the site (owned by ctx); the log of a daemon is
+ * NAME.log. */
+const char *site_file(TALLOC_CTX *ctx, const char *name);
+
 /* Returns the IPv4 address of a host as text (owned by ctx). */
 const char *site_address(TALLOC_CTX *ctx, int host_number);
 
