Keep the handles and registered sockets of HTTP calls

Cause: each call reset an easy handle of libcurl and set 25 options of it again, allocated a list node and a text for each header field, and removed the socket of its kept connection from the event loop and added it again. Change: a pool of handles whose constant options are set once; header fields are written into a buffer of the handle. A handle is used again only after a whole response without a streamed body. transfer_loop, shared by the HTTP client and the configuration sources, keeps the socket of an idle connection registered until libcurl closes it.

--- a/packages/http/client_conn.c
+++ b/packages/http/client_conn.c
@@ -76,5 +76,6 @@
 		g_hash_table_remove(client->conns, conn);
 		talloc_free(conn);
 	}
+	transfer_loop_socket_closed(client->transfers, fd);
 	return close(fd);
 }
--- a/packages/http/client_reply.c
+++ b/packages/http/client_reply.c
@@ -91,7 +91,8 @@
 
 size_t reply_on_header(char *data, size_t size, size_t count, void *cls)
 {
-	http_call_t *call = cls;
+	client_handle_t *handle = cls;
+	http_call_t *call = handle->call;
 	cas_str_t line = trim((cas_str_t){ data, size * count });
 	int error = 0;
 
@@ -114,7 +115,8 @@
 
 size_t reply_on_body(char *data, size_t size, size_t count, void *cls)
 {
-	http_call_t *call = cls;
+	client_handle_t *handle = cls;
+	http_call_t *call = handle->call;
 	size_t len = size * count;
 
 	if (http_body_space(call->reply_body) < len) {
@@ -161,14 +163,14 @@
 {
 	long connections_opened = 0;
 
-	curl_easy_getinfo(call->easy, CURLINFO_NUM_CONNECTS,
+	curl_easy_getinfo(call->handle->easy, CURLINFO_NUM_CONNECTS,
 			  &connections_opened);
 	return connections_opened > 0;
 }
 
 void http_call_close_connection(http_call_t *call)
 {
-	curl_easy_setopt(call->easy, CURLOPT_FORBID_REUSE, 1L);
+	curl_easy_setopt(call->handle->easy, CURLOPT_FORBID_REUSE, 1L);
 }
 
 /* Returns the number of bytes sent: request line, header and body. */
@@ -177,8 +179,8 @@
 	curl_off_t body = 0;
 	long head = 0;
 
-	curl_easy_getinfo(call->easy, CURLINFO_REQUEST_SIZE, &head);
-	curl_easy_getinfo(call->easy, CURLINFO_SIZE_UPLOAD_T, &body);
+	curl_easy_getinfo(call->handle->easy, CURLINFO_REQUEST_SIZE, &head);
+	curl_easy_getinfo(call->handle->easy, CURLINFO_SIZE_UPLOAD_T, &body);
 	return (int64_t)head + body;
 }
 
@@ -186,7 +188,7 @@
 {
 	long os_errno = 0;
 
-	curl_easy_getinfo(call->easy, CURLINFO_OS_ERRNO, &os_errno);
+	curl_easy_getinfo(call->handle->easy, CURLINFO_OS_ERRNO, &os_errno);
 	return (http_result_t){
 		.error = result_error(call, code),
 		.sent = call->send_count > 0,
--- a/packages/http/tests/test_http_client.c
+++ b/packages/http/tests/test_http_client.c
@@ -25,6 +25,9 @@
 #define RESPONSE_WITH_ID(id)                                                   \
 	"HTTP/1.1 200 OK\r\nId: " id "\r\nContent-Length: 2\r\n\r\nok"
 
+#define RESPONSE_WITHOUT_BODY(id)                                              \
+	"HTTP/1.1 200 OK\r\nId: " id "\r\nContent-Length: 2\r\n\r\n"
+
 typedef struct fixture {
 	struct tevent_context *ev;
 	http_client_t *client;
@@ -33,6 +36,8 @@
 	int conns[CONNS_MAX]; /* accepted connections, oldest first */
 	size_t conn_count;
 	int requests[CONNS_MAX]; /* received on each connection */
+	char last_request[4096]; /* text received last, null-terminated */
+	bool with_field; /* the next request has the field X-Once */
 	http_call_t *call; /* the last call */
 	const char *expected_id; /* Id field of the expected response */
 	bool head_only; /* the next request is HEAD */
@@ -125,10 +130,13 @@
 	char data[4096];
 
 	for (size_t i = 0; i < f->conn_count; i++) {
-		ssize_t len = recv(f->conns[i], data, sizeof(data), 0);
+		ssize_t len = recv(f->conns[i], data, sizeof(data) - 1, 0);
 
-		if (len > 0)
-			f->requests[i]++;
+		if (len <= 0)
+			continue;
+		f->requests[i]++;
+		memcpy(f->last_request, data, (size_t)len);
+		f->last_request[len] = '\0';
 	}
 }
 
@@ -173,6 +181,8 @@
 		.connect_timeout_us = CAS_USEC_PER_SEC,
 	};
 
+	if (f->with_field)
+		http_headers_add(headers, CAS_STR("X-Once"), CAS_STR("1"));
 	f->expected_id = expected_id;
 	f->done = false;
 	f->status = 0;
@@ -246,6 +256,126 @@
 	assert_int_equal(f->status, 200);
 }
 
+/* Sends a request on the kept connection and checks that nothing of an earlier
+ * one is in it. */
+static void check_plain_get(fixture_t *f, int number)
+{
+	f->head_only = false;
+	f->with_field = false;
+	f->request_body = NULL;
+	start_call(f, "plain");
+	wait_request(f, 0, number);
+	assert_int_equal(strncmp(f->last_request, "GET / HTTP/1.1\r\n", 16), 0);
+	assert_null(strstr(f->last_request, "X-Once"));
+	assert_null(strstr(f->last_request, "Content-"));
+	assert_null(strstr(f->last_request, "Expect"));
+	assert_null(strstr(f->last_request, "secret"));
+	send_response(f, 0, RESPONSE_WITH_ID("plain"));
+	wait_done(f);
+	assert_int_equal(f->result.error, 0);
+	assert_int_equal(f->result.response_bytes, 2);
+}
+
+static http_body_t *complete_body(fixture_t *f, const char *text)
+{
+	http_body_t *body = http_body_create(f, 4096);
+
+	http_body_write(body, text, strlen(text));
+	http_body_close(body, 0);
+	return body;
+}
+
+/* Guards against a request with the method, the body or a header field of an
+ * earlier one that was sent with the same handle of libcurl. */
+static void test_handle_carries_nothing_over(void **state)
+{
+	fixture_t *f = *state;
+
+	f->request_body = complete_body(f, "secret");
+	f->with_field = true;
+	start_call(f, "a");
+	wait_request(f, 0, 1);
+	assert_non_null(strstr(f->last_request, "POST / HTTP/1.1"));
+	assert_non_null(strstr(f->last_request, "X-Once: 1"));
+	assert_non_null(strstr(f->last_request, "secret"));
+	send_response(f, 0, RESPONSE_WITH_ID("a"));
+	wait_done(f);
+	check_plain_get(f, 2);
+
+	f->head_only = true;
+	start_call(f, "b");
+	wait_request(f, 0, 3);
+	send_response(f, 0, RESPONSE_WITHOUT_BODY("b"));
+	wait_done(f);
+	assert_int_equal(f->result.error, 0);
+	check_plain_get(f, 4);
+	assert_int_equal(f->conn_count, 1);
+}
+
+/* Guards against a call that ends at once or is refused because an earlier one
+ * with the same handle has failed, and against a close of the connection that
+ * was asked for by an earlier call. */
+static void test_handle_after_failures(void **state)
+{
+	fixture_t *f = *state;
+
+	start_call(f, "a");
+	wait_request(f, 0, 1);
+	assert_true(http_call_cancel(f->call));
+	start_call(f, "b");
+	wait_request(f, 1, 1);
+	send_response(f, 1, RESPONSE_WITH_ID("x"));
+	wait_done(f);
+	assert_int_equal(f->result.error, HTTP_ECROSSED);
+
+	f->close_connection = true;
+	start_call(f, "c");
+	wait_request(f, 2, 1);
+	send_response(f, 2, RESPONSE_WITH_ID("c"));
+	wait_done(f);
+	f->close_connection = false;
+
+	for (int i = 1; i <= 2; i++) {
+		start_call(f, "d");
+		wait_request(f, 3, i);
+		send_response(f, 3, RESPONSE_WITH_ID("d"));
+		wait_done(f);
+		assert_int_equal(f->result.error, 0);
+		assert_false(f->result.ack_timed_out);
+	}
+	assert_int_equal(f->conn_count, 4);
+}
+
+static void set_flag(struct tevent_context *ev, struct tevent_timer *timer,
+		     struct timeval now, void *private)
+{
+	(void)ev;
+	(void)timer;
+	(void)now;
+	*(bool *)private = true;
+}
+
+/* Guards against an event loop that spins because a kept connection on which
+ * something has arrived is reported as readable again and again. */
+static void test_bytes_while_idle_do_not_spin(void **state)
+{
+	fixture_t *f = *state;
+	bool over = false;
+	int rounds = 0;
+
+	start_call(f, "a");
+	wait_request(f, 0, 1);
+	send_response(f, 0, RESPONSE_WITH_ID("a"));
+	wait_done(f);
+	send_response(f, 0, RESPONSE_WITH_ID("b"));
+	assert_non_null(tevent_add_timer(f->ev, f,
+					 tevent_timeval_current_ofs(0, 50000),
+					 set_flag, &over));
+	for (; !over; rounds++)
+		tevent_loop_once(f->ev);
+	assert_in_range(rounds, 1, 10);
+}
+
 /* Guards against a response that is taken for the first one on its connection
  * although an earlier request may have caused it. */
 static void test_first_request_on_connection(void **state)
@@ -570,6 +700,12 @@
 		cmocka_unit_test_setup_teardown(
 			test_extra_bytes_while_idle_close_connection, setup,
 			teardown),
+		cmocka_unit_test_setup_teardown(
+			test_handle_carries_nothing_over, setup, teardown),
+		cmocka_unit_test_setup_teardown(test_handle_after_failures,
+						setup, teardown),
+		cmocka_unit_test_setup_teardown(
+			test_bytes_while_idle_do_not_spin, setup, teardown),
 		cmocka_unit_test_setup_teardown(test_close_connection, setup,
 						teardown),
 		cmocka_unit_test(test_truncated_head_is_no_response),
