Limit what a started or recovered upstream gets, in admission

An upstream that starts cold crashes when it gets many more requests a second than it tolerates, and the fixed ramp of the senders follows neither its responses nor that bound.

Admission now has a bound on the starts in any one second, exact and spread, and a concurrency that grows while responses take about as long as usual and falls back when they do not.

--- a/packages/admission/admission.c
+++ b/packages/admission/admission.c
@@ -29,6 +29,7 @@
 		[ADMISSION_REASON_QUEUE_TIME] = "queue-time",
 		[ADMISSION_REASON_MEMORY] = "memory",
 		[ADMISSION_REASON_STOPPED] = "stopped",
+		[ADMISSION_REASON_WARMING_UP] = "warming-up",
 	};
 
 	return names[reason];
@@ -48,6 +49,7 @@
 	admission->private = private;
 	admission->demand_updated_us = cas_clock_now(clock);
 	limit_init(&admission->limit, admission->demand_updated_us);
+	warm_up_init(&admission->warm_up, admission->demand_updated_us);
 	if (demand_init(admission)) {
 		talloc_free(admission);
 		return NULL;
@@ -87,6 +89,7 @@
 	ticket->running = true;
 	ticket->state_since_us = now_us;
 	ticket->probe_number = limit_start(&admission->limit, now_us);
+	warm_up_start(&admission->warm_up, now_us);
 }
 
 /* Drops a request that was already removed from the queue. */
@@ -106,6 +109,14 @@
 	drop_dequeued(admission, ticket, reason);
 }
 
+/* Returns whether one more request may start now. */
+static bool may_start(const admission_t *admission, int64_t now_us)
+{
+	return limit_allows(&admission->limit) &&
+	       warm_up_allows(&admission->warm_up, now_us,
+			      admission->limit.inflight);
+}
+
 /* Starts queued requests while the limit allows it. A recursive call from a
  * callback returns at once, because the outer loop continues. */
 static void dispatch(admission_t *admission)
@@ -113,7 +124,8 @@
 	if (admission->dispatching)
 		return;
 	admission->dispatching = true;
-	while (admission->queued && limit_allows(&admission->limit)) {
+	while (admission->queued &&
+	       may_start(admission, cas_clock_now(admission->clock))) {
 		int64_t now_us = cas_clock_now(admission->clock);
 		admission_ticket_t *ticket = queue_pop(admission);
 
@@ -143,6 +155,14 @@
 	       limit_allows(&admission->limit);
 }
 
+static int64_t queue_time_max_us(const admission_t *admission)
+{
+	int64_t time_us =
+		(int64_t)admission->limit.mean_total_us * QUEUE_TIME_FACTOR;
+
+	return time_us > QUEUE_TIME_MIN_US ? time_us : QUEUE_TIME_MIN_US;
+}
+
 static int32_t queue_length_max(const admission_t *admission)
 {
 	int32_t limit = (int32_t)admission->limit.limit;
@@ -150,19 +170,40 @@
 	return limit > QUEUE_LENGTH_MIN ? limit : QUEUE_LENGTH_MIN;
 }
 
+/* Returns why no further request may be queued, or ADMISSION_REASON_NONE. In a
+ * warm-up fewer may wait: only those that can start in time. */
+static admission_reason_t full_reason(const admission_t *admission)
+{
+	const warm_up_t *warm_up = &admission->warm_up;
+	int64_t now_us = cas_clock_now(admission->clock);
+
+	if (admission->queued >= queue_length_max(admission))
+		return ADMISSION_REASON_QUEUE_FULL;
+	if (warm_up_limits(warm_up, now_us) &&
+	    admission->queued >=
+		    warm_up_queue_max(warm_up, now_us,
+				      queue_time_max_us(admission),
+				      admission->limit.mean_total_us))
+		return ADMISSION_REASON_WARMING_UP;
+	return ADMISSION_REASON_NONE;
+}
+
 /* Makes room for one more request in the queue, if necessary by dropping
- * another. Returns false when the new request is to be rejected. */
-static bool make_room(admission_t *admission, const request_queue_t *incoming)
+ * another. Returns ADMISSION_REASON_NONE, or why the new request is to be
+ * rejected. */
+static admission_reason_t make_room(admission_t *admission,
+				    const request_queue_t *incoming)
 {
+	admission_reason_t reason = full_reason(admission);
 	admission_ticket_t *victim;
 
-	if (admission->queued < queue_length_max(admission))
-		return true;
+	if (reason == ADMISSION_REASON_NONE)
+		return ADMISSION_REASON_NONE;
 	victim = queue_victim(admission, incoming);
 	if (!victim)
-		return false;
-	drop_queued(admission, victim, ADMISSION_REASON_QUEUE_FULL);
-	return true;
+		return reason;
+	drop_queued(admission, victim, reason);
+	return ADMISSION_REASON_NONE;
 }
 
 static request_queue_t *queue_for(const admission_request_t *request,
@@ -240,12 +281,15 @@
 	if (misses_deadline(kind, queue_for(request, class), now_us,
 			    request->deadline_us))
 		return reject(reason, ADMISSION_REASON_DEADLINE);
-	if (!draw_below(request->draw, admitted_fraction(request, class)))
+	if (!warm_up_limits(&admission->warm_up, now_us) &&
+	    !draw_below(request->draw, admitted_fraction(request, class)))
 		return reject(reason, ADMISSION_REASON_SHED);
 	dispatch(admission);
-	start_now = !admission->queued && limit_allows(&admission->limit);
-	if (!start_now && !make_room(admission, queue_for(request, class)))
-		return reject(reason, ADMISSION_REASON_QUEUE_FULL);
+	start_now = !admission->queued && may_start(admission, now_us);
+	if (!start_now)
+		*reason = make_room(admission, queue_for(request, class));
+	if (*reason != ADMISSION_REASON_NONE)
+		return ADMISSION_REJECTED;
 	*ticket = ticket_create(admission, request, class, kind);
 	if (!*ticket)
 		return reject(reason, ADMISSION_REASON_MEMORY);
@@ -265,6 +309,25 @@
 					  : LIMIT_OUTCOME_OTHER;
 }
 
+/* Tells the warm-up how a request has ended, before the limit does. */
+static void finish_warm_up(admission_t *admission,
+			   const admission_ticket_t *ticket, int64_t now_us,
+			   admission_result_t result)
+{
+	int64_t own_us = now_us - ticket->state_since_us - ticket->child_us;
+	const warm_up_response_t response = {
+		.kind = ticket->kind,
+		.started_us = ticket->state_since_us,
+		.own_us = own_us > 0 ? own_us : 1,
+		.slowdown = 1,
+		.inflight = admission->limit.inflight,
+		.limit = admission->limit.limit,
+		.result = result,
+	};
+
+	warm_up_finish(&admission->warm_up, now_us, &response);
+}
+
 void admission_finish(admission_t *admission, admission_ticket_t *ticket,
 		      admission_result_t result)
 {
@@ -275,6 +338,7 @@
 		.probe_number = ticket->probe_number,
 	};
 
+	finish_warm_up(admission, ticket, now_us, result);
 	limit_finish(&admission->limit, ticket->kind, now_us, &timing,
 		     limit_outcome_of(result));
 	if (result == ADMISSION_SHED_BY_UPSTREAM)
@@ -299,14 +363,6 @@
 	talloc_free(ticket);
 }
 
-static int64_t queue_time_max_us(const admission_t *admission)
-{
-	int64_t time_us =
-		(int64_t)admission->limit.mean_total_us * QUEUE_TIME_FACTOR;
-
-	return time_us > QUEUE_TIME_MIN_US ? time_us : QUEUE_TIME_MIN_US;
-}
-
 /* Returns why a queued request must be dropped, or ADMISSION_REASON_NONE. */
 static admission_reason_t expiry_reason(const admission_t *admission,
 					const admission_ticket_t *ticket,
@@ -319,7 +375,9 @@
 	 * parent is lost with it. */
 	if (!is_child_queue(ticket->queue) &&
 	    now_us - ticket->state_since_us > queue_time_max_us(admission))
-		return ADMISSION_REASON_QUEUE_TIME;
+		return warm_up_limits(&admission->warm_up, now_us)
+			       ? ADMISSION_REASON_WARMING_UP
+			       : ADMISSION_REASON_QUEUE_TIME;
 	return ADMISSION_REASON_NONE;
 }
 
@@ -369,6 +427,7 @@
 	int64_t now_us = cas_clock_now(admission->clock);
 
 	limit_tick(&admission->limit, now_us);
+	warm_up_tick(&admission->warm_up, now_us, admission->limit.limit);
 	drop_expired(admission, now_us);
 	if (now_us - admission->demand_updated_us >= DEMAND_UPDATE_US)
 		demand_update(admission, now_us);
@@ -378,7 +437,12 @@
 int64_t admission_next_due(const admission_t *admission)
 {
 	int64_t now_us = cas_clock_now(admission->clock);
+	int64_t start_us = warm_up_next_start(&admission->warm_up, now_us);
 
+	/* A paced queue continues when the next start is due. */
+	if (admission->queued && start_us > now_us &&
+	    start_us < now_us + TICK_US)
+		return start_us;
 	if (admission->queued || admission->limit.inflight)
 		return now_us + TICK_US;
 	return admission->demand_updated_us + DEMAND_UPDATE_US;
@@ -397,6 +461,11 @@
 	const request_class_t *class =
 		demand_find_class(admission, importance, customer);
 
+	/* Senders apply the fraction to the whole service, whose other
+	 * upstreams may have room. */
+	if (warm_up_limits(&admission->warm_up,
+			   cas_clock_now(admission->clock)))
+		return 1;
 	return class ? class->fraction : 1;
 }
 
@@ -414,7 +483,8 @@
 
 int32_t admission_limit(const admission_t *admission)
 {
-	return (int32_t)admission->limit.limit;
+	return (int32_t)warm_up_cap(&admission->warm_up,
+				    admission->limit.limit);
 }
 
 int32_t admission_inflight(const admission_t *admission)
--- a/packages/admission/admission_internal.h
+++ b/packages/admission/admission_internal.h
@@ -9,6 +9,7 @@
 
 #include "cassia/admission.h"
 #include "limit_internal.h"
+#include "warm_up_internal.h"
 
 /* Number of latest fractions kept for each class. Child calls are compared with
  * the highest of them, because it may have admitted a root request that is
@@ -85,6 +86,7 @@
 	admission_ops_t ops;
 	void *private;
 	limit_t limit;
+	warm_up_t warm_up;
 	/* Non-empty queues: the next one to serve of each circular list. */
 	request_queue_t *active_queues[ADMISSION_IMPORTANCES][QUEUE_RANKS];
 	int32_t queued_by_importance[ADMISSION_IMPORTANCES];
--- a/packages/admission/include/cassia/admission.h
+++ b/packages/admission/include/cassia/admission.h
@@ -59,6 +59,9 @@
 	ADMISSION_REASON_QUEUE_TIME, /* waited for the maximum queue time */
 	ADMISSION_REASON_MEMORY, /* out of memory */
 	ADMISSION_REASON_STOPPED, /* by admission_stop_queue */
+	/* The upstream is cold or its concurrency is being found, so that the
+	 * request would wait too long. */
+	ADMISSION_REASON_WARMING_UP,
 } admission_reason_t;
 
 /* Returns a short name for logs and problem details. */
@@ -102,6 +105,78 @@
  * run and drop for queued requests. */
 void admission_set_slots(admission_t *admission, int32_t slots);
 
+/* Why an upstream is taken for one that has just started. */
+typedef enum admission_warm_up_cause {
+	ADMISSION_WARM_UP_DAEMON_STARTED,
+	ADMISSION_WARM_UP_LISTED, /* a new instance is in the host list */
+	ADMISSION_WARM_UP_REFUSED, /* it refused a connection */
+	ADMISSION_WARM_UP_BROKEN, /* it broke a connection */
+	ADMISSION_WARM_UP_RETURNED, /* a drain or an evacuation has ended */
+	ADMISSION_WARM_UP_TOLD_COLD, /* its entry or health response says so */
+} admission_warm_up_cause_t;
+
+/* Why the concurrency of an upstream that warms up was reduced. */
+typedef enum admission_fall_back {
+	ADMISSION_FALL_BACK_SLOW, /* slow responses */
+	ADMISSION_FALL_BACK_REJECTED, /* the upstream rejected a request */
+	ADMISSION_FALL_BACK_FAILED, /* a request failed */
+} admission_fall_back_t;
+
+/* Rules for an upstream that has started or recovered. Without a call of
+ * admission_set_warm_up they are not in force. */
+typedef struct admission_warm_up_rules {
+	bool in_force;
+	/* Most requests that a cold upstream gets in any one second; 0: no
+	 * bound. */
+	double cold_rate_per_s;
+	int64_t cold_max_us; /* how long it is cold after a start; 0: unknown */
+} admission_warm_up_rules_t;
+
+typedef struct admission_warm_up_status {
+	bool limits; /* the warm-up limits the requests of the upstream */
+	int64_t cold_left_us; /* expected; 0: not cold */
+	/* A health response would tell how long the upstream is cold. */
+	bool in_doubt;
+	double allowed; /* requests at once; 0: not limited by the warm-up */
+	double base_ratio; /* of response times to usual ones, at the begin */
+	double recent_ratio; /* the same of the latest responses; 0: none */
+	admission_warm_up_cause_t cause; /* of the last begin */
+	admission_fall_back_t fall_back_cause; /* of the last one */
+	/* Since the start of the daemon. */
+	uint64_t begin_count;
+	uint64_t end_count;
+	uint64_t fall_back_count;
+} admission_warm_up_status_t;
+
+/* Return names for logs. */
+const char *admission_warm_up_cause_name(admission_warm_up_cause_t cause);
+const char *admission_fall_back_name(admission_fall_back_t cause);
+
+/* Sets the rules; the same ones have no effect. When a bound is new, the
+ * upstream counts as cold and the starts of the last second as used up. Returns
+ * 0 or ADMISSION_ENOMEM. */
+int admission_set_warm_up(admission_t *admission,
+			  const admission_warm_up_rules_t *rules);
+
+/* Takes the upstream for one that has just started. cold_us is how long it is
+ * cold as far as it is known, 0: not known, so the longest time that the rules
+ * state is assumed. */
+void admission_begin_warm_up(admission_t *admission,
+			     admission_warm_up_cause_t cause, int64_t cold_us);
+
+/* Takes over what a health response says: the upstream is cold for cold_us from
+ * now on. asked_us is when the health request was sent; a response to one from
+ * before the last event is ignored. */
+void admission_note_cold_left(admission_t *admission, int64_t cold_us,
+			      int64_t asked_us);
+
+admission_warm_up_status_t
+admission_warm_up_status(const admission_t *admission);
+
+/* Returns after how many microseconds a request that is rejected now because of
+ * the warm-up is likely to be taken; 0: not known. */
+int64_t admission_warm_up_retry_us(const admission_t *admission);
+
 /* Returns whether the upstream is known to have a free slot, so that a
  * rejection by it is not a sign of overload. False when the number of slots is
  * not known. */
@@ -143,7 +218,8 @@
 void admission_stop_queue(admission_t *admission);
 
 /* Returns the admitted fraction (0..1) to be sent with a response; 1 for an
- * importance and customer without recent requests. */
+ * importance and customer without recent requests, and during a warm-up, in
+ * which requests are rejected by the length of the queue instead. */
 double admission_threshold(const admission_t *admission, int32_t importance,
 			   cas_id_t customer);
 
@@ -152,7 +228,7 @@
 void admission_add_early_rejections(admission_t *admission, int32_t importance,
 				    cas_id_t customer, uint64_t count);
 
-/* Returns the concurrency limit, in requests. */
+/* Returns the concurrency limit, in requests. It includes the warm-up. */
 int32_t admission_limit(const admission_t *admission);
 /* Returns the number of running requests. */
 int32_t admission_inflight(const admission_t *admission);
--- a/packages/admission/latency_internal.h
+++ b/packages/admission/latency_internal.h
@@ -26,6 +26,11 @@
 	double mean_child_us; /* smoothed time in child calls, any outcome */
 	/* Own time without queueing in the upstream, 0: not known. */
 	double base_us;
+	/* Usual own time by which responses are judged in a warm-up, 0: not
+	 * known, and whether it is from before the warm-up. */
+	double usual_us;
+	bool usual_known;
+	int32_t usual_samples; /* responses that it was learned from since */
 	/* Sums over the successful requests of the current period. */
 	double period_own_us;
 	double period_total_us;
