Keep the bound of a cold upstream in the daemon beside it

A server that has just started, or becomes cold again, crashed under the load of all senders: no daemon counted what it got, and the own host had no ramp at all.

The daemon beside the upstream now begins a warm-up when the entry of the upstream appears, changes its instance or states a longer cold time, when connections to it are refused or break and it answers again, when a drain or an evacuation ends, and when the daemon starts. One health request tells what remains of the cold time. Requests that cannot start soon are refused with the reason warming-up, which the sender reroutes at most twice without the retry budget.

--- a/packages/admission/include/cassia/admission.h
+++ b/packages/admission/include/cassia/admission.h
@@ -109,8 +109,10 @@
 typedef enum admission_warm_up_cause {
 	ADMISSION_WARM_UP_DAEMON_STARTED,
 	ADMISSION_WARM_UP_LISTED, /* a new instance is in the host list */
-	ADMISSION_WARM_UP_REFUSED, /* it refused a connection */
-	ADMISSION_WARM_UP_BROKEN, /* it broke a connection */
+	/* It refused or broke a connection. Its warm-up begins when it answers
+	 * again. */
+	ADMISSION_WARM_UP_REFUSED,
+	ADMISSION_WARM_UP_BROKEN,
 	ADMISSION_WARM_UP_RETURNED, /* a drain or an evacuation has ended */
 	ADMISSION_WARM_UP_TOLD_COLD, /* its entry or health response says so */
 } admission_warm_up_cause_t;
--- a/packages/admission/tests/test_warm_up.c
+++ b/packages/admission/tests/test_warm_up.c
@@ -166,7 +166,7 @@
 	simulate(site, 10 * SECOND);
 	assert_int_equal(admission_warm_up_status(site->admission).cold_left_us,
 			 0);
-	admission_begin_warm_up(site->admission, ADMISSION_WARM_UP_REFUSED, 0);
+	admission_begin_warm_up(site->admission, ADMISSION_WARM_UP_LISTED, 0);
 	assert_true(admission_warm_up_status(site->admission).in_doubt);
 	simulate(site, COLD_US - MS);
 	assert_int_equal(admission_warm_up_status(site->admission).cold_left_us,
@@ -178,6 +178,32 @@
 	talloc_free(site);
 }
 
+/* Guards against an upstream that is down for longer than it is cold and gets
+ * its full load when it returns, before the host list tells of it. */
+static void test_return_after_long(void **state)
+{
+	site_t *site = site_create(&bounded);
+
+	(void)state;
+	admission_set_slots(site->admission, SLOTS);
+	site->rate_per_s = LOAD;
+	simulate(site, 10 * SECOND);
+	assert_false(admission_warm_up_status(site->admission).limits);
+	site->rate_per_s = 0;
+	simulate(site, SECOND);
+	admission_begin_warm_up(site->admission, ADMISSION_WARM_UP_REFUSED, 0);
+	simulate(site, 20 * SECOND);
+	assert_false(admission_warm_up_status(site->admission).in_doubt);
+	restart_upstream(site);
+	site->rate_per_s = LOAD;
+	simulate(site, 100 * MS);
+	assert_true(admission_warm_up_status(site->admission).in_doubt);
+	simulate(site, COLD_US);
+	assert_true(site->worst_window <= COLD_RATE);
+	assert_true(served_in_second(site) >= LOAD * 90 / 100);
+	talloc_free(site);
+}
+
 /* Guards against a health response that is believed although it was sent before
  * the upstream restarted, or is out of range. */
 static void test_health_response(void **state)
@@ -421,6 +447,7 @@
 		cmocka_unit_test(test_sliding_window),
 		cmocka_unit_test(test_daemon_restart),
 		cmocka_unit_test(test_no_health_response),
+		cmocka_unit_test(test_return_after_long),
 		cmocka_unit_test(test_health_response),
 		cmocka_unit_test(test_lying_health_response),
 		cmocka_unit_test(test_nothing_known),
--- a/packages/admission/warm_up.c
+++ b/packages/admission/warm_up.c
@@ -63,8 +63,8 @@
  * wait longer. */
 #define WAIT_MAX_US (150 * CAS_USEC_PER_MSEC)
 /* Connections that must break without a response between them before an
- * upstream without a cold bound counts as restarted. A single one may be due to
- * the request. */
+ * upstream counts as restarted. A single one may be due to the request, or was
+ * closed because it was idle. */
 #define BREAKS_MIN 2
 
 static double min_of(double a, double b)
@@ -171,15 +171,20 @@
 	return warm_up->active &&
 	       (cause == ADMISSION_WARM_UP_LISTED ||
 		cause == ADMISSION_WARM_UP_TOLD_COLD) &&
-	       now_us - warm_up->event_us < warm_up->cold_max_us;
+	       (warm_up->unreachable ||
+		now_us - warm_up->event_us < warm_up->cold_max_us);
 }
 
 void warm_up_begin(warm_up_t *warm_up, latency_t *latency, int64_t now_us,
 		   admission_warm_up_cause_t cause, int64_t cold_us)
 {
 	if (cause == ADMISSION_WARM_UP_BROKEN &&
-	    ++warm_up->breaks < BREAKS_MIN && !has_bound(warm_up))
+	    ++warm_up->breaks < BREAKS_MIN) {
+		/* Its health response tells whether it has restarted. */
+		if (has_bound(warm_up) && !warm_up->unreachable)
+			assume_cold(warm_up, now_us);
 		return;
+	}
 	if (!warm_up->active)
 		keep_usual_times(latency);
 	if (!is_known(warm_up, now_us, cause)) {
@@ -191,6 +196,8 @@
 		/* The upstream itself has told since how long it is cold. */
 		return;
 	}
+	warm_up->unreachable = cause == ADMISSION_WARM_UP_REFUSED ||
+			       cause == ADMISSION_WARM_UP_BROKEN;
 	if (!has_bound(warm_up))
 		return;
 	assume_cold(warm_up, now_us);
@@ -205,6 +212,7 @@
 	if (!has_bound(warm_up) || asked_us < warm_up->event_us)
 		return;
 	warm_up->doubt_until_us = 0;
+	warm_up->unreachable = false;
 	if (warm_up->distrusted)
 		return;
 	limit_cold_time(warm_up, now_us, cold_us);
@@ -218,7 +226,7 @@
 bool warm_up_is_cold(const warm_up_t *warm_up, int64_t now_us)
 {
 	return warm_up->in_force && has_bound(warm_up) &&
-	       now_us < warm_up->cold_until_us;
+	       (warm_up->unreachable || now_us < warm_up->cold_until_us);
 }
 
 bool warm_up_limits(const warm_up_t *warm_up, int64_t now_us)
@@ -234,8 +242,9 @@
 	if (!warm_up_is_cold(warm_up, now_us))
 		return 0;
 	next_us = start_window_next(&warm_up->window);
-	return next_us < warm_up->cold_until_us ? next_us
-						: warm_up->cold_until_us;
+	if (warm_up->unreachable || next_us < warm_up->cold_until_us)
+		return next_us;
+	return warm_up->cold_until_us;
 }
 
 bool warm_up_allows(const warm_up_t *warm_up, int64_t now_us, int32_t inflight)
@@ -390,11 +399,24 @@
 		grow(warm_up, response);
 }
 
+/* The upstream answers. If it did not before, it may have just started. */
+static void note_answer(warm_up_t *warm_up, int64_t now_us)
+{
+	warm_up->breaks = 0;
+	if (!warm_up->unreachable)
+		return;
+	warm_up->unreachable = false;
+	warm_up->began_us = now_us;
+	if (has_bound(warm_up))
+		assume_cold(warm_up, now_us);
+}
+
 void warm_up_finish(warm_up_t *warm_up, int64_t now_us,
 		    const warm_up_response_t *response)
 {
-	if (response->result == ADMISSION_OK)
-		warm_up->breaks = 0;
+	if (response->result == ADMISSION_OK ||
+	    response->result == ADMISSION_SHED_BY_UPSTREAM)
+		note_answer(warm_up, now_us);
 	/* Requests from before the last change say nothing of the present
 	 * concurrency; each round falls back once. */
 	if (!warm_up->active || response->started_us < warm_up->fell_back_us)
@@ -426,7 +448,8 @@
 		later_of(warm_up->began_us, warm_up->cold_until_us);
 	int64_t quiet_since_us = later_of(warm_since_us, warm_up->fell_back_us);
 
-	if (!warm_up->active || warm_up_is_cold(warm_up, now_us))
+	if (!warm_up->active || warm_up->unreachable ||
+	    warm_up_is_cold(warm_up, now_us))
 		return;
 	if (warm_up->allowed < limit &&
 	    now_us - quiet_since_us < QUIET_END_US &&
--- a/packages/admission/warm_up_internal.h
+++ b/packages/admission/warm_up_internal.h
@@ -17,6 +17,9 @@
 	int64_t event_us; /* the latest reason to take it for cold */
 	int64_t cold_until_us;
 	int64_t doubt_until_us; /* before it, a health response is useful */
+	/* Its connections were refused or broken, and it has not answered
+	 * since: its cold time begins when it does. */
+	bool unreachable;
 	/* Responses were as slow as those of a cold upstream that said it was
 	 * warm. */
 	bool distrusted;
--- a/packages/admission/warm_up_status.c
+++ b/packages/admission/warm_up_status.c
@@ -58,7 +58,10 @@
 
 	return (admission_warm_up_status_t){
 		.limits = warm_up_limits(warm_up, now_us),
-		.cold_left_us = cold ? warm_up->cold_until_us - now_us : 0,
+		.cold_left_us = !cold ? 0
+				: warm_up->unreachable
+					? warm_up->cold_max_us
+					: warm_up->cold_until_us - now_us,
 		.in_doubt =
 			warm_up->in_force && now_us < warm_up->doubt_until_us,
 		.allowed = active ? warm_up->allowed : 0,
--- a/programs/cassiad/config.c
+++ b/programs/cassiad/config.c
@@ -6,6 +6,7 @@
 #include "stop.h"
 #include "daemon.h"
 #include "fetch.h"
+#include "warm_up_watch.h"
 
 /* Multiplier of the 64-bit FNV hash, for the digest of host ids. */
 #define FNV_PRIME UINT64_C(0x100000001b3)
@@ -139,6 +140,7 @@
 	daemon->own_listing = own_listing_of(daemon, host);
 	if (daemon->own_listing != previous)
 		follow_own_listing(daemon, previous);
+	warm_up_watch_listing(daemon, host);
 	/* May start queued requests. */
 	admission_set_slots(daemon->admission, host ? host->slots : 0);
 }
@@ -221,6 +223,7 @@
 	cassiad_t *daemon = private;
 
 	daemon->table = table;
+	warm_up_watch_tick(daemon);
 	config_apply(daemon);
 	cas_log(CAS_LOG_INFO, "table_accepted",
 		CAS_LOG_INT("revision", table->revision));
--- a/programs/cassiad/daemon.c
+++ b/programs/cassiad/daemon.c
@@ -11,6 +11,7 @@
 #include "control.h"
 #include "stats.h"
 #include "stop.h"
+#include "warm_up_watch.h"
 
 #define TICK_MS 10
 /* How long one report of a slowdown shows that hosts are shared. */
@@ -105,8 +106,10 @@
 
 	admission_tick(daemon->admission);
 	control_tick(daemon);
-	if (ticks % 10 == 0)
+	if (ticks % 10 == 0) {
 		config_tick(daemon);
+		warm_up_watch_tick(daemon);
+	}
 	if (ticks % 100 == 0) {
 		thresholds_tick(daemon->thresholds);
 		stats_tick(daemon);
@@ -178,6 +181,8 @@
 		return BASE_ENOMEM;
 	retry_throttle_set_ratio(daemon->throttle,
 				 (uint32_t)daemon->settings->first_per_retry);
+	if (warm_up_watch_create(daemon))
+		return BASE_ENOMEM;
 	return admit_create(daemon);
 }
 
--- a/programs/cassiad/daemon.h
+++ b/programs/cassiad/daemon.h
@@ -34,6 +34,7 @@
 typedef struct explain explain_t;
 typedef struct compressed_document compressed_document_t;
 typedef struct stats stats_t;
+typedef struct warm_up_watch warm_up_watch_t;
 typedef struct entry_request entry_request_t;
 typedef struct peer_request peer_request_t;
 
@@ -97,6 +98,7 @@
 	attempt_live_t *live_requests; /* at the upstream, by handle */
 	GHashTable *known_incarnations; /* cas_id_t to known_incarnation_t */
 	admission_t *admission;
+	warm_up_watch_t *warm_up_watch; /* of the own upstream */
 	thresholds_t *thresholds; /* admitted fractions from outcomes */
 	routing_t *routing;
 	retry_throttle_t *throttle; /* limits retries by service */
--- a/programs/cassiad/entry.h
+++ b/programs/cassiad/entry.h
@@ -47,6 +47,7 @@
 	int32_t granted_retries; /* units passed with the attempt */
 	cas_id_t tried_hosts[ENTRY_ATTEMPTS_MAX]; /* in order of attempts */
 	size_t tried_host_count;
+	int32_t warm_up_reroutes; /* after an upstream that warms up */
 	control_token_wait_t *token_wait; /* pending token, NULL: none */
 	call_attempt_t *attempt; /* running attempt, NULL: none */
 	int64_t attempt_started_us;
--- a/programs/cassiad/entry_attempts.c
+++ b/programs/cassiad/entry_attempts.c
@@ -6,6 +6,10 @@
 #include "stop.h"
 
 #define HTTP_SERVER_ERROR_MIN 500
+/* How often a request is sent on because an upstream warms up. When all
+ * upstreams of a service have just started, each further host would cost all
+ * daemons the same work once more. */
+#define WARM_UP_REROUTES_MAX 2
 
 static const call_attempt_ops_t attempt_ops;
 
@@ -333,6 +337,7 @@
 	case REASON_SHED:
 	case REASON_STARTING:
 	case REASON_OVERLOADED:
+	case REASON_WARMING_UP:
 		return ROUTING_SHED;
 	case REASON_REJECTED:
 		return ROUTING_ERROR;
@@ -345,23 +350,39 @@
 {
 	if (result->outcome == ATTEMPT_UNKNOWN)
 		return RETRY_OUTCOME_UNKNOWN;
-	return result->reason == REASON_SHED ? RETRY_OUTCOME_SHED
-					     : RETRY_OUTCOME_NOT_RUN;
+	return result->reason == REASON_SHED ||
+			       result->reason == REASON_WARMING_UP
+		       ? RETRY_OUTCOME_SHED
+		       : RETRY_OUTCOME_NOT_RUN;
+}
+
+/* Returns whether a request that an upstream's daemon has not taken for this
+ * reason goes to another host. */
+static bool reroutes_after(entry_request_t *request, reason_t reason)
+{
+	switch (reason) {
+	case REASON_DRAINING:
+	case REASON_STARTING:
+	case REASON_NO_UPSTREAM:
+		return true;
+	case REASON_WARMING_UP:
+		return request->warm_up_reroutes++ < WARM_UP_REROUTES_MAX;
+	default:
+		return false;
+	}
 }
 
 /* Decides whether to send a request to another host without a retry unit. It
  * has reached no upstream, because its daemon is stopping or starting or cannot
- * be reached, so another attempt adds no load to the service. No host is tried
- * twice. */
+ * be reached, or because the upstream warms up, so another attempt adds no load
+ * to the service. No host is tried twice. */
 static bool try_reroute(entry_request_t *request,
 			const call_attempt_result_t *result)
 {
 	http_body_t *body = http_exchange_body(request->exchange);
 
 	if (result->outcome != ATTEMPT_NOT_RUN ||
-	    (result->reason != REASON_DRAINING &&
-	     result->reason != REASON_STARTING &&
-	     result->reason != REASON_NO_UPSTREAM))
+	    !reroutes_after(request, result->reason))
 		return false;
 	return has_untried_host(request) &&
 	       (!request->has_body || http_body_rewind(body));
--- a/programs/cassiad/operator_server.c
+++ b/programs/cassiad/operator_server.c
@@ -7,6 +7,7 @@
 #include "cassia/http_target.h"
 #include "control.h"
 #include "stop.h"
+#include "warm_up_watch.h"
 #include "stats.h"
 
 /* Handler of a method and path. */
@@ -104,6 +105,7 @@
 	set_gauge(daemon, "cassia_queued", admission_queued(daemon->admission));
 	set_gauge(daemon, "cassia_attempts_remembered",
 		  (int64_t)attempt_table_count(daemon->attempts));
+	warm_up_watch_set_metrics(daemon);
 	set_link_metrics(daemon);
 	control_set_metrics(daemon);
 	if (headers)
--- a/programs/cassiad/reason.c
+++ b/programs/cassiad/reason.c
@@ -49,6 +49,8 @@
 	[REASON_CANCELLED] = { "cancelled", 499, NULL },
 	[REASON_REJECTED] = { "rejected", 503,
 			      "The upstream turns work away without load." },
+	[REASON_WARMING_UP] = { "warming-up", 503,
+				"The upstream has just started." },
 };
 
 const char *reason_name(reason_t reason)
--- a/programs/cassiad/reason.h
+++ b/programs/cassiad/reason.h
@@ -27,6 +27,7 @@
 	REASON_OVERLOADED, /* the daemon is short of memory */
 	REASON_CANCELLED, /* the caller has gone */
 	REASON_REJECTED, /* by an upstream that has a free slot */
+	REASON_WARMING_UP, /* the upstream has just started or recovered */
 	REASON_COUNT,
 } reason_t;
 
--- a/programs/cassiad/upstream_request.c
+++ b/programs/cassiad/upstream_request.c
@@ -8,6 +8,7 @@
 #include "stats.h"
 #include "stop.h"
 #include "upstream_gate.h"
+#include "warm_up_watch.h"
 
 struct upstream_request {
 	cassiad_t *daemon;
@@ -25,8 +26,23 @@
 	int upstream_status; /* of the response, 0: none yet */
 };
 
+/* Longest time after which a request is told to come again in a warm-up. The
+ * upstream may be warm by then. */
+#define WARM_UP_RETRY_MAX_MS 3000U
+
 static const http_call_ops_t upstream_ops;
 
+/* Returns when a request that is refused because of the warm-up should come
+ * again: when the requests that wait have been taken. */
+static u_int warm_up_retry_ms(const cassiad_t *daemon)
+{
+	int64_t retry_ms = admission_warm_up_retry_us(daemon->admission) /
+			   CAS_USEC_PER_MSEC;
+
+	return retry_ms < WARM_UP_RETRY_MAX_MS ? (u_int)retry_ms
+					       : WARM_UP_RETRY_MAX_MS;
+}
+
 void upstream_request_fill_outcome(cassiad_t *daemon,
 				   const attempt_context *context,
 				   const attempt_live_entry_t *live,
@@ -51,6 +67,8 @@
 		.limit = (u_int)admission_limit(daemon->admission),
 		.busy = admission_busy_permille(daemon->admission),
 	};
+	if (reason == REASON_WARMING_UP)
+		report->retry_after_ms = warm_up_retry_ms(daemon);
 	memcpy(report->attempt, context->attempt, ATTEMPT_ID_BYTES);
 }
 
@@ -124,6 +142,7 @@
 		result->outcome, result->reason, reason_status(result->reason),
 		&result->report);
 	result->has_report = true;
+	result->retry_after_ms = result->report.retry_after_ms;
 	remove_live_entry(request, result->outcome != ATTEMPT_SERVED);
 	request->ops->done(request->private, result);
 	talloc_free(request);
@@ -203,6 +222,7 @@
 	admission_result_t admission_result =
 		admission_result_of(request, result);
 
+	warm_up_watch_call(request->daemon, result->error);
 	report_child_time(request);
 	request->call = NULL;
 	request->ticket = NULL;
@@ -407,6 +427,8 @@
 		return REASON_DEADLINE;
 	case ADMISSION_REASON_STOPPED:
 		return REASON_DRAINING;
+	case ADMISSION_REASON_WARMING_UP:
+		return REASON_WARMING_UP;
 	case ADMISSION_REASON_MEMORY:
 		return REASON_OVERLOADED;
 	default:
--- a/standins/upstream.c
+++ b/standins/upstream.c
@@ -24,7 +24,8 @@
  *                   the delay; needs --local-port
  *   X-Child-Status  X-Status of the child call
  *
- * GET /_stats returns the counters, GET /_delay/MICROSECONDS changes the delay.
+ * GET /_stats returns the counters, GET /_delay/MICROSECONDS changes the delay,
+ * GET /_health tells how long it is still cold (upstream_cold.c).
  * The run log (--run-log) has one line for each request that ran or was queued:
  * Cassia-Request-Id and X-Run-Id, each - when missing. Prints port=N at the
  * start.
@@ -41,6 +42,7 @@
 #include <unistd.h>
 
 #include "cassia/http_client.h"
+#include "upstream_cold.h"
 
 #define HEADER_MAX_BYTES (64 * 1024)
 #define READ_BYTES (64 * 1024)
@@ -68,6 +70,7 @@
 	long connections; /* connections that carried such requests */
 	long repeated; /* requests with an X-Run-Id received before */
 	long requests_with_key; /* Authorization or csk_ in the header */
+	long health_requests;
 	long cancelled; /* requests whose connection closed before the response
 			   was complete, without X-Silent */
 } upstream_t;
@@ -286,15 +289,17 @@
 {
 	upstream_t *upstream = conn->upstream;
 
-	return talloc_asprintf(conn,
-			       "{\"requests\":%ld,\"repeated\":%ld,"
-			       "\"connections\":%ld,"
-			       "\"keys\":%ld,\"cancelled\":%ld,"
-			       "\"running\":%d,\"most_running\":%d}\n",
-			       upstream->requests, upstream->repeated,
-			       upstream->connections,
-			       upstream->requests_with_key, upstream->cancelled,
-			       upstream->running, upstream->most_running);
+	return talloc_asprintf(
+		conn,
+		"{\"requests\":%ld,\"repeated\":%ld,"
+		"\"connections\":%ld,"
+		"\"keys\":%ld,\"cancelled\":%ld,"
+		"\"running\":%d,\"most_running\":%d,"
+		"\"health\":%ld,\"worst_second\":%d}\n",
+		upstream->requests, upstream->repeated, upstream->connections,
+		upstream->requests_with_key, upstream->cancelled,
+		upstream->running, upstream->most_running,
+		upstream->health_requests, upstream_cold_worst());
 }
 
 static void write_response(conn_t *conn, int status, const char *extra_fields,
@@ -378,11 +383,21 @@
 		perror("upstream: repeat the refusal");
 }
 
+static char *load_fields(conn_t *conn, bool health)
+{
+	const upstream_t *upstream = conn->upstream;
+
+	return upstream_cold_fields(conn, health, upstream->running,
+				    (int)g_queue_get_length(upstream->queue),
+				    upstream->slots);
+}
+
 static void answer_request(conn_t *conn)
 {
 	int64_t body_size = get_field_number(conn, "X-Size", -1);
 	int status = (int)get_field_number(conn, "X-Status", 200);
 	bool wrong_request_id = get_field_number(conn, "X-Cross", 0) != 0;
+	char *fields;
 	char *body;
 	size_t body_len;
 
@@ -395,13 +410,14 @@
 		memset(body, 'x', (size_t)body_size);
 		body_len = (size_t)body_size;
 	}
-	write_response(
-		conn, status,
+	fields = load_fields(conn, false);
+	fields = talloc_strdup_append_buffer(
+		fields,
 		wrong_request_id
 			? "Cassia-Request-Id: 00000000000000000000000000000000"
 			  "\r\n"
-			: "Set-Cookie: a=1\r\nSet-Cookie: b=2\r\n",
-		body, body_len);
+			: "Set-Cookie: a=1\r\nSet-Cookie: b=2\r\n");
+	write_response(conn, status, fields, body, body_len);
 }
 
 static void child_head(void *private, const http_reply_t *reply)
@@ -474,6 +490,7 @@
 		upstream->most_running = upstream->running;
 	if (delay_us < 0)
 		delay_us = upstream->delay_us;
+	delay_us = upstream_cold_delay(delay_us);
 	if (get_field_number(conn, "X-Silent", 0)) {
 		conn->silent = true;
 		return;
@@ -502,6 +519,7 @@
 	char *authorization = get_field(conn, conn, "Authorization");
 
 	upstream->requests++;
+	upstream_cold_count();
 	if (!conn->counted)
 		upstream->connections++;
 	conn->counted = true;
@@ -531,6 +549,13 @@
 		write_response(conn, 200, "", "", 0);
 		return;
 	}
+	if (strncmp(conn->input, "GET /_health ", 13) == 0) {
+		upstream->health_requests++;
+		if (upstream_cold_answers_health())
+			write_response(conn, 200, load_fields(conn, true), "",
+				       0);
+		return;
+	}
 	if (get_field_number(conn, "X-Shed", 0) ||
 	    (upstream->queue_max >= 0 && upstream->running >= upstream->slots &&
 	     (int)g_queue_get_length(upstream->queue) >= upstream->queue_max)) {
@@ -688,6 +713,7 @@
 	int listen_fd;
 
 	g_option_context_add_main_entries(context, options, NULL);
+	g_option_context_add_main_entries(context, upstream_cold_options, NULL);
 	if (!g_option_context_parse(context, &argc, &argv, NULL))
 		return 2;
 	g_option_context_free(context);
@@ -702,6 +728,7 @@
 			return 1;
 		setvbuf(self.run_log, NULL, _IOLBF, 0);
 	}
+	upstream_cold_begin();
 	listen_fd = listen_on_address();
 	if (listen_fd < 0)
 		return 1;
