Use the load that upstreams report, and tell it to the senders

Senders knew nothing of the speed of a shared host, of the queue beside an upstream or of the time its requests take, and a false figure could not be told from a true one.

The field server_load is read strictly, is valid for a second, and does not count when it differs from what the responses show by more than a factor of four. It fills the load of outcomes while hosts are shared or the upstream warms up. It lowers the limit only when responses show that requests wait in an upstream with fewer slots than listed; a slow host keeps its limit, because waiting here would serve nobody earlier.

--- a/packages/admission/admission.c
+++ b/packages/admission/admission.c
@@ -98,6 +98,8 @@
 {
 	void *private = ticket->private;
 
+	recent_load_refusal(&admission->recent,
+			    cas_clock_now(admission->clock));
 	talloc_free(ticket);
 	admission->ops.drop(admission->private, private, reason);
 }
@@ -141,11 +143,22 @@
 	admission->dispatching = false;
 }
 
-void admission_set_slots(admission_t *admission, int32_t slots)
+/* Fixes the limit just below the number of slots, or fewer if the upstream
+ * shows that it has fewer. */
+static void fix_limit(admission_t *admission)
 {
+	int32_t slots = load_track_slots(&admission->track,
+					 cas_clock_now(admission->clock),
+					 admission->listed_slots);
 	double limit = slots * USABLE_SLOT_SHARE;
 
 	limit_fix(&admission->limit, slots && limit < 1 ? 1 : limit);
+}
+
+void admission_set_slots(admission_t *admission, int32_t slots)
+{
+	admission->listed_slots = slots;
+	fix_limit(admission);
 	dispatch(admission);
 }
 
@@ -262,10 +275,10 @@
 			      : class->fraction;
 }
 
-admission_verdict_t admission_offer(admission_t *admission,
-				    const admission_request_t *request,
-				    admission_ticket_t **ticket,
-				    admission_reason_t *reason)
+static admission_verdict_t decide(admission_t *admission,
+				  const admission_request_t *request,
+				  admission_ticket_t **ticket,
+				  admission_reason_t *reason)
 {
 	int64_t now_us = cas_clock_now(admission->clock);
 	latency_kind_t *kind =
@@ -301,6 +314,21 @@
 	return ADMISSION_QUEUED;
 }
 
+admission_verdict_t admission_offer(admission_t *admission,
+				    const admission_request_t *request,
+				    admission_ticket_t **ticket,
+				    admission_reason_t *reason)
+{
+	int64_t now_us = cas_clock_now(admission->clock);
+	admission_verdict_t verdict =
+		decide(admission, request, ticket, reason);
+
+	recent_load_arrival(&admission->recent, now_us);
+	if (verdict == ADMISSION_REJECTED)
+		recent_load_refusal(&admission->recent, now_us);
+	return verdict;
+}
+
 static limit_outcome_t limit_outcome_of(admission_result_t result)
 {
 	if (result == ADMISSION_OK)
@@ -309,22 +337,28 @@
 					  : LIMIT_OUTCOME_OTHER;
 }
 
-/* Tells the warm-up how a request has ended, before the limit does. */
+/* Tells the warm-up and the reported load how a request has ended. Called
+ * before the usual times include it. */
 static void finish_warm_up(admission_t *admission,
 			   const admission_ticket_t *ticket, int64_t now_us,
 			   admission_result_t result)
 {
 	int64_t own_us = now_us - ticket->state_since_us - ticket->child_us;
+	double slowdown = load_track_slowdown(&admission->track, now_us);
 	const warm_up_response_t response = {
 		.kind = ticket->kind,
 		.started_us = ticket->state_since_us,
 		.own_us = own_us > 0 ? own_us : 1,
-		.slowdown = 1,
+		.slowdown = slowdown,
 		.inflight = admission->limit.inflight,
 		.limit = admission->limit.limit,
 		.result = result,
 	};
 
+	recent_load_finish(&admission->recent, now_us);
+	if (result == ADMISSION_OK)
+		load_track_response(&admission->track, (double)response.own_us,
+				    ticket->kind->mean_own_us);
 	warm_up_finish(&admission->warm_up, now_us, &response);
 }
 
@@ -426,6 +460,7 @@
 {
 	int64_t now_us = cas_clock_now(admission->clock);
 
+	fix_limit(admission);
 	limit_tick(&admission->limit, now_us);
 	warm_up_tick(&admission->warm_up, now_us, admission->limit.limit);
 	drop_expired(admission, now_us);
--- a/packages/admission/admission_internal.h
+++ b/packages/admission/admission_internal.h
@@ -9,6 +9,8 @@
 
 #include "cassia/admission.h"
 #include "limit_internal.h"
+#include "load_internal.h"
+#include "load_report_internal.h"
 #include "warm_up_internal.h"
 
 /* Number of latest fractions kept for each class. Child calls are compared with
@@ -87,6 +89,9 @@
 	void *private;
 	limit_t limit;
 	warm_up_t warm_up;
+	load_track_t track;
+	recent_load_t recent;
+	int32_t listed_slots; /* of the upstream, 0: not known */
 	/* Non-empty queues: the next one to serve of each circular list. */
 	request_queue_t *active_queues[ADMISSION_IMPORTANCES][QUEUE_RANKS];
 	int32_t queued_by_importance[ADMISSION_IMPORTANCES];
--- a/packages/admission/include/cassia/admission.h
+++ b/packages/admission/include/cassia/admission.h
@@ -13,6 +13,7 @@
 
 #include "cassia/clock.h"
 #include "cassia/hash.h"
+#include "cassia/load_report.h"
 #include "cassia/rng.h"
 
 /* Number of importance levels. */
@@ -179,6 +180,29 @@
  * the warm-up is likely to be taken; 0: not known. */
 int64_t admission_warm_up_retry_us(const admission_t *admission);
 
+/* The load of the upstream and its queue, for senders. */
+typedef struct admission_load {
+	int32_t slowdown; /* of its host, in percent; 0: not known */
+	int32_t room; /* requests that could start now */
+	int64_t wait_us; /* expected wait of a new request */
+	/* Usual time of the kind without child calls, 0: not known. With a
+	 * slowdown, the time at a slowdown of 100: the product is what a
+	 * request takes now. Without one, the time on this host. */
+	int64_t own_us;
+	int32_t refused_permille; /* of the arrivals lately */
+	bool warming_up;
+} admission_load_t;
+
+/* Returns the load as it concerns a kind of request. */
+admission_load_t admission_load(admission_t *admission, cas_id_t kind);
+
+/* Takes over what the upstream reports of its load, as far as its responses
+ * bear it out. May change the limit at the next tick. */
+void admission_note_load(admission_t *admission, const load_report_t *report);
+
+/* Returns the number of reports that the responses contradicted. */
+uint64_t admission_refused_reports(const admission_t *admission);
+
 /* Returns whether the upstream is known to have a free slot, so that a
  * rejection by it is not a sign of overload. False when the number of slots is
  * not known. */
--- a/programs/cassiad/health_check.c
+++ b/programs/cassiad/health_check.c
@@ -5,6 +5,8 @@
  */
 #include "health_check.h"
 
+#include "warm_up_watch.h"
+
 /* Shortest time between two requests. */
 #define INTERVAL_US CAS_USEC_PER_SEC
 /* Shorter than the interval, so that a request without a response delays none.
@@ -57,6 +59,7 @@
 	int64_t cold_ms = read_ms(http_headers_value(
 		reply->headers, daemon->profile->warm_up_left));
 
+	warm_up_watch_load(daemon, reply->headers);
 	if (cold_ms < 0)
 		return;
 	check->answered++;
--- a/programs/cassiad/upstream_request.c
+++ b/programs/cassiad/upstream_request.c
@@ -43,6 +43,34 @@
 					       : WARM_UP_RETRY_MAX_MS;
 }
 
+static u_int unsigned_of(int64_t number)
+{
+	if (number < 0)
+		return 0;
+	return number < UINT32_MAX ? (u_int)number : UINT32_MAX;
+}
+
+/* Fills in the load, which other deployments do not need. */
+static void fill_load(cassiad_t *daemon, cas_id_t kind,
+		      attempt_load_option *option)
+{
+	admission_load_t load;
+
+	if (!daemon_hosts_are_shared(daemon) &&
+	    !admission_warm_up_status(daemon->admission).limits)
+		return;
+	load = admission_load(daemon->admission, kind);
+	option->known = 1;
+	option->attempt_load_option_u.load = (attempt_load){
+		.slowdown = unsigned_of(load.slowdown),
+		.room = unsigned_of(load.room),
+		.wait_us = unsigned_of(load.wait_us),
+		.own_us = unsigned_of(load.own_us),
+		.turned_away = unsigned_of(load.refused_permille),
+		.warming_up = load.warming_up,
+	};
+}
+
 void upstream_request_fill_outcome(cassiad_t *daemon,
 				   const attempt_context *context,
 				   const attempt_live_entry_t *live,
@@ -69,6 +97,7 @@
 	};
 	if (reason == REASON_WARMING_UP)
 		report->retry_after_ms = warm_up_retry_ms(daemon);
+	fill_load(daemon, entry_chain_key(context), &report->load);
 	memcpy(report->attempt, context->attempt, ATTEMPT_ID_BYTES);
 }
 
@@ -284,6 +313,7 @@
 	attempt_outcome report;
 
 	request->upstream_status = reply->status;
+	warm_up_watch_load(request->daemon, reply->headers);
 	if (request->daemon->profile->is_not_run(reply->status,
 						 reply->headers)) {
 		on_refusal(request, reply);
--- a/programs/cassiad/warm_up_watch.c
+++ b/programs/cassiad/warm_up_watch.c
@@ -20,6 +20,7 @@
 	bool listed; /* a host list had an entry */
 	cas_id_t instance; /* in the last entry, 0: none */
 	int32_t entry_cold_ms; /* in the last entry */
+	uint64_t malformed_reports; /* of the load, since the start */
 	bool open; /* the last entry let requests through */
 	/* What was logged. */
 	uint64_t begins_logged;
@@ -143,6 +144,26 @@
 	}
 }
 
+void warm_up_watch_load(cassiad_t *daemon, const http_headers_t *headers)
+{
+	warm_up_watch_t *watch = daemon->warm_up_watch;
+	load_report_t report;
+	cas_str_t text;
+
+	if (!daemon->profile->server_load.len ||
+	    !http_headers_find(headers, daemon->profile->server_load))
+		return;
+	text = http_headers_value(headers, daemon->profile->server_load);
+	report = load_report_parse(text);
+	if (!report.known) {
+		watch->malformed_reports++;
+		return;
+	}
+	if (report.slowdown)
+		daemon->slowdown_seen_us = cas_clock_now(daemon->clock);
+	admission_note_load(daemon->admission, &report);
+}
+
 static void log_begin(const cassiad_t *daemon,
 		      const admission_warm_up_status_t *status)
 {
@@ -240,6 +261,10 @@
 		   status.cold_left_us / CAS_USEC_PER_MSEC);
 	set_metric(daemon, "cassia_warm_up_reductions_total",
 		   (int64_t)status.fall_back_count);
+	set_metric(daemon, "cassia_load_reports_malformed_total",
+		   (int64_t)daemon->warm_up_watch->malformed_reports);
+	set_metric(daemon, "cassia_load_reports_implausible_total",
+		   (int64_t)admission_refused_reports(daemon->admission));
 	set_metric(daemon, "cassia_health_requests_total",
 		   (int64_t)health_check_sent(health));
 	set_metric(daemon, "cassia_health_answers_total",
--- a/programs/cassiad/warm_up_watch.h
+++ b/programs/cassiad/warm_up_watch.h
@@ -15,6 +15,9 @@
 /* Takes note of how a call to the upstream has ended (enum http_error). */
 void warm_up_watch_call(cassiad_t *daemon, int http_error);
 
+/* Takes over the load in the header of a response of the upstream. */
+void warm_up_watch_load(cassiad_t *daemon, const http_headers_t *headers);
+
 /* Sets the rules, asks for health while in doubt, and logs what has changed;
  * called every 100 ms. */
 void warm_up_watch_tick(cassiad_t *daemon);
--- a/tests/test_warm_up.sh
+++ b/tests/test_warm_up.sh
@@ -61,8 +61,15 @@
 	grep -c "event=$2 " "$SITE/$1.log"
 }
 
+# metric NUMBER NAME: prints a metric of a daemon.
+metric() {
+	curl -s --max-time 1 "http://$NET.$1:$OPERATORS_PORT/metrics" |
+		sed -n "s/^cassia_$2 //p"
+}
+
 start_cold b1 12
-start_cold b2 13
+# Its responses report the load of its host.
+start_cold b2 13 --slowdown 100
 for name in e1 b1 b2; do
 	start_daemon $name
 	eval "DAEMON_$name=$PID"
@@ -123,6 +130,9 @@
 echo "figure: sent=$(count_attempts load .) served=$(count_attempts load served)" \
 	"not_run=$(count_attempts load not-run)" \
 	"unknown=$(count_attempts load unknown)"
+check "malformed load reports" "$(metric 13 load_reports_malformed_total)" 0
+check "implausible load reports" \
+	"$(metric 13 load_reports_implausible_total)" 0
 check_at_least "warm-ups logged" "$(log_lines b1 warm_up_begins)" 3
 check_at_least "ends of warm-ups logged" "$(log_lines b1 warm_up_ends)" 1
 [ $FAILED -eq 0 ]
