--- a/programs/cassiad/reason.c
+++ b/programs/cassiad/reason.c
@@ -52,6 +52,8 @@
 	[REASON_REGION] = { "region", 503,
 			    "The upstream is in a region that is not "
 			    "allowed." },
+	[REASON_WARMING_UP] = { "warming-up", 503,
+				"The upstream has just started." },
 };
 
 const char *reason_name(reason_t reason)
--- a/programs/cassiad/reason.h
+++ b/programs/cassiad/reason.h
@@ -28,6 +28,7 @@
 	REASON_CANCELLED, /* the caller has gone */
 	REASON_REJECTED, /* by an upstream that has a free slot */
 	REASON_REGION, /* the region of the upstream is not allowed */
+	REASON_WARMING_UP, /* the upstream has just started or recovered */
 	REASON_COUNT,
 } reason_t;
 
