Choose upstreams that report their load by expected completion

The nearest tier with an unsaturated upstream was always chosen, nearly at random within it, by a scan of all upstreams of the service for each draw.

For services whose upstreams report their load, candidates are drawn by capacity and distance from trees of weights, and compared by the expected time of the response. A window bounds the bodies in flight to another region. All other services are served as before: a digest of 20000 choices is the same with the code before and after. The host of a result is found by binary search.

--- a/packages/routing/eject.c
+++ b/packages/routing/eject.c
@@ -130,6 +130,9 @@
 	upstream->smoothed_latency_us = 0;
 	upstream->concurrency_limit = 0;
 	upstream->busy_permille = -1;
+	if (refused)
+		estimate_reset(&upstream->estimate, now_us);
+	placement_invalidate(routing, upstream->service);
 	if (routing->ops.ejected)
 		routing->ops.ejected(routing->private, upstream->host,
 				     until_us);
@@ -140,7 +143,7 @@
  * that was sent after it, and takes back the doublings: the daemon is back. The
  * response to an earlier request may come from a daemon that has closed its
  * listener. */
-static void readmit_responding(const routing_t *routing, upstream_t *upstream,
+static void readmit_responding(routing_t *routing, upstream_t *upstream,
 			       int64_t latency_us)
 {
 	int64_t now_us = cas_clock_now(routing->clock);
@@ -151,8 +154,10 @@
 	upstream->unreachable = false;
 	upstream->recent_ejections -= upstream->refusal_doublings;
 	upstream->refusal_doublings = 0;
-	if (now_us < upstream->ejected_until_us)
+	if (now_us < upstream->ejected_until_us) {
 		upstream->ejected_until_us = now_us;
+		placement_invalidate(routing, upstream->service);
+	}
 	if (now_us < upstream->slow_start_at_us)
 		upstream->slow_start_at_us = now_us;
 }
--- a/packages/routing/include/cassia/routing.h
+++ b/packages/routing/include/cassia/routing.h
@@ -2,7 +2,8 @@
  * Routing: chooses an upstream of a service for a request. Nearer tiers are
  * preferred, the less loaded of two random candidates is chosen, outliers are
  * ejected for a time, and new upstreams receive traffic gradually (slow start).
- * Upstreams whose daemon announces a stop are avoided while others are left.
+ * For services whose upstreams report their load, the choice is by expected
+ * completion instead, see docs/design/placement.md. Upstreams whose daemon announces a stop are avoided while others are left.
  */
 #ifndef CASSIA_ROUTING_H
 #define CASSIA_ROUTING_H
@@ -76,6 +77,7 @@
 	int32_t limit_hint; /* concurrency limit of the upstream, 0: unknown */
 	int32_t busy_permille; /* (in flight + queued) / limit, -1: unknown */
 	cas_id_t kind; /* as in routing_query_t, 0: unknown */
+	int64_t body_bytes; /* as passed to routing_begin_body */
 	routing_load_t load;
 } routing_result_t;
 
@@ -87,6 +89,9 @@
 	/* Requests of one kind take similar times, see admission_request_t. */
 	cas_id_t kind;
 	int64_t body_bytes; /* of the request, 0: none, -1: unknown */
+	/* Until the deadline or the objective, whichever is earlier; 0 or less:
+	 * unknown. */
+	int64_t time_left_us;
 	const cas_id_t *exclude; /* hosts */
 	size_t exclude_count;
 	/* Allows the tier ROUTING_OTHER_REGION and, when no other upstream is
@@ -97,6 +102,25 @@
 	bool last_resort;
 } routing_query_t;
 
+/* Why a request went to another region. */
+typedef enum routing_spill {
+	ROUTING_SPILL_REFUSED, /* the own region has refused this request */
+	ROUTING_SPILL_FULL, /* the own region turns work away */
+	ROUTING_SPILL_LATE, /* no upstream of it is expected to be in time */
+	ROUTING_SPILL_NONE_LEFT, /* it has no usable upstream */
+	ROUTING_SPILLS, /* number of causes */
+} routing_spill_t;
+
+/* Counts since the router was created, of choices by expected completion. */
+typedef struct routing_counts {
+	int64_t chosen[ROUTING_TIERS];
+	int64_t spilled[ROUTING_SPILLS];
+	int64_t link_refused; /* far choices that a link had no room for */
+	int64_t stale_reports; /* not used: late, or of an earlier run */
+	int64_t visits; /* upstreams whose estimate was computed */
+	int64_t weight_updates; /* computations of all weights of a service */
+} routing_counts_t;
+
 /* Callbacks to the owner of the router; a NULL member is not called. */
 typedef struct routing_ops {
 	/* The host is ejected until until_us, on the clock of the router. */
@@ -135,6 +159,10 @@
  * that is not listed is ignored by both. */
 void routing_begin(routing_t *routing, cas_id_t host);
 
+/* The same for a request with a body of body_bytes, see routing_query_t. The
+ * result has the same value. */
+void routing_begin_body(routing_t *routing, cas_id_t host, int64_t body_bytes);
+
 /* Ends an outstanding request and updates the load, the limit and the health of
  * the host with its result. May eject the host. */
 void routing_finish(routing_t *routing, cas_id_t host,
@@ -150,6 +178,9 @@
 void routing_link_bytes(const routing_t *routing, cas_id_t region_id,
 			uint64_t *sent, uint64_t *received);
 
+/* Returns the counts of choices by expected completion (borrowed). */
+const routing_counts_t *routing_counts(const routing_t *routing);
+
 /* Returns the number of hosts of the service to which this daemon may keep
  * connections. */
 size_t routing_subset_size(const routing_t *routing, cas_id_t service);
--- a/packages/routing/routing.c
+++ b/packages/routing/routing.c
@@ -4,8 +4,6 @@
 /* A new or returned upstream reaches its full weight after this time. */
 #define SLOW_START_US (10 * CAS_USEC_PER_SEC)
 #define SLOW_START_MIN_WEIGHT 0.1
-/* Used for upstreams that have not reported a concurrency limit. */
-#define DEFAULT_CONCURRENCY_LIMIT 8
 /* An older report of the load is ignored. */
 #define BUSY_REPORT_MAX_AGE_US (100 * CAS_USEC_PER_MSEC)
 /* From this load on, the upstream queues further requests. */
@@ -51,10 +49,22 @@
 
 upstream_t *routing_find_upstream(const routing_t *routing, cas_id_t host)
 {
-	for (size_t i = 0; i < routing->upstream_count; i++)
-		if (routing->upstreams[i].host == host)
-			return &routing->upstreams[i];
-	return NULL;
+	size_t low = 0;
+	size_t high = routing->upstream_count;
+	upstream_t *upstream;
+
+	while (low < high) {
+		size_t middle = (low + high) / 2;
+
+		if (routing->upstreams[routing->by_host[middle]].host < host)
+			low = middle + 1;
+		else
+			high = middle;
+	}
+	if (low == routing->upstream_count)
+		return NULL;
+	upstream = &routing->upstreams[routing->by_host[low]];
+	return upstream->host == host ? upstream : NULL;
 }
 
 double routing_slow_start_weight(const routing_t *routing,
@@ -69,7 +79,7 @@
 	return weight < 1 ? weight : 1;
 }
 
-static bool is_excluded(const routing_query_t *query, cas_id_t host)
+bool routing_is_excluded(const routing_query_t *query, cas_id_t host)
 {
 	for (size_t i = 0; i < query->exclude_count; i++)
 		if (query->exclude[i] == host)
@@ -112,6 +122,8 @@
 	bool connections_exhausted;
 	/* Includes such upstreams if they have room for a request. */
 	bool beyond_share;
+	/* Leaves out upstreams behind a link without room for the body. */
+	bool guards_links;
 } candidates_t;
 
 /* Returns whether the upstream would run one more request at once, as far as
@@ -131,7 +143,11 @@
 	    routing_fitness(routing, candidates->query, upstream, now_us) !=
 		    candidates->fitness)
 		return false;
-	if (is_excluded(candidates->query, upstream->host))
+	if (routing_is_excluded(candidates->query, upstream->host))
+		return false;
+	if (candidates->guards_links &&
+	    upstream->tier == ROUTING_OTHER_REGION &&
+	    !placement_link_allows(routing, candidates->query, upstream))
 		return false;
 	if (upstream->outstanding < upstream->max_connections)
 		return true;
@@ -230,6 +246,19 @@
 		routing, query->service, &candidates.count);
 	if (!candidates.count)
 		return ROUTING_ESERVICE;
+	if (placement_in_force(routing, query->service)) {
+		bool busy = false;
+
+		upstream = placement_pick(routing, query, &busy);
+		if (upstream || !last_resort) {
+			if (!upstream)
+				return busy ? ROUTING_EBUSY : ROUTING_ENONE;
+			choice->host = upstream->host;
+			choice->tier = upstream->tier;
+			return 0;
+		}
+		candidates.guards_links = true;
+	}
 	upstream = pick_fittest(routing, &candidates,
 				last_resort ? FITNESS_EJECTED : FITNESS_RUNNING,
 				last_tier);
@@ -241,6 +270,7 @@
 	if (!upstream)
 		return candidates.connections_exhausted ? ROUTING_EBUSY
 							: ROUTING_ENONE;
+	upstream->spill = ROUTING_SPILL_NONE_LEFT;
 	choice->host = upstream->host;
 	choice->tier = upstream->tier;
 	return 0;
@@ -250,16 +280,32 @@
 {
 	upstream_t *upstream = routing_find_upstream(routing, host);
 
-	if (upstream)
-		upstream->stopping = stopping;
+	if (!upstream || upstream->stopping == stopping)
+		return;
+	upstream->stopping = stopping;
+	placement_invalidate(routing, upstream->service);
 }
 
-void routing_begin(routing_t *routing, cas_id_t host)
+void routing_begin_body(routing_t *routing, cas_id_t host, int64_t body_bytes)
 {
 	upstream_t *upstream = routing_find_upstream(routing, host);
+	link_t *link;
+
+	if (!upstream)
+		return;
+	upstream->outstanding++;
+	placement_begin(routing, upstream);
+	upstream->body_bytes += link_body_bytes(body_bytes);
+	if (upstream->tier != ROUTING_OTHER_REGION || !body_bytes)
+		return;
+	link = routing_link(routing, upstream->region);
+	if (link)
+		link_begin(link, body_bytes);
+}
 
-	if (upstream)
-		upstream->outstanding++;
+void routing_begin(routing_t *routing, cas_id_t host)
+{
+	routing_begin_body(routing, host, 0);
 }
 
 void routing_finish(routing_t *routing, cas_id_t host,
@@ -277,10 +323,14 @@
 		upstream->busy_permille = result->busy_permille;
 		upstream->busy_at_us = cas_clock_now(routing->clock);
 	}
+	upstream->body_bytes -= link_body_bytes(result->body_bytes);
+	if (upstream->body_bytes < 0)
+		upstream->body_bytes = 0;
+	placement_learn(routing, upstream, result);
 	routing_record_result(routing, upstream, result);
 }
 
-static link_bytes_t *find_link(const routing_t *routing, cas_id_t region)
+static link_t *find_link(const routing_t *routing, cas_id_t region)
 {
 	for (size_t i = 0; i < routing->link_count; i++)
 		if (routing->links[i].region == region)
@@ -288,15 +338,18 @@
 	return NULL;
 }
 
-static link_bytes_t *add_link(routing_t *routing, cas_id_t region)
+link_t *routing_link(routing_t *routing, cas_id_t region)
 {
-	link_bytes_t *links = talloc_realloc(
-		routing, routing->links, link_bytes_t, routing->link_count + 1);
+	link_t *links = find_link(routing, region);
 
+	if (links)
+		return links;
+	links = talloc_realloc(routing, routing->links, link_t,
+			       routing->link_count + 1);
 	if (!links)
 		return NULL;
 	routing->links = links;
-	links[routing->link_count] = (link_bytes_t){ .region = region };
+	links[routing->link_count] = (link_t){ .region = region };
 	return &links[routing->link_count++];
 }
 
@@ -304,13 +357,11 @@
 			 uint64_t received)
 {
 	const upstream_t *upstream = routing_find_upstream(routing, host);
-	link_bytes_t *link;
+	link_t *link;
 
 	if (!upstream || upstream->tier != ROUTING_OTHER_REGION)
 		return;
-	link = find_link(routing, upstream->region);
-	if (!link)
-		link = add_link(routing, upstream->region);
+	link = routing_link(routing, upstream->region);
 	if (!link)
 		return;
 	link->sent += sent;
@@ -320,12 +371,17 @@
 void routing_link_bytes(const routing_t *routing, cas_id_t region_id,
 			uint64_t *sent, uint64_t *received)
 {
-	const link_bytes_t *link = find_link(routing, region_id);
+	const link_t *link = find_link(routing, region_id);
 
 	*sent = link ? link->sent : 0;
 	*received = link ? link->received : 0;
 }
 
+const routing_counts_t *routing_counts(const routing_t *routing)
+{
+	return &routing->counts;
+}
+
 size_t routing_subset_size(const routing_t *routing, cas_id_t service)
 {
 	size_t size = 0;
--- a/packages/routing/routing_internal.h
+++ b/packages/routing/routing_internal.h
@@ -3,6 +3,8 @@
 #define CASSIA_ROUTING_INTERNAL_H
 
 #include "cassia/routing.h"
+#include "estimate.h"
+#include "links.h"
 
 /* Value of max_connections for an upstream without a limit. */
 #define ROUTING_NO_LIMIT INT32_MAX
@@ -34,14 +36,38 @@
 	int32_t refusal_doublings;
 	bool refused; /* last ejected for a refusal, no response since */
 	bool unreachable; /* the same, and the host was silent */
+	estimate_upstream_t estimate;
+	size_t list_position; /* in the list of its service and tier */
+	routing_spill_t spill; /* cause of its last choice, in another region */
+	int64_t body_bytes; /* of its outstanding requests */
 } upstream_t;
 
-/* Bytes exchanged with another region. */
-typedef struct link_bytes {
-	cas_id_t region;
-	uint64_t sent;
-	uint64_t received;
-} link_bytes_t;
+/* The upstreams of one service in one tier. A Fenwick tree of their weights
+ * draws one in O(log count) without a visit of the others. */
+typedef struct placement_list {
+	size_t *members; /* indexes of routing->upstreams */
+	int64_t *tree; /* count + 1 entries; the first is unused */
+	int64_t *weights;
+	size_t count;
+	int64_t total; /* of the weights */
+} placement_list_t;
+
+/* What placement keeps of a service. Sorted by service. */
+typedef struct placement_service {
+	estimate_service_t estimate; /* kept when the view changes */
+	cas_id_t service;
+	placement_list_t lists[ROUTING_TIERS];
+	/* Weights are valid until then, or until an ejection. */
+	int64_t weights_until_us;
+	bool was_in_force; /* at the last choice, for the log */
+} placement_service_t;
+
+/* The candidate lists of one view. */
+typedef struct placement {
+	placement_service_t *services;
+	size_t service_count;
+	size_t host_count; /* daemons of the fleet */
+} placement_t;
 
 struct routing {
 	const cas_clock_t *clock;
@@ -50,9 +76,14 @@
 	void *private; /* argument of ops */
 	upstream_t *upstreams; /* sorted by service, then host id */
 	size_t upstream_count;
-	link_bytes_t *links; /* one for each region, added when first used */
+	/* Indexes of upstreams, sorted by host id. */
+	size_t *by_host;
+	placement_t *placement; /* NULL before the first view */
+	estimate_kinds_t kinds;
+	link_t *links; /* one for each region, added when first used */
 	size_t link_count;
 	cas_id_t self_region; /* of the own host */
+	routing_counts_t counts;
 };
 
 /* Whether an upstream is fit for a request, the best first. */
@@ -95,6 +126,45 @@
 			       const table_t *table, const roster_t *roster,
 			       cas_id_t self, cas_id_t self_dc);
 
+/* Returns whether a host is among those that the query excludes. */
+bool routing_is_excluded(const routing_query_t *query, cas_id_t host);
+
+/* Returns the state of the link to a region (borrowed), which is added on first
+ * use, or NULL when out of memory. */
+link_t *routing_link(routing_t *routing, cas_id_t region);
+
+/* Builds the candidate lists for sorted upstreams. What is known of a service
+ * is taken over from the present lists. Returns the lists (owned by routing),
+ * or NULL when out of memory. */
+placement_t *placement_create(routing_t *routing, upstream_t *upstreams,
+			      size_t count);
+
+/* Returns whether the choice for the service is by expected completion:
+ * outcomes of its upstreams have carried a load lately. */
+bool placement_in_force(routing_t *routing, cas_id_t service);
+
+/* Chooses by expected completion. Returns the upstream (borrowed), or NULL when
+ * no running one is found; then *busy is set if connections in use were the
+ * reason for one of them. */
+upstream_t *placement_pick(routing_t *routing, const routing_query_t *query,
+			   bool *busy);
+
+/* Learns from a request that has ended, before its result is recorded. */
+void placement_learn(routing_t *routing, upstream_t *upstream,
+		     const routing_result_t *result);
+
+/* Counts a request that is sent to the upstream. */
+void placement_begin(routing_t *routing, upstream_t *upstream);
+
+/* Returns whether the link to the region of the upstream has room for the body
+ * of the request. */
+bool placement_link_allows(const routing_t *routing,
+			   const routing_query_t *query,
+			   const upstream_t *upstream);
+
+/* Has the weights of the service computed again before the next choice. */
+void placement_invalidate(routing_t *routing, cas_id_t service);
+
 /* Returns the region of a data centre, or 0 when it is not in the table. */
 cas_id_t routing_region_of(const table_t *table, cas_id_t data_centre);
 
--- a/packages/routing/tests/test_routing.c
+++ b/packages/routing/tests/test_routing.c
@@ -484,6 +484,48 @@
 	talloc_free(fixture);
 }
 
+/* Guards against a change of the choices, or of their random numbers, for
+ * services whose upstreams report no load. The expected value is that of the
+ * code before choices by expected completion were added. */
+static void test_choices_without_load_reports(void **state)
+{
+	fixture_t *fixture = create_fixture(60, 3, 12);
+	uint64_t digest = 0;
+
+	(void)state;
+	set_view(fixture);
+	for (int i = 0; i < 20000; i++) {
+		const routing_result_t result = {
+			.outcome = i % 17 == 5	 ? ROUTING_SHED
+				   : i % 97 == 3 ? ROUTING_FAILED
+						 : ROUTING_OK,
+			.latency_us = 1000 + i % 700 * 10,
+			.limit_hint = i % 5 ? 0 : 4 + i % 9,
+			.busy_permille = i % 3 ? i % 1400 : -1,
+		};
+		routing_choice_t choice = { 0 };
+		int error = pick(fixture, NULL, 0, i % 50 == 49, &choice);
+
+		digest = cas_rendezvous_weight(
+			digest, choice.host + (uint64_t)(error + 2000));
+		if (error)
+			continue;
+		routing_begin(fixture->routing, choice.host);
+		if (i % 4)
+			routing_finish(fixture->routing, choice.host, &result);
+		else if (i % 8)
+			routing_finish(fixture->routing, 1000, &result);
+		if (i % 1000 == 999)
+			routing_set_stopping(fixture->routing, 1005,
+					     i % 2000 == 999);
+		if (i % 3000 == 2999)
+			set_view(fixture);
+		cas_clock_advance(fixture->clock, 3000);
+	}
+	assert_true(digest == UINT64_C(0x856c095cf5b6a763));
+	talloc_free(fixture);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -505,6 +547,7 @@
 		cmocka_unit_test(test_restarted_daemon_gets_full_share),
 		cmocka_unit_test(test_nearest_unsaturated_tier_first),
 		cmocka_unit_test(test_connection_limit_over_all_daemons),
+		cmocka_unit_test(test_choices_without_load_reports),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/packages/routing/view.c
+++ b/packages/routing/view.c
@@ -57,6 +57,7 @@
 
 	upstream->busy_permille = -1;
 	upstream->slow_start_at_us = cas_clock_now(routing->clock);
+	estimate_reset(&upstream->estimate, cas_clock_now(routing->clock));
 	if (!previous)
 		return;
 	*upstream = *previous;
@@ -64,8 +65,11 @@
 	upstream->region = listed.region;
 	upstream->tier = listed.tier;
 	upstream->leaving = listed.leaving;
-	if (previous->leaving && !listed.leaving)
+	if (previous->leaving && !listed.leaving) {
 		upstream->slow_start_at_us = cas_clock_now(routing->clock);
+		estimate_reset(&upstream->estimate,
+			       cas_clock_now(routing->clock));
+	}
 }
 
 /* Returns the upstreams of the host list (owned by routing), sorted, or NULL
@@ -135,11 +139,70 @@
 	return 0;
 }
 
+/* Counts the bodies in flight by link again: requests to hosts that are no
+ * longer listed do not end in this router. */
+static void recount_bodies(routing_t *routing)
+{
+	for (size_t i = 0; i < routing->link_count; i++) {
+		link_t *link = &routing->links[i];
+
+		link->in_flight_bytes = 0;
+		for (size_t j = 0; j < routing->upstream_count; j++) {
+			const upstream_t *upstream = &routing->upstreams[j];
+
+			if (upstream->tier == ROUTING_OTHER_REGION &&
+			    upstream->region == link->region)
+				link->in_flight_bytes += upstream->body_bytes;
+		}
+	}
+}
+
+/* An entry of the index by host. */
+typedef struct host_position {
+	cas_id_t host;
+	size_t position;
+} host_position_t;
+
+static int compare_positions(const void *a, const void *b)
+{
+	const host_position_t *left = a;
+	const host_position_t *right = b;
+
+	if (left->host != right->host)
+		return left->host < right->host ? -1 : 1;
+	return (left->position > right->position) -
+	       (left->position < right->position);
+}
+
+/* Returns the indexes of the upstreams sorted by host (owned by upstreams), or
+ * NULL when out of memory. */
+static size_t *create_index(upstream_t *upstreams, size_t count)
+{
+	host_position_t *positions =
+		talloc_array(upstreams, host_position_t, count + 1);
+	size_t *index = talloc_array(upstreams, size_t, count + 1);
+
+	if (positions && index) {
+		for (size_t i = 0; i < count; i++)
+			positions[i] =
+				(host_position_t){ upstreams[i].host, i };
+		qsort(positions, count, sizeof(*positions), compare_positions);
+		for (size_t i = 0; i < count; i++)
+			index[i] = positions[i].position;
+	}
+	if (!positions)
+		index = NULL;
+	talloc_free(positions);
+	return index;
+}
+
 int routing_set_view(routing_t *routing, const table_t *table,
 		     const roster_t *roster, cas_id_t self, cas_id_t self_dc)
 {
 	const roster_host_t *self_host = find_host(roster, self);
+	placement_t *placement;
 	upstream_t *upstreams;
+	size_t *by_host;
 	int err;
 
 	if (self_host)
@@ -151,13 +214,26 @@
 		return ROUTING_ENOMEM;
 	err = assign_all_connections(routing, upstreams, table, roster, self,
 				     self_dc);
-	if (err) {
-		talloc_free(upstreams);
-		return err;
-	}
+	if (err)
+		goto error;
+	err = ROUTING_ENOMEM;
+	by_host = create_index(upstreams, roster->host_count);
+	if (!by_host)
+		goto error;
+	placement = placement_create(routing, upstreams, roster->host_count);
+	if (!placement)
+		goto error;
+	talloc_free(routing->placement);
 	talloc_free(routing->upstreams);
+	routing->placement = placement;
 	routing->upstreams = upstreams;
+	routing->by_host = by_host;
 	routing->upstream_count = roster->host_count;
 	routing->self_region = routing_region_of(table, self_dc);
+	recount_bodies(routing);
 	return 0;
+
+error:
+	talloc_free(upstreams);
+	return err;
 }
--- a/programs/cassiad/entry.c
+++ b/programs/cassiad/entry.c
@@ -62,6 +62,7 @@
 		const routing_result_t result = {
 			.outcome = ROUTING_CANCELLED,
 			.busy_permille = -1,
+			.body_bytes = entry_body_bytes(request),
 		};
 
 		if (call_attempt_cancel(request->attempt))
--- a/programs/cassiad/entry.h
+++ b/programs/cassiad/entry.h
@@ -74,7 +74,11 @@
  * or the reason for which it is refused. */
 reason_t entry_check_head(entry_request_t *request, bool local);
 
-/* entry_attempts.c: starts the next attempt, or refuses the request when its
+/* entry_attempts.c: returns the size of the body in bytes, 0 for none, -1 if it
+ * is unknown. */
+int64_t entry_body_bytes(const entry_request_t *request);
+
+/* Starts the next attempt, or refuses the request when its
  * deadline has passed or no upstream is left. */
 void entry_start_attempt(entry_request_t *request);
 
--- a/programs/cassiad/entry_attempts.c
+++ b/programs/cassiad/entry_attempts.c
@@ -24,8 +24,38 @@
 	return request->tried_hosts[request->tried_host_count - 1];
 }
 
+int64_t entry_body_bytes(const entry_request_t *request)
+{
+	return request->has_body
+		       ? http_exchange_content_length(request->exchange)
+		       : 0;
+}
+
+/* Returns the time in which a response is worth most: until the deadline, or
+ * until the objective of the route if that is earlier and has not passed. */
+static int64_t time_left_us(const entry_request_t *request)
+{
+	const cassiad_t *daemon = request->daemon;
+	const table_route_t *route =
+		daemon->table ? table_find_route(daemon->table,
+						 request->context.route)
+			      : NULL;
+	int64_t now_us = cas_clock_now(daemon->clock);
+	int64_t left_us = request->context.deadline - now_us;
+	int64_t objective_left_us;
+
+	if (!route || !route->objective_ms)
+		return left_us;
+	objective_left_us = request->started_us - now_us +
+			    route->objective_ms * CAS_USEC_PER_MSEC;
+	return objective_left_us > 0 && objective_left_us < left_us
+		       ? objective_left_us
+		       : left_us;
+}
+
 /* Picks a host that was not tried. Another region is used only when no upstream
- * in this region is left, and a daemon that is stopping, or else an ejected
+ * in this region is left or, for upstreams that report their load, is expected
+ * to serve the request, and a daemon that is stopping, or else an ejected
  * upstream, only when no other one is. Returns as routing_pick. */
 static int pick_host(entry_request_t *request, routing_choice_t *choice)
 {
@@ -36,9 +66,8 @@
 		.route = context->route,
 		.customer = context->customer,
 		.kind = entry_chain_key(context),
-		.body_bytes = request->has_body ? http_exchange_content_length(
-							  request->exchange)
-						: 0,
+		.body_bytes = entry_body_bytes(request),
+		.time_left_us = time_left_us(request),
 		.exclude = request->tried_hosts,
 		.exclude_count = request->tried_host_count,
 	};
@@ -145,11 +174,15 @@
 					   request->context.service);
 	request->tried_hosts[request->tried_host_count++] = choice.host;
 	request->attempt_started_us = cas_clock_now(daemon->clock);
-	routing_begin(daemon->routing, choice.host);
+	routing_begin_body(daemon->routing, choice.host,
+			   entry_body_bytes(request));
 	request->attempt = start_on_host(request, choice.host);
 	if (!request->attempt) {
-		const routing_result_t result = { .outcome = ROUTING_CANCELLED,
-						  .busy_permille = -1 };
+		const routing_result_t result = {
+			.outcome = ROUTING_CANCELLED,
+			.busy_permille = -1,
+			.body_bytes = entry_body_bytes(request),
+		};
 
 		routing_finish(daemon->routing, choice.host, &result);
 		entry_refuse(request, REASON_OVERLOADED, CAS_USEC_PER_SEC);
@@ -213,6 +246,7 @@
 		.limit_hint = report ? (int32_t)report->limit : 0,
 		.busy_permille = report ? report->busy : -1,
 		.kind = entry_chain_key(&request->context),
+		.body_bytes = entry_body_bytes(request),
 		.load = load,
 	};
 
--- a/programs/cassiad/operator_server.c
+++ b/programs/cassiad/operator_server.c
@@ -92,6 +92,46 @@
 	}
 }
 
+static void set_labelled(cassiad_t *daemon, const char *name,
+			 const char *labels, int64_t value)
+{
+	cas_counter_t *counter =
+		cas_metrics_counter(daemon->metrics, name, labels);
+
+	if (counter)
+		counter->value = value;
+}
+
+/* Sets the counts of choices by expected completion. */
+static void set_placement_metrics(cassiad_t *daemon)
+{
+	static const char *const tiers[ROUTING_TIERS] = {
+		"tier=\"own_host\"",
+		"tier=\"own_dc\"",
+		"tier=\"own_region\"",
+		"tier=\"other_region\"",
+	};
+	static const char *const causes[ROUTING_SPILLS] = {
+		"cause=\"refused\"",
+		"cause=\"full\"",
+		"cause=\"late\"",
+		"cause=\"none_left\"",
+	};
+	const routing_counts_t *counts = routing_counts(daemon->routing);
+
+	for (int i = 0; i < ROUTING_TIERS; i++)
+		set_labelled(daemon, "cassia_placement_chosen_total", tiers[i],
+			     counts->chosen[i]);
+	for (int i = 0; i < ROUTING_SPILLS; i++)
+		set_labelled(daemon, "cassia_placement_spilled_total",
+			     causes[i], counts->spilled[i]);
+	set_gauge(daemon, "cassia_placement_link_refused_total",
+		  counts->link_refused);
+	set_gauge(daemon, "cassia_placement_stale_reports_total",
+		  counts->stale_reports);
+	set_gauge(daemon, "cassia_placement_estimates_total", counts->visits);
+}
+
 static void handle_metrics(cassiad_t *daemon, http_exchange_t *exchange)
 {
 	http_headers_t *headers = http_headers_create(exchange);
@@ -105,6 +145,7 @@
 	set_gauge(daemon, "cassia_attempts_remembered",
 		  (int64_t)attempt_table_count(daemon->attempts));
 	set_link_metrics(daemon);
+	set_placement_metrics(daemon);
 	control_set_metrics(daemon);
 	if (headers)
 		http_headers_add(headers, CAS_STR("Content-Type"),
