--- a/packages/routing/estimate.c
+++ b/packages/routing/estimate.c
@@ -13,11 +13,14 @@
 #define LATE_REPORT_US (500 * CAS_USEC_PER_MSEC)
 /* What is usual of rejections is forgotten in this time. */
 #define TURNED_AWAY_LIFE_US (2 * CAS_USEC_PER_SEC)
-/* Weights of the newest sample. A slowdown changes every 600 ms, so what is
- * usual is a mean over many samples. */
+/* Weights of the newest sample. */
 #define SMOOTHING 0.05
-#define SLOWDOWN_SMOOTHING 0.03
 #define UNEXPLAINED_SMOOTHING 0.1
+/* The usual speed of an upstream is a mean over this time: it has about 100
+ * intervals of 600 ms, so that their chance part is a few percent. */
+#define SPEED_MEAN_US (60 * CAS_USEC_PER_SEC)
+/* Time that one sample of the speed stands for at most, and the first one. */
+#define SPEED_SAMPLE_MAX_US CAS_USEC_PER_SEC
 /* Values beyond these bounds are taken as the bound: reports may be wrong. */
 #define SLOWDOWN_MIN 0.1
 #define SLOWDOWN_MAX 10.0
@@ -39,6 +42,10 @@
 static const double price_us_per_kb[ROUTING_TIERS] = { 0, 0, 400, 2500 };
 /* Bytes of head and response of a plain request. */
 #define PLAIN_BYTES 2048
+/* Part of the usual own time that each outstanding request of this daemon adds
+ * to the cost. It is the only sign of a slow or full upstream that is newer than
+ * the last report. */
+#define PENDING_PART 0.3
 /* Own time until one is known. */
 #define DEFAULT_OWN_US 20000.0
 /* Residue of an exponential own time that is not unexplained. */
@@ -186,6 +193,8 @@
 			       (1 - estimate->room) * turn_us;
 	if (input->outstanding > limit)
 		usual_us += (input->outstanding - limit) * turn_us;
+	estimate->pending_us =
+		PENDING_PART * input->outstanding * base_own_us(input);
 	estimate->wait_us = estimate->weight * reported_us +
 			    (1 - estimate->weight) * usual_us;
 }
@@ -218,6 +227,8 @@
 		now = usual * clamp(upstream->report.slowdown / 100.0 /
 					    upstream->slowdown,
 				    SLOWDOWN_MIN, SLOWDOWN_MAX);
+	else if (upstream->last_speed > 0)
+		now = upstream->last_speed;
 	estimate->base_us = base_us;
 	estimate->excess_us = estimate->weight * base_us * (now / usual - 1);
 	estimate->own_us = (base_us + estimate->excess_us) * usual;
@@ -246,7 +257,8 @@
 {
 	return estimate->network_us + estimate->transfer_us +
 	       estimate->price_us + estimate->wait_us + estimate->refusal_us +
-	       estimate->unexplained_us + estimate->excess_us;
+	       estimate->unexplained_us + estimate->excess_us +
+	       estimate->pending_us;
 }
 
 void estimate_reset(estimate_upstream_t *upstream, int64_t now_us)
@@ -254,19 +266,41 @@
 	double network_us = upstream->network_us;
 	double speed = upstream->speed;
 	double slowdown = upstream->slowdown;
+	int64_t speed_at_us = upstream->speed_at_us;
+	int64_t speed_span_us = upstream->speed_span_us;
 
 	*upstream = (estimate_upstream_t){ .run_since_us = now_us,
+					   .speed_at_us = speed_at_us,
+					   .speed_span_us = speed_span_us,
 					   .network_us = network_us,
 					   .slowdown = slowdown,
 					   .speed = speed };
 }
 
+/* Returns the weight of a sample of the speed in its mean over time: a sample
+ * stands for the time since the one before. */
+static double speed_sample_weight(estimate_upstream_t *upstream, int64_t now_us)
+{
+	int64_t since_us = now_us - upstream->speed_at_us;
+
+	if (since_us > SPEED_SAMPLE_MAX_US)
+		since_us = SPEED_SAMPLE_MAX_US;
+	upstream->speed_at_us = now_us;
+	upstream->speed_span_us += since_us;
+	if (upstream->speed_span_us > SPEED_MEAN_US)
+		upstream->speed_span_us = SPEED_MEAN_US;
+	return upstream->speed_span_us
+		       ? (double)since_us / (double)upstream->speed_span_us
+		       : 0;
+}
+
 /* Learns the usual own time of the kind and the speed of the upstream. */
 static void learn_own_time(estimate_upstream_t *upstream,
 			   estimate_service_t *service, estimate_kind_t *kind,
-			   const routing_load_t *load)
+			   const routing_load_t *load, int64_t now_us)
 {
 	double own_us = clamp((double)load->own_us, 0, REPORTED_TIME_MAX_US);
+	double weight = speed_sample_weight(upstream, now_us);
 	double sample;
 
 	if (load->slowdown > 0) {
@@ -274,7 +308,7 @@
 			       SLOWDOWN_MAX);
 		if (!(upstream->slowdown > 0))
 			upstream->slowdown = sample;
-		smooth(&upstream->slowdown, sample, SLOWDOWN_SMOOTHING);
+		smooth(&upstream->slowdown, sample, weight);
 	}
 	if (!(own_us > 0))
 		return;
@@ -288,9 +322,10 @@
 		service->own_us = own_us;
 	smooth(&service->own_us, own_us, SMOOTHING);
 	sample = clamp(own_us / kind->own_us, SLOWDOWN_MIN, SLOWDOWN_MAX);
+	upstream->last_speed = sample;
 	if (!(upstream->speed > 0))
 		upstream->speed = sample;
-	smooth(&upstream->speed, sample, SMOOTHING);
+	smooth(&upstream->speed, sample, weight);
 }
 
 /* Learns from the latency of a served request. Returns what own time, wait and
@@ -377,7 +412,7 @@
 	if (now_us - result->latency_us < upstream->run_since_us)
 		return false;
 	kind = use_kind(kinds, service_id, result->kind, now_us);
-	learn_own_time(upstream, service, kind, &result->load);
+	learn_own_time(upstream, service, kind, &result->load, now_us);
 	if (result->limit_hint > 0) {
 		if (!(upstream->limit > 0))
 			upstream->limit = result->limit_hint;
--- a/packages/routing/estimate.h
+++ b/packages/routing/estimate.h
@@ -22,6 +22,9 @@
 	int32_t sent_since; /* own requests since the report */
 	double slowdown; /* usual report, 1 is usual work time, 0: none */
 	double speed; /* own time / that of the service, 0: unknown */
+	double last_speed; /* in the report */
+	int64_t speed_at_us; /* last sample of slowdown and speed */
+	int64_t speed_span_us; /* time that their means cover */
 	double limit; /* smoothed concurrency limit, 0: unknown */
 	double network_us; /* there and back, 0: unknown */
 	double unexplained_us; /* latency that its reports do not account for */
@@ -82,6 +85,7 @@
 	double children_us;
 	double refusal_us; /* expected loss by rejections and failures */
 	double unexplained_us;
+	double pending_us; /* cost of own outstanding requests */
 	double room; /* left after own requests, as far as reported */
 	int64_t age_us; /* of the report */
 	double weight; /* of the report, 0..1 */
--- a/packages/routing/placement.c
+++ b/packages/routing/placement.c
@@ -232,6 +232,10 @@
 	if (limit < usual / LIMIT_RATIO_MAX && !estimate->report.warming_up)
 		limit = usual / LIMIT_RATIO_MAX;
 	capacity = limit / estimate_usual_speed(estimate);
+	/* Responses that are much later than the reports say lower the trust. */
+	if (service->estimate.own_us > 0 &&
+	    estimate->unexplained_us > service->estimate.own_us)
+		capacity *= service->estimate.own_us / estimate->unexplained_us;
 	if (!estimate->reported) {
 		double part = FLEET_TRIALS /
 			      (double)(routing->placement->host_count + 1);
@@ -586,14 +590,30 @@
 		       int64_t spread_us, int64_t now_us)
 {
 	link_t *link;
+	int64_t held_at_us;
 
 	if (upstream->tier != ROUTING_OTHER_REGION || !result->body_bytes)
 		return;
 	link = routing_link(routing, upstream->region);
-	if (link)
-		link_finish(link, result->body_bytes, transfer_us, spread_us,
-			    now_us - result->latency_us,
-			    is_lost(result->outcome), now_us);
+	if (!link)
+		return;
+	held_at_us = link->shrunk_at_us;
+	link_finish(link, result->body_bytes, transfer_us, spread_us,
+		    now_us - result->latency_us, is_lost(result->outcome),
+		    now_us);
+	if (link->shrunk_at_us != held_at_us)
+		cas_log(CAS_LOG_WARN, "link_held",
+			CAS_LOG_INT("region", (int64_t)link->region),
+			CAS_LOG_INT("lost", is_lost(result->outcome)),
+			CAS_LOG_INT("transfer_us", transfer_us),
+			CAS_LOG_INT("usual_us",
+				    (int64_t)link_transfer_us(
+					    link, result->body_bytes)),
+			CAS_LOG_INT("latency_us", result->latency_us),
+			CAS_LOG_INT("in_flight_bytes", link->in_flight_bytes),
+			CAS_LOG_INT("window_bytes",
+				    (int64_t)link->window_bytes),
+			CAS_LOG_INT("hold_us", link->hold_us));
 }
 
 void placement_learn(routing_t *routing, upstream_t *upstream,
