--- a/packages/routing/estimate.c
+++ b/packages/routing/estimate.c
@@ -26,6 +26,11 @@
 #define SLOWDOWN_MAX 10.0
 #define REPORTED_TIME_MAX_US (30 * CAS_USEC_PER_SEC)
 #define OWN_SAMPLE_RATIO_MAX 4
+/* A sample of the time of child calls counts at most this part of the present
+ * time away from it, so that one late upstream does not explain itself. */
+#define CHILDREN_STEP_RATIO 0.5
+#define LIMIT_SAMPLE_RATIO_MAX 4
+#define LIMIT_MAX 10000
 /* A reported slowdown counts at most this far beyond the measured own time. */
 #define SLOWDOWN_TRUST_RATIO 2
 /* Round trips by tier until they are learned. */
@@ -347,8 +352,12 @@
 
 	if (tier != ROUTING_OTHER_REGION) {
 		double children_us = rest_us - network_of(upstream, tier);
+		double most_us =
+			(kind->children_us + own_us) * CHILDREN_STEP_RATIO;
 
-		smooth(&kind->children_us, children_us, SMOOTHING);
+		kind->children_us +=
+			SMOOTHING * clamp(children_us - kind->children_us,
+					  -most_us, most_us);
 		if (kind->children_us < 0)
 			kind->children_us = 0;
 	}
@@ -379,7 +388,10 @@
 	       SMOOTHING);
 	if (!(service->limit > 0))
 		service->limit = upstream->limit;
-	smooth(&service->limit, upstream->limit, SMOOTHING);
+	smooth(&service->limit,
+	       clamp(upstream->limit, service->limit / LIMIT_SAMPLE_RATIO_MAX,
+		     service->limit * LIMIT_SAMPLE_RATIO_MAX),
+	       SMOOTHING);
 }
 
 /* Takes over the report, within bounds. late_us: its age at the arrival. */
@@ -414,9 +426,11 @@
 	kind = use_kind(kinds, service_id, result->kind, now_us);
 	learn_own_time(upstream, service, kind, &result->load, now_us);
 	if (result->limit_hint > 0) {
+		double limit = clamp(result->limit_hint, 1, LIMIT_MAX);
+
 		if (!(upstream->limit > 0))
-			upstream->limit = result->limit_hint;
-		smooth(&upstream->limit, result->limit_hint,
+			upstream->limit = limit;
+		smooth(&upstream->limit, limit,
 		       result->load.warming_up ? 1 : SMOOTHING * 4);
 	}
 	if (result->outcome == ROUTING_OK) {
--- a/packages/routing/links.c
+++ b/packages/routing/links.c
@@ -13,7 +13,10 @@
 #define US_PER_KB_DEFAULT 500.0
 /* A smaller body tells nothing about the time of each kilobyte. */
 #define SAMPLE_MIN_BYTES 4096
-#define SMOOTHING 0.1
+/* Weights of a sample above and below the usual time. It follows the time
+ * without a queue, so that a growing queue does not become usual. */
+#define SMOOTHING_UP 0.01
+#define SMOOTHING_DOWN 0.1
 /* A body is late beyond both: half of the shortest objective of callers, which
  * is 400 ms, and a multiple of the usual time. */
 #define LATE_US (200 * CAS_USEC_PER_MSEC)
@@ -109,5 +112,7 @@
 	us_per_kb = (double)transfer_us * 1024 / (double)bytes;
 	if (!(link->us_per_kb > 0))
 		link->us_per_kb = US_PER_KB_DEFAULT;
-	link->us_per_kb += SMOOTHING * (us_per_kb - link->us_per_kb);
+	link->us_per_kb +=
+		(us_per_kb > link->us_per_kb ? SMOOTHING_UP : SMOOTHING_DOWN) *
+		(us_per_kb - link->us_per_kb);
 }
