--- a/packages/routing/placement.c
+++ b/packages/routing/placement.c
@@ -15,25 +15,14 @@
 /* Placement is in force for this time after an outcome with a load: longer than
  * the pauses of a service that is used, shorter than a restart of its fleet. */
 #define LOAD_SEEN_US (5 * CAS_USEC_PER_SEC)
-/* Weights are computed again at latest after this time, for changes of fitness
- * that are not announced to this module. */
-#define WEIGHTS_LIFE_US CAS_USEC_PER_SEC
 /* Candidates that are compared, and draws for them: some drawn ones are unfit
  * for the request. */
 #define CANDIDATES 3
 #define DRAWS_MAX 12
 /* Upstreams of a tier that are visited when the draws found none. */
 #define SCAN_MAX 64
-/* Weight of a capacity of one request of usual speed. */
-#define WEIGHT_SCALE 1000
-/* A limit counts at most by this factor away from the mean of the service. */
-#define LIMIT_RATIO_MAX 4
 /* Outstanding requests of this daemon to an upstream without a report. */
 #define TRIALS_MAX 1
-/* Trials of the whole fleet that an upstream without a report gets at a time,
- * about, and the largest part of the usual weight for it. */
-#define FLEET_TRIALS 8
-#define TRIAL_WEIGHT_MAX 0.25
 /* The own host saves the work of a second daemon, which is more than half of
  * that of a small call. */
 #define OWN_HOST_FACTOR 3.0
@@ -48,108 +37,6 @@
 /* Work leaves the region when the region turns away more than this part. */
 #define PRESSURE_MIN 0.05
 
-static placement_service_t *find_service(const routing_t *routing,
-					 cas_id_t service)
-{
-	placement_t *placement = routing->placement;
-	size_t low = 0;
-	size_t high = placement ? placement->service_count : 0;
-
-	while (low < high) {
-		size_t middle = (low + high) / 2;
-
-		if (placement->services[middle].service < service)
-			low = middle + 1;
-		else
-			high = middle;
-	}
-	if (!placement || low == placement->service_count ||
-	    placement->services[low].service != service)
-		return NULL;
-	return &placement->services[low];
-}
-
-static bool allocate_lists(placement_t *placement, placement_service_t *service)
-{
-	for (int tier = 0; tier < ROUTING_TIERS; tier++) {
-		placement_list_t *list = &service->lists[tier];
-
-		list->members =
-			talloc_array(placement, size_t, list->count + 1);
-		list->weights =
-			talloc_zero_array(placement, int64_t, list->count + 1);
-		list->tree =
-			talloc_zero_array(placement, int64_t, list->count + 1);
-		if (!list->members || !list->weights || !list->tree)
-			return false;
-		list->count = 0;
-	}
-	return true;
-}
-
-/* Builds the lists of the service that starts at upstreams[begin]. Returns the
- * position after its last upstream. */
-static size_t fill_service(placement_service_t *service, upstream_t *upstreams,
-			   size_t begin, size_t count, placement_t *placement)
-{
-	size_t end;
-
-	service->service = upstreams[begin].service;
-	for (end = begin; end < count; end++) {
-		if (upstreams[end].service != service->service)
-			break;
-		service->lists[upstreams[end].tier].count++;
-	}
-	if (!allocate_lists(placement, service))
-		return 0;
-	for (size_t i = begin; i < end; i++) {
-		placement_list_t *list = &service->lists[upstreams[i].tier];
-
-		upstreams[i].list_position = list->count;
-		list->members[list->count++] = i;
-	}
-	return end;
-}
-
-placement_t *placement_create(routing_t *routing, upstream_t *upstreams,
-			      size_t count)
-{
-	placement_t *placement = talloc_zero(routing, placement_t);
-	size_t services = 0;
-
-	if (!placement)
-		return NULL;
-	for (size_t i = 0; i < count; i++)
-		services +=
-			!i || upstreams[i].service != upstreams[i - 1].service;
-	placement->host_count = count;
-	placement->services =
-		talloc_zero_array(placement, placement_service_t, services + 1);
-	if (!placement->services)
-		goto error;
-	for (size_t begin = 0; begin < count;) {
-		placement_service_t *service =
-			&placement->services[placement->service_count];
-		const placement_service_t *previous;
-
-		begin = fill_service(service, upstreams, begin, count,
-				     placement);
-		if (!begin)
-			goto error;
-		previous = find_service(routing, service->service);
-		if (previous) {
-			service->estimate = previous->estimate;
-			service->was_in_force = previous->was_in_force;
-		}
-		placement->service_count++;
-	}
-	return placement;
-
-error:
-	talloc_free(placement);
-	return NULL;
-}
-
 static void log_in_force(placement_service_t *service, bool in_force,
 			 int64_t age_us)
 {
@@ -164,7 +51,7 @@
 
 bool placement_in_force(routing_t *routing, cas_id_t service_id)
 {
-	placement_service_t *service = find_service(routing, service_id);
+	placement_service_t *service = placement_find(routing, service_id);
 	int64_t age_us;
 	bool in_force;
 
@@ -176,106 +63,6 @@
 	return in_force;
 }
 
-void placement_invalidate(routing_t *routing, cas_id_t service_id)
-{
-	placement_service_t *service = find_service(routing, service_id);
-
-	if (service)
-		service->weights_until_us = 0;
-}
-
-static void set_weight(placement_list_t *list, size_t position, int64_t weight)
-{
-	int64_t change = weight - list->weights[position];
-
-	if (!change)
-		return;
-	list->weights[position] = weight;
-	list->total += change;
-	for (size_t i = position + 1; i <= list->count; i += i & -i)
-		list->tree[i] += change;
-}
-
-/* Returns the position at which the sum of weights exceeds target, which is in
- * [0, total). */
-static size_t find_weight(const placement_list_t *list, int64_t target)
-{
-	size_t position = 0;
-	size_t step = 1;
-
-	while (step * 2 <= list->count)
-		step *= 2;
-	for (; step; step /= 2) {
-		if (position + step > list->count ||
-		    list->tree[position + step] > target)
-			continue;
-		position += step;
-		target -= list->tree[position];
-	}
-	return position < list->count ? position : list->count - 1;
-}
-
-/* Returns the weight of the upstream in draws: the requests that it can serve
- * in a time, as far as its reports agree with those of its peers. */
-static int64_t capacity_weight(const routing_t *routing,
-			       const placement_service_t *service,
-			       const upstream_t *upstream)
-{
-	const estimate_upstream_t *estimate = &upstream->estimate;
-	double usual = service->estimate.limit >= 1 ? service->estimate.limit
-						    : DEFAULT_CONCURRENCY_LIMIT;
-	double limit = estimate->limit >= 1 ? estimate->limit : usual;
-	double capacity;
-
-	if (limit > usual * LIMIT_RATIO_MAX)
-		limit = usual * LIMIT_RATIO_MAX;
-	if (limit < usual / LIMIT_RATIO_MAX && !estimate->report.warming_up)
-		limit = usual / LIMIT_RATIO_MAX;
-	capacity = limit / estimate_usual_speed(estimate);
-	/* Responses that are much later than the reports say lower the trust. */
-	if (service->estimate.own_us > 0 &&
-	    estimate->unexplained_us > service->estimate.own_us)
-		capacity *= service->estimate.own_us / estimate->unexplained_us;
-	if (!estimate->reported) {
-		double part = FLEET_TRIALS /
-			      (double)(routing->placement->host_count + 1);
-
-		capacity *= part < TRIAL_WEIGHT_MAX ? part : TRIAL_WEIGHT_MAX;
-	}
-	return (int64_t)(capacity * WEIGHT_SCALE) + 1;
-}
-
-/* Computes all weights of the service. Upstreams that no request may get have
- * none. */
-static void refresh_weights(routing_t *routing, placement_service_t *service,
-			    int64_t now_us)
-{
-	const routing_query_t any = { .service = service->service };
-
-	service->weights_until_us = now_us + WEIGHTS_LIFE_US;
-	routing->counts.weight_updates++;
-	for (int tier = 0; tier < ROUTING_TIERS; tier++) {
-		placement_list_t *list = &service->lists[tier];
-
-		for (size_t i = 0; i < list->count; i++) {
-			const upstream_t *upstream =
-				&routing->upstreams[list->members[i]];
-			bool fit = routing_fitness(routing, &any, upstream,
-						   now_us) == FITNESS_RUNNING;
-
-			set_weight(list, i,
-				   fit ? capacity_weight(routing, service,
-							 upstream)
-				       : 0);
-			if (now_us < upstream->ejected_until_us &&
-			    upstream->ejected_until_us <
-				    service->weights_until_us)
-				service->weights_until_us =
-					upstream->ejected_until_us;
-		}
-	}
-}
-
 /* A choice in progress. */
 typedef struct choice_state {
 	routing_t *routing;
@@ -378,9 +165,9 @@
 			target -= part;
 			continue;
 		}
-		position = find_weight(&lists[tier],
-				       (int64_t)(cas_rng_double(rng) *
-						 (double)lists[tier].total));
+		position = placement_position(
+			&lists[tier], (int64_t)(cas_rng_double(rng) *
+						(double)lists[tier].total));
 		return &state->routing
 				->upstreams[lists[tier].members[position]];
 	}
@@ -538,8 +325,8 @@
 {
 	choice_state_t state = { .routing = routing,
 				 .query = query,
-				 .service =
-					 find_service(routing, query->service),
+				 .service = placement_find(routing,
+							   query->service),
 				 .now_us = cas_clock_now(routing->clock) };
 	estimate_t best = { 0 };
 	routing_spill_t cause;
@@ -550,8 +337,7 @@
 		return NULL;
 	state.kind = estimate_find_kind(&routing->kinds, query->service,
 					query->kind);
-	if (state.now_us >= state.service->weights_until_us)
-		refresh_weights(routing, state.service, state.now_us);
+	placement_update_weights(routing, state.service, state.now_us);
 	set_factors(&state);
 	chosen =
 		pick_drawn(&state, ROUTING_OWN_HOST, ROUTING_OWN_REGION, &best);
@@ -619,11 +405,11 @@
 void placement_learn(routing_t *routing, upstream_t *upstream,
 		     const routing_result_t *result)
 {
-	placement_service_t *service = find_service(routing, upstream->service);
+	placement_service_t *service =
+		placement_find(routing, upstream->service);
 	int64_t now_us = cas_clock_now(routing->clock);
 	int64_t transfer_us = -1;
 	int64_t spread_us = 0;
-	placement_list_t *list;
 
 	if (service && result->load.known) {
 		if (!estimate_learn(&upstream->estimate, &service->estimate,
@@ -631,12 +417,7 @@
 				    upstream->tier, result, now_us,
 				    &transfer_us, &spread_us))
 			routing->counts.stale_reports++;
-		list = &service->lists[upstream->tier];
-		/* An upstream that no request may get keeps its weight of 0
-		 * until all are computed again. */
-		if (list->weights[upstream->list_position])
-			set_weight(list, upstream->list_position,
-				   capacity_weight(routing, service, upstream));
+		placement_update_weight(routing, service, upstream);
 	}
 	learn_link(routing, upstream, result, transfer_us, spread_us, now_us);
 }
--- a/packages/routing/routing_internal.h
+++ b/packages/routing/routing_internal.h
@@ -139,6 +139,23 @@
 placement_t *placement_create(routing_t *routing, upstream_t *upstreams,
 			      size_t count);
 
+/* Returns what is kept of the service (borrowed), or NULL. */
+placement_service_t *placement_find(const routing_t *routing, cas_id_t service);
+
+/* Returns the position in the list at which the sum of weights exceeds target,
+ * which is in [0, total). */
+size_t placement_position(const placement_list_t *list, int64_t target);
+
+/* Computes all weights of the service if they are no longer valid. Upstreams
+ * that no request may get have none. */
+void placement_update_weights(routing_t *routing, placement_service_t *service,
+			      int64_t now_us);
+
+/* Computes the weight of one upstream. It stays 0 for one that no request may
+ * get. */
+void placement_update_weight(routing_t *routing, placement_service_t *service,
+			     const upstream_t *upstream);
+
 /* Returns whether the choice for the service is by expected completion:
  * outcomes of its upstreams have carried a load lately. */
 bool placement_in_force(routing_t *routing, cas_id_t service);
