Explain a choice of an upstream

Cause: an operator cannot see why work goes to an upstream.

Change: routing_explain runs a choice without an effect on later ones and returns the figures of all candidates. Nothing calls it yet.

--- a/packages/routing/include/cassia/routing.h
+++ b/packages/routing/include/cassia/routing.h
@@ -155,6 +155,50 @@
 int routing_pick(routing_t *routing, const routing_query_t *query,
 		 routing_choice_t *choice);
 
+/* An upstream as a choice sees it. Times are in microseconds. */
+typedef struct routing_candidate {
+	cas_id_t host;
+	routing_tier_t tier;
+	bool fit; /* may get the request now: gate, connections and link */
+	bool allowed; /* by its own reports: trials and warm-up */
+	double share; /* of the draws in its tier, 0..1 */
+	int32_t outstanding;
+	bool reported; /* in its present run */
+	int64_t report_age_us; /* valid if reported */
+	double report_weight; /* 0..1 */
+	double room; /* left after own requests */
+	int64_t network_us;
+	int64_t transfer_us;
+	int64_t wait_us;
+	int64_t own_us;
+	int64_t children_us;
+	int64_t refusal_us; /* expected loss by rejections and failures */
+	int64_t response_us; /* expected time of the response */
+	int64_t cost_us; /* as compared */
+} routing_candidate_t;
+
+/* A choice with its reasons. */
+typedef struct routing_explanation {
+	/* By expected completion; otherwise by tiers, and the figures of the
+	 * candidates are not used. */
+	bool by_load;
+	int64_t load_age_us; /* of the last load of the service, -1: none */
+	int error; /* as routing_pick */
+	routing_choice_t choice; /* valid without error */
+	bool spilled; /* to another region */
+	routing_spill_t spill; /* its cause, valid if spilled */
+	double turned_away; /* by the own region lately, 0..1 */
+	routing_candidate_t *candidates; /* all of the service */
+	size_t count;
+} routing_explanation_t;
+
+/* Runs a choice and returns it with what it was made from (owned by ctx), or
+ * NULL when out of memory. It counts nothing and takes its random numbers from
+ * seed, so that later choices are the same as without it. */
+routing_explanation_t *routing_explain(TALLOC_CTX *ctx, routing_t *routing,
+				       const routing_query_t *query,
+				       uint32_t seed);
+
 /* Counts a request to the host as outstanding, until routing_finish. A host
  * that is not listed is ignored by both. */
 void routing_begin(routing_t *routing, cas_id_t host);
--- a/packages/routing/placement.c
+++ b/packages/routing/placement.c
@@ -320,25 +320,37 @@
 	return upstream;
 }
 
+/* Fills in the state of a choice. Returns false when the service has no
+ * upstream. */
+static bool begin_choice(choice_state_t *state, routing_t *routing,
+			 const routing_query_t *query)
+{
+	*state = (choice_state_t){
+		.routing = routing,
+		.query = query,
+		.service = placement_find(routing, query->service),
+		.kind = estimate_find_kind(&routing->kinds, query->service,
+					   query->kind),
+		.now_us = cas_clock_now(routing->clock),
+	};
+	if (!state->service)
+		return false;
+	placement_update_weights(routing, state->service, state->now_us);
+	set_factors(state);
+	return true;
+}
+
 upstream_t *placement_pick(routing_t *routing, const routing_query_t *query,
 			   bool *busy)
 {
-	choice_state_t state = { .routing = routing,
-				 .query = query,
-				 .service = placement_find(routing,
-							   query->service),
-				 .now_us = cas_clock_now(routing->clock) };
+	choice_state_t state;
 	estimate_t best = { 0 };
 	routing_spill_t cause;
 	upstream_t *chosen;
 	upstream_t *far;
 
-	if (!state.service)
+	if (!begin_choice(&state, routing, query))
 		return NULL;
-	state.kind = estimate_find_kind(&routing->kinds, query->service,
-					query->kind);
-	placement_update_weights(routing, state.service, state.now_us);
-	set_factors(&state);
 	chosen =
 		pick_drawn(&state, ROUTING_OWN_HOST, ROUTING_OWN_REGION, &best);
 	if (!chosen)
@@ -354,6 +366,42 @@
 	return chosen;
 }
 
+void placement_describe(routing_t *routing, const routing_query_t *query,
+			const upstream_t *upstream,
+			routing_candidate_t *candidate)
+{
+	const estimate_upstream_t *known = &upstream->estimate;
+	const placement_list_t *list;
+	choice_state_t state;
+	estimate_t estimate;
+
+	*candidate = (routing_candidate_t){ .host = upstream->host,
+					    .tier = upstream->tier };
+	if (!begin_choice(&state, routing, query))
+		return;
+	list = &state.service->lists[upstream->tier];
+	estimate_upstream(&state, upstream, &estimate);
+	candidate->fit = is_fit(&state, upstream);
+	candidate->allowed = has_allowance(upstream, state.now_us);
+	if (list->total)
+		candidate->share =
+			(double)list->weights[upstream->list_position] /
+			(double)list->total;
+	candidate->outstanding = upstream->outstanding;
+	candidate->reported = known->reported;
+	candidate->report_age_us = estimate.age_us;
+	candidate->report_weight = estimate.weight;
+	candidate->room = estimate.room;
+	candidate->network_us = (int64_t)estimate.network_us;
+	candidate->transfer_us = (int64_t)estimate.transfer_us;
+	candidate->wait_us = (int64_t)estimate.wait_us;
+	candidate->own_us = (int64_t)estimate.own_us;
+	candidate->children_us = (int64_t)estimate.children_us;
+	candidate->refusal_us = (int64_t)estimate.refusal_us;
+	candidate->response_us = (int64_t)estimate_response_us(&estimate);
+	candidate->cost_us = (int64_t)estimate_cost_us(&estimate);
+}
+
 void placement_begin(routing_t *routing, upstream_t *upstream)
 {
 	upstream->estimate.sent_since++;
--- a/packages/routing/routing_internal.h
+++ b/packages/routing/routing_internal.h
@@ -170,6 +170,11 @@
 void placement_learn(routing_t *routing, upstream_t *upstream,
 		     const routing_result_t *result);
 
+/* Writes what a choice for the query knows of the upstream to candidate. */
+void placement_describe(routing_t *routing, const routing_query_t *query,
+			const upstream_t *upstream,
+			routing_candidate_t *candidate);
+
 /* Counts a request that is sent to the upstream. */
 void placement_begin(routing_t *routing, upstream_t *upstream);
 
--- a/packages/routing/tests/test_completion.c
+++ b/packages/routing/tests/test_completion.c
@@ -585,6 +585,47 @@
 	assert_true(large <= 3 * PICKS);
 }
 
+/* Guards against an explanation that changes later choices or counts, or that
+ * differs from the choice that it explains. */
+static void test_explanation(void **state)
+{
+	const routing_query_t query = { .service = SERVICE, .kind = KIND };
+	uint64_t digests[2] = { 0 };
+
+	(void)state;
+	for (int explained = 0; explained < 2; explained++) {
+		fixture_t *fixture = create_fixture(16, 0);
+		routing_choice_t choice;
+
+		report_all(fixture, 5);
+		for (int i = 0; i < 100; i++) {
+			routing_explanation_t *explanation =
+				explained ? routing_explain(fixture,
+							    fixture->routing,
+							    &query, 1)
+					  : NULL;
+
+			assert_int_equal(pick(fixture, 0, false, &choice), 0);
+			digests[explained] = cas_rendezvous_weight(
+				digests[explained], choice.host);
+			if (!explanation)
+				continue;
+			assert_int_equal(explanation->error, 0);
+			assert_true(explanation->by_load);
+			assert_false(explanation->spilled);
+			assert_int_equal(explanation->count, 16);
+			assert_true(explanation->candidates[0].fit);
+			assert_in_range(explanation->candidates[0].response_us,
+					OWN_US, 2 * OWN_US);
+		}
+		digests[explained] = cas_rendezvous_weight(
+			digests[explained],
+			(uint64_t)routing_counts(fixture->routing)->visits);
+		talloc_free(fixture);
+	}
+	assert_true(digests[0] == digests[1]);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -607,6 +648,7 @@
 		cmocka_unit_test(test_connections_in_use),
 		cmocka_unit_test(test_child_calls_are_apart),
 		cmocka_unit_test(test_constant_work),
+		cmocka_unit_test(test_explanation),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
