--- a/packages/routing/routing_internal.h
+++ b/packages/routing/routing_internal.h
@@ -3,6 +3,8 @@
 #define CASSIA_ROUTING_INTERNAL_H
 
 #include "cassia/routing.h"
+#include "estimate.h"
+#include "links.h"
 
 /* Value of max_connections for an upstream without a limit. */
 #define ROUTING_NO_LIMIT INT32_MAX
@@ -37,14 +39,38 @@
 	int32_t refusal_doublings;
 	bool refused; /* last ejected for a refusal, no response since */
 	bool unreachable; /* the same, and the host was silent */
+	estimate_upstream_t estimate;
+	size_t list_position; /* in the list of its service and tier */
+	routing_spill_t spill; /* cause of its last choice, in another region */
+	int64_t body_bytes; /* of its outstanding requests */
 } upstream_t;
 
-/* Bytes exchanged with another region. */
-typedef struct link_bytes {
-	cas_id_t region;
-	uint64_t sent;
-	uint64_t received;
-} link_bytes_t;
+/* The upstreams of one service in one tier. A Fenwick tree of their weights
+ * draws one in O(log count) without a visit of the others. */
+typedef struct placement_list {
+	size_t *members; /* indexes of routing->upstreams */
+	int64_t *tree; /* count + 1 entries; the first is unused */
+	int64_t *weights;
+	size_t count;
+	int64_t total; /* of the weights */
+} placement_list_t;
+
+/* What placement keeps of a service. Sorted by service. */
+typedef struct placement_service {
+	estimate_service_t estimate; /* kept when the view changes */
+	cas_id_t service;
+	placement_list_t lists[ROUTING_TIERS];
+	/* Weights are valid until then, or until an ejection. */
+	int64_t weights_until_us;
+	bool was_in_force; /* at the last choice, for the log */
+} placement_service_t;
+
+/* The candidate lists of one view. */
+typedef struct placement {
+	placement_service_t *services;
+	size_t service_count;
+	size_t host_count; /* daemons of the fleet */
+} placement_t;
 
 struct routing {
 	const cas_clock_t *clock;
@@ -53,10 +79,15 @@
 	void *private; /* argument of ops */
 	upstream_t *upstreams; /* sorted by service, then host id */
 	size_t upstream_count;
-	link_bytes_t *links; /* one for each region, added when first used */
+	/* Indexes of upstreams, sorted by host id. */
+	size_t *by_host;
+	placement_t *placement; /* NULL before the first view */
+	estimate_kinds_t kinds;
+	link_t *links; /* one for each region, added when first used */
 	size_t link_count;
 	cas_id_t self_region; /* of the own host */
 	region_limits_t *limits; /* NULL: the table limits no regions */
+	routing_counts_t counts;
 };
 
 /* Whether an upstream is fit for a request, the best first. */
@@ -112,6 +143,67 @@
  * NULL. */
 bool region_limits_name(const region_limits_t *limits, cas_id_t region);
 
+/* Returns whether a host is among those that the query excludes. */
+bool routing_is_excluded(const routing_query_t *query, cas_id_t host);
+
+/* Returns the state of the link to a region (borrowed), which is added on first
+ * use, or NULL when out of memory. */
+link_t *routing_link(routing_t *routing, cas_id_t region);
+
+/* Builds the candidate lists for sorted upstreams. What is known of a service
+ * is taken over from the present lists. Returns the lists (owned by routing),
+ * or NULL when out of memory. */
+placement_t *placement_create(routing_t *routing, upstream_t *upstreams,
+			      size_t count);
+
+/* Returns what is kept of the service (borrowed), or NULL. */
+placement_service_t *placement_find(const routing_t *routing, cas_id_t service);
+
+/* Returns the position in the list at which the sum of weights exceeds target,
+ * which is in [0, total). */
+size_t placement_position(const placement_list_t *list, int64_t target);
+
+/* Computes all weights of the service if they are no longer valid. Upstreams
+ * that no request may get have none. */
+void placement_update_weights(routing_t *routing, placement_service_t *service,
+			      int64_t now_us);
+
+/* Computes the weight of one upstream. It stays 0 for one that no request may
+ * get. */
+void placement_update_weight(routing_t *routing, placement_service_t *service,
+			     const upstream_t *upstream);
+
+/* Returns whether the choice for the service is by expected completion:
+ * outcomes of its upstreams have carried a load lately. */
+bool placement_in_force(routing_t *routing, cas_id_t service);
+
+/* Chooses by expected completion. Returns the upstream (borrowed), or NULL when
+ * no running one is found; then *busy is set if connections in use were the
+ * reason for one of them. */
+upstream_t *placement_pick(routing_t *routing, const routing_query_t *query,
+			   bool *busy);
+
+/* Learns from a request that has ended, before its result is recorded. */
+void placement_learn(routing_t *routing, upstream_t *upstream,
+		     const routing_result_t *result);
+
+/* Writes what a choice for the query knows of the upstream to candidate. */
+void placement_describe(routing_t *routing, const routing_query_t *query,
+			const upstream_t *upstream,
+			routing_candidate_t *candidate);
+
+/* Counts a request that is sent to the upstream. */
+void placement_begin(routing_t *routing, upstream_t *upstream);
+
+/* Returns whether the link to the region of the upstream has room for the body
+ * of the request. */
+bool placement_link_allows(const routing_t *routing,
+			   const routing_query_t *query,
+			   const upstream_t *upstream);
+
+/* Has the weights of the service computed again before the next choice. */
+void placement_invalidate(routing_t *routing, cas_id_t service);
+
 /* Returns the region of a data centre, or 0 when it is not in the table. */
 cas_id_t routing_region_of(const table_t *table, cas_id_t data_centre);
 
--- a/programs/cassiad/entry.h
+++ b/programs/cassiad/entry.h
@@ -97,7 +97,11 @@
  * no upstream in them can be chosen now. */
 bool entry_has_allowed_upstream(entry_request_t *request);
 
-/* entry_attempts.c: starts the next attempt, or refuses the request when its
+/* entry_attempts.c: returns the size of the body in bytes, 0 for none, -1 if it
+ * is unknown. */
+int64_t entry_body_bytes(const entry_request_t *request);
+
+/* Starts the next attempt, or refuses the request when its
  * deadline has passed or no upstream is left. */
 void entry_start_attempt(entry_request_t *request);
 
