Limit what a daemon takes in by its share of the processor

When the whole fleet calls the few upstreams of one service, the daemons beside them are the overloaded component: they served late or not at all, and refusals by the upstream's slots came after most of the cost was spent.

The processor limit measures used time, idle time of the event loop and lateness, learns the cost of each kind of work, and divides the capacity between classes: calls of started trees first, then by importance and by max-min fairness over customers. Its fractions travel with the outcomes as before. With many senders, thresholds are refreshed by fewer requests and rise together when an overload has ended. In force only while hosts are shared.

--- a/packages/admission/include/cassia/thresholds.h
+++ b/packages/admission/include/cassia/thresholds.h
@@ -27,6 +27,12 @@
  * must outlive it. */
 thresholds_t *thresholds_create(TALLOC_CTX *ctx, const cas_clock_t *clock);
 
+/* Sets whether many daemons call each upstream. Each of them then sees few
+ * requests of one threshold, so that refreshing all thresholds every 100 ms
+ * would keep the daemons of overloaded upstreams busy with refusals. Initially
+ * false. */
+void thresholds_set_many_senders(thresholds_t *thresholds, bool many);
+
 /*
  * Updates a threshold with the fraction (0..1) of a response; other values are
  * ignored. For a call chain it is the smallest of the upstream's own fraction
--- a/packages/admission/thresholds.c
+++ b/packages/admission/thresholds.c
@@ -20,6 +20,16 @@
 /* Minimum age of a fraction at which a request may be forwarded to refresh it,
  * and minimum time between two such requests. */
 #define PROBE_INTERVAL_US (100 * CAS_USEC_PER_MSEC)
+/* The same with many senders: the rise starts later, and a request is forwarded
+ * to refresh only after this many early rejections or this time without an
+ * update, so that at most a few percent of the rejected ones are. */
+#define MANY_RISE_AFTER_US (1000 * CAS_USEC_PER_MSEC)
+#define MANY_PROBE_REJECTIONS 32
+#define MANY_PROBE_AGE_US CAS_USEC_PER_SEC
+/* A threshold that was below the first and is reported at the second or above
+ * shows that an overload has ended. */
+#define MANY_SHED_MAX 0.9
+#define MANY_RELEASED_MIN 0.99
 /* Thresholds that were not updated for this time are removed. */
 #define EXPIRY_US (60 * CAS_USEC_PER_SEC)
 
@@ -31,11 +41,13 @@
 	int64_t learned_us; /* time of the last update */
 	int64_t probed_us; /* time of the last request forwarded to refresh */
 	uint64_t early_rejections; /* since the last report */
+	uint32_t unprobed_rejections; /* since the last update or probe */
 } threshold_t;
 
 struct thresholds {
 	const cas_clock_t *clock;
 	GHashTable *entries; /* threshold_t, keyed by itself */
+	bool many_senders;
 };
 
 static guint threshold_hash(gconstpointer p)
@@ -75,6 +87,11 @@
 	return thresholds;
 }
 
+void thresholds_set_many_senders(thresholds_t *thresholds, bool many)
+{
+	thresholds->many_senders = many;
+}
+
 static threshold_t *find_threshold(const thresholds_t *thresholds,
 				   cas_id_t service, int32_t importance,
 				   cas_id_t customer)
@@ -92,17 +109,41 @@
 {
 	int64_t age_us =
 		cas_clock_now(thresholds->clock) - threshold->learned_us;
+	int64_t rise_after_us = thresholds->many_senders ? MANY_RISE_AFTER_US
+							 : RISE_DOUBLING_US;
 	double fraction = threshold->fraction;
 
-	if (age_us <= RISE_DOUBLING_US)
+	if (age_us <= rise_after_us)
 		return fraction;
 	if (fraction < RISE_START)
 		fraction = RISE_START;
-	fraction *= exp2((double)(age_us - RISE_DOUBLING_US) /
+	fraction *= exp2((double)(age_us - rise_after_us) /
 			 (double)RISE_DOUBLING_US);
 	return fraction < 1 ? fraction : 1;
 }
 
+/* Lets the other thresholds of a service, of the same importance and above, rise
+ * from now on: where a less important request is no longer shed, they need not
+ * wait for responses of their own, which are few. */
+static void release_others(thresholds_t *thresholds,
+			   const threshold_t *released)
+{
+	int64_t rising_us = cas_clock_now(thresholds->clock) -
+			    MANY_RISE_AFTER_US - RISE_DOUBLING_US;
+	GHashTableIter iter;
+	gpointer key;
+
+	g_hash_table_iter_init(&iter, thresholds->entries);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		threshold_t *threshold = key;
+
+		if (threshold->service == released->service &&
+		    threshold->importance >= released->importance &&
+		    threshold->learned_us > rising_us)
+			threshold->learned_us = rising_us;
+	}
+}
+
 void thresholds_learn(thresholds_t *thresholds, cas_id_t service,
 		      int32_t importance, cas_id_t customer, double fraction)
 {
@@ -125,8 +166,12 @@
 		g_hash_table_add(thresholds->entries, threshold);
 	}
 	threshold->fraction = current_fraction(thresholds, threshold);
+	if (thresholds->many_senders && fraction >= MANY_RELEASED_MIN &&
+	    threshold->fraction < MANY_SHED_MAX)
+		release_others(thresholds, threshold);
 	threshold->fraction += LEARN_WEIGHT * (fraction - threshold->fraction);
 	threshold->learned_us = cas_clock_now(thresholds->clock);
+	threshold->unprobed_rejections = 0;
 }
 
 double thresholds_fraction(const thresholds_t *thresholds, cas_id_t service,
@@ -148,6 +193,7 @@
 	    draw_below(draw, current_fraction(thresholds, threshold)))
 		return true;
 	threshold->early_rejections++;
+	threshold->unprobed_rejections++;
 	return false;
 }
 
@@ -161,6 +207,11 @@
 	if (!threshold || now_us - threshold->learned_us < PROBE_INTERVAL_US ||
 	    now_us - threshold->probed_us < PROBE_INTERVAL_US)
 		return false;
+	if (thresholds->many_senders &&
+	    threshold->unprobed_rejections < MANY_PROBE_REJECTIONS &&
+	    now_us - threshold->learned_us < MANY_PROBE_AGE_US)
+		return false;
+	threshold->unprobed_rejections = 0;
 	threshold->probed_us = now_us;
 	if (threshold->early_rejections)
 		threshold->early_rejections--;
--- a/programs/cassiad/daemon.c
+++ b/programs/cassiad/daemon.c
@@ -9,6 +9,7 @@
 #include "cassia/peer.h"
 #include "cassia/platform.h"
 #include "control.h"
+#include "processor_use.h"
 #include "stats.h"
 #include "stop.h"
 
@@ -117,8 +118,12 @@
 static void on_tick(void *private)
 {
 	cassiad_t *daemon = private;
+	int64_t late_us = cas_clock_now(daemon->clock) - daemon->tick_due_us;
 
+	processor_use_tick(daemon, daemon->tick_due_us ? late_us : 0);
 	run_tick(daemon);
+	daemon->tick_due_us =
+		cas_clock_now(daemon->clock) + TICK_MS * CAS_USEC_PER_MSEC;
 	cas_timer_arm(daemon->tick_timer, TICK_MS * CAS_USEC_PER_MSEC);
 }
 
@@ -174,7 +179,7 @@
 	    !daemon->peer_client || !daemon->upstream_client ||
 	    !daemon->attempts || !daemon->live_requests ||
 	    !daemon->thresholds || !daemon->routing || !daemon->throttle ||
-	    stop_create(daemon))
+	    stop_create(daemon) || processor_use_create(daemon))
 		return BASE_ENOMEM;
 	retry_throttle_set_ratio(daemon->throttle,
 				 (uint32_t)daemon->settings->first_per_retry);
--- a/programs/cassiad/daemon.h
+++ b/programs/cassiad/daemon.h
@@ -34,6 +34,7 @@
 typedef struct explain explain_t;
 typedef struct compressed_document compressed_document_t;
 typedef struct stats stats_t;
+typedef struct processor_use processor_use_t;
 typedef struct entry_request entry_request_t;
 typedef struct peer_request peer_request_t;
 
@@ -84,6 +85,7 @@
 	compressed_document_t *compressed_documents[CONFIG_DOCUMENT_COUNT];
 	int64_t next_seed_fetch_us;
 	cas_timer_t *tick_timer;
+	int64_t tick_due_us; /* planned time of the next tick */
 
 	http_server_t *front_server; /* for callers */
 	/* For child calls of the upstream; NULL if not configured. */
@@ -101,6 +103,7 @@
 	routing_t *routing;
 	retry_throttle_t *throttle; /* limits retries by service */
 	control_t *control; /* heartbeats, fence and tokens */
+	processor_use_t *processor; /* limits what is taken in */
 	drain_t *drain;
 	drain_times_t *times; /* of served requests, by entry_chain_key */
 
--- a/programs/cassiad/entry.c
+++ b/programs/cassiad/entry.c
@@ -7,6 +7,7 @@
 
 #include "cassia/http_error.h"
 #include "child_calls.h"
+#include "processor_use.h"
 #include "stats.h"
 #include "stop.h"
 
@@ -91,12 +92,27 @@
 	return status;
 }
 
+static processor_work_t work_of(const entry_request_t *request)
+{
+	return request->context.depth ? PROCESSOR_CHILD_CALL : PROCESSOR_ENTRY;
+}
+
+static bool take_processor_time(entry_request_t *request)
+{
+	request->has_processor_time = processor_use_admits(
+		request->daemon, work_of(request), &request->context);
+	return request->has_processor_time;
+}
+
 void entry_refuse(entry_request_t *request, reason_t reason,
 		  int64_t retry_after_us)
 {
 	if (request->answered)
 		return;
 	request->answered = true;
+	if (request->has_processor_time && !request->sending_started)
+		processor_use_turned_away(request->daemon, work_of(request),
+					  &request->context);
 	cancel_work(request);
 	request->reason = reason;
 	request->status = reason_status(reason);
@@ -214,6 +230,10 @@
 			     reason == REASON_STARTING ? STARTING_RETRY_US : 0);
 	else if (!is_accepted(request))
 		entry_refuse(request, REASON_DRAINING, ENTRY_STOPPING_RETRY_US);
+	else if (!take_processor_time(request))
+		entry_refuse(request, REASON_SHED,
+			     processor_use_retry_after_us(daemon,
+							  &request->context));
 	else if (!is_call_without_handle(request) && is_shed_early(request))
 		entry_refuse(request, REASON_SHED, CAS_USEC_PER_SEC);
 	else
--- a/programs/cassiad/entry.h
+++ b/programs/cassiad/entry.h
@@ -50,6 +50,7 @@
 	control_token_wait_t *token_wait; /* pending token, NULL: none */
 	call_attempt_t *attempt; /* running attempt, NULL: none */
 	int64_t attempt_started_us;
+	bool has_processor_time; /* the processor limit took it in */
 	bool sending_started; /* the first attempt was started */
 	bool may_have_run; /* an attempt may have run without a result */
 	bool answered; /* a response was started */
--- a/programs/cassiad/operator_server.c
+++ b/programs/cassiad/operator_server.c
@@ -6,6 +6,7 @@
 #include "cassia/http_problem.h"
 #include "cassia/http_target.h"
 #include "control.h"
+#include "processor_use.h"
 #include "stop.h"
 #include "stats.h"
 
@@ -106,6 +107,7 @@
 		  (int64_t)attempt_table_count(daemon->attempts));
 	set_link_metrics(daemon);
 	control_set_metrics(daemon);
+	processor_use_set_metrics(daemon);
 	if (headers)
 		http_headers_add(headers, CAS_STR("Content-Type"),
 				 CAS_STR("text/plain; version=0.0.4"));
--- a/programs/cassiad/peer_server.c
+++ b/programs/cassiad/peer_server.c
@@ -3,6 +3,7 @@
 #include "cassia/http_error.h"
 #include "cassia/http_problem.h"
 #include "fetch.h"
+#include "processor_use.h"
 #include "stats.h"
 #include "stop.h"
 #include "upstream_request.h"
@@ -123,6 +124,24 @@
 	return 0;
 }
 
+/* Refuses an attempt for which the daemon has no processor time, before its body
+ * is read. The signed outcome tells the sender which fraction to send. */
+static void refuse_for_processor(peer_request_t *request)
+{
+	cassiad_t *daemon = request->daemon;
+	attempt_context *context = &request->received.context;
+	attempt_outcome report;
+
+	upstream_request_count_early(daemon, context);
+	upstream_request_fill_outcome(daemon, context, NULL, ATTEMPT_NOT_RUN,
+				      REASON_SHED, reason_status(REASON_SHED),
+				      &report);
+	report.retry_after_ms =
+		(u_int)(processor_use_retry_after_us(daemon, context) /
+			CAS_USEC_PER_MSEC);
+	refuse_with_outcome(request, &report);
+}
+
 /* Registers an attempt so that it runs at most once. An attempt for an earlier
  * incarnation is refused: this process does not know whether it has run,
  * because the identifiers were lost with that incarnation. */
@@ -139,6 +158,11 @@
 		refuse_with_reason(request, ATTEMPT_NOT_RUN, REASON_DRAINING);
 		return;
 	}
+	if (!processor_use_admits(request->daemon, PROCESSOR_ATTEMPT,
+				  context)) {
+		refuse_for_processor(request);
+		return;
+	}
 	stop_limit_deadline(request->daemon, context);
 	error = attempt_table_begin(request->daemon->attempts, context->attempt,
 				    context->deadline);
--- a/programs/cassiad/upstream_request.c
+++ b/programs/cassiad/upstream_request.c
@@ -5,6 +5,7 @@
 #include "cassia/log.h"
 #include "child_calls.h"
 #include "entry.h"
+#include "processor_use.h"
 #include "stats.h"
 #include "stop.h"
 #include "upstream_gate.h"
@@ -37,8 +38,12 @@
 					      (int32_t)context->importance,
 					      context->customer);
 
+	double processor_fraction = processor_use_fraction(daemon, context);
+
 	if (live && live->fraction < fraction)
 		fraction = live->fraction;
+	if (processor_fraction < fraction)
+		fraction = processor_fraction;
 	*report = (attempt_outcome){
 		.host = daemon->settings->host_id,
 		.incarnation = daemon->incarnation,
@@ -52,6 +57,21 @@
 		.busy = admission_busy_permille(daemon->admission),
 	};
 	memcpy(report->attempt, context->attempt, ATTEMPT_ID_BYTES);
+	processor_use_fill_load(daemon, report);
+}
+
+void upstream_request_count_early(cassiad_t *daemon, attempt_context *context)
+{
+	processor_use_count_early(daemon, context);
+	for (u_int i = 0; i < context->early.early_len; i++) {
+		const attempt_early *early = &context->early.early_val[i];
+
+		admission_add_early_rejections(daemon->admission,
+					       (int32_t)early->importance,
+					       early->customer, early->count);
+	}
+	context->early.early_len = 0;
+	context->early.early_val = NULL;
 }
 
 /* Removes the handle, so that it no longer admits child calls, and detaches the
@@ -475,15 +495,7 @@
 		talloc_free(request);
 		return NULL;
 	}
-	for (u_int i = 0; i < context->early.early_len; i++) {
-		const attempt_early *early = &context->early.early_val[i];
-
-		admission_add_early_rejections(daemon->admission,
-					       (int32_t)early->importance,
-					       early->customer, early->count);
-	}
-	request->context.early.early_len = 0;
-	request->context.early.early_val = NULL;
+	upstream_request_count_early(daemon, &request->context);
 	if (drain_accepts_upstream_work(daemon->drain))
 		offer_to_admission(request);
 	else
--- a/programs/cassiad/upstream_request.h
+++ b/programs/cassiad/upstream_request.h
@@ -33,6 +33,9 @@
 				   uint32_t outcome, reason_t reason,
 				   int status, attempt_outcome *report);
 
+/* Takes over the early rejections that a context reports, as demand. */
+void upstream_request_count_early(cassiad_t *daemon, attempt_context *context);
+
 /* Callbacks of admission for a queued request: it may run, or it was dropped
  * without having run. */
 void upstream_request_on_run(void *private, admission_ticket_t *ticket,
