--- a/Makefile
+++ b/Makefile
@@ -47,7 +47,7 @@
 	sh soak/fault_soak.sh $(BUILD) $(SEED)
 
 bench: build
-	sh tools/bench.sh $(BUILD)
+	sh tools/bench.sh $(BUILD) $(bench)
 
 fuzz:
 	sh fuzz/run.sh $(BUILD) 20
--- a/bench/site.c
+++ b/bench/site.c
@@ -8,7 +8,6 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-#define PEER_HTTP_PORT 18081
 #define CONTROL_PORT 18082
 #define OPERATORS_PORT 18083
 #define LOCAL_PORT 18084
@@ -20,6 +19,8 @@
 static char address_prefix[16];
 static pid_t processes[PROCESSES_MAX];
 static int process_count;
+static const char *extra_table_rows = "";
+static const char *extra_settings = "";
 static char site_dir[] = "/tmp/cassia-bench-XXXXXX";
 
 void site_stop(void)
@@ -88,8 +89,8 @@
 				   "[[customer]]\nname = \"acme\"\n"
 				   "rate = 100000\nburst = 200000\n"
 				   "[[key]]\ncustomer = \"acme\"\n"
-				   "hash = \"%s\"\n[end]\n",
-				   hash_hex));
+				   "hash = \"%s\"\n%s[end]\n",
+				   hash_hex, extra_table_rows));
 }
 
 static void write_hosts(TALLOC_CTX *ctx)
@@ -126,16 +127,22 @@
 		"[source]\nkind = \"file\"\ntable = \"%s/table.toml\"\n"
 		"hosts = \"%s/hosts.toml\"\n"
 		"[[secret]]\nid = 1\n"
-		"secret = \"00112233445566778899aabbccddeeff\"\n"
+		"secret = \"" FLEET_SECRET "\"\n"
 		"[log]\nlevel = \"warn\"\n"
-		"[limits]\nconnections = 12000\nidle_timeout_ms = 120000\n",
+		"[limits]\nconnections = 12000\nidle_timeout_ms = 120000\n%s",
 		name, service, address, FRONT_PORT, LOCAL_PORT, address,
 		address, PEER_HTTP_PORT, CONTROL_PORT, address, OPERATORS_PORT,
-		address, UPSTREAM_PORT, site_dir, site_dir);
+		address, UPSTREAM_PORT, site_dir, site_dir, extra_settings);
 
 	write_file(talloc_asprintf(ctx, "%s.toml", name), text);
 }
 
+void site_set_extra(const char *table_rows, const char *settings)
+{
+	extra_table_rows = table_rows;
+	extra_settings = settings;
+}
+
 pid_t site_start_host(TALLOC_CTX *ctx, const char *build, const char *name,
 		      const char *service, int host_number,
 		      const char *delay_us)
--- a/bench/site.h
+++ b/bench/site.h
@@ -13,10 +13,17 @@
 
 #define FRONT_PORT 18080
 #define UPSTREAM_PORT 18085
+#define PEER_HTTP_PORT 18081
+/* Fleet secret, in hexadecimal digits. */
+#define FLEET_SECRET "00112233445566778899aabbccddeeff"
 /* API key of the only customer. */
 #define CUSTOMER_KEY                                                           \
 	KEYS_PREFIX "00000000000000000000000000000000000000000000000000000"
 
+/* Adds rows to the table and lines to the settings of all daemons (borrowed).
+ * Call it before site_create. */
+void site_set_extra(const char *table_rows, const char *settings);
+
 /* Makes a temporary directory and writes the table and the host list into it.
  * Returns 0, or -1 when the directory cannot be made. Ends the process when a
  * file cannot be written. ctx owns temporary strings. */
