Copy the header fields of a request only after it was accepted

A refused request needs no copy of its header fields for the upstream. The checks that refuse early come first now.

--- a/programs/cassiad/entry.c
+++ b/programs/cassiad/entry.c
@@ -236,6 +236,8 @@
 							  &request->context));
 	else if (!is_call_without_handle(request) && is_shed_early(request))
 		entry_refuse(request, REASON_SHED, CAS_USEC_PER_SEC);
+	else if (entry_copy_headers(request) != REASON_NONE)
+		entry_refuse(request, REASON_OVERLOADED, 0);
 	else
 		take_token(request);
 }
--- a/programs/cassiad/entry.h
+++ b/programs/cassiad/entry.h
@@ -75,6 +75,11 @@
  * or the reason for which it is refused. */
 reason_t entry_check_head(entry_request_t *request, bool local);
 
+/* Copies the fields of the caller without its key, which upstreams and other
+ * daemons must not see. Needed before the first attempt, and not for a refusal.
+ * Returns REASON_NONE, or REASON_OVERLOADED when memory is short. */
+reason_t entry_copy_headers(entry_request_t *request);
+
 /* entry_attempts.c: starts the next attempt, or refuses the request when its
  * deadline has passed or no upstream is left. */
 void entry_start_attempt(entry_request_t *request);
--- a/programs/cassiad/entry_head.c
+++ b/programs/cassiad/entry_head.c
@@ -226,9 +226,7 @@
 	return error;
 }
 
-/* Copies the fields of the caller without its key, which upstreams and other
- * daemons must not see. */
-static reason_t copy_headers(entry_request_t *request)
+reason_t entry_copy_headers(entry_request_t *request)
 {
 	const http_headers_t *headers =
 		http_exchange_headers(request->exchange);
@@ -313,7 +311,5 @@
 		request->context.importance = 0;
 		request->own_budget = retry_budget_of(0);
 	}
-	if (reason == REASON_NONE)
-		reason = check_body(request);
-	return reason == REASON_NONE ? copy_headers(request) : reason;
+	return reason == REASON_NONE ? check_body(request) : reason;
 }
