Order queued requests by their objective and refuse late ones early

Queued requests of a customer were served first come, first served, until they had waited four times the usual time, so that in a small overload most responses came after the objective of their route.

While hosts are shared, the upstream's daemon finds the objective of the route. Requests of equal importance and customer are ordered half way between their arrival and their latest start; one that cannot be in time behind those before it is refused at once, at the latest after an eighth of the objective. Callers are told to return when capacity is expected, by the queue, the admitted fraction or the quota, spread at random and within a third of their time left.

--- a/packages/admission/admission.c
+++ b/packages/admission/admission.c
@@ -29,6 +29,7 @@
 		[ADMISSION_REASON_QUEUE_TIME] = "queue-time",
 		[ADMISSION_REASON_MEMORY] = "memory",
 		[ADMISSION_REASON_STOPPED] = "stopped",
+		[ADMISSION_REASON_LATE] = "late",
 	};
 
 	return names[reason];
@@ -123,6 +124,13 @@
 				      ADMISSION_REASON_DEADLINE);
 			continue;
 		}
+		/* A late response is still worth a slot that would be idle. */
+		if (admission->queued &&
+		    !objective_met(ticket->kind, now_us, now_us,
+				   ticket->objective_us)) {
+			drop_dequeued(admission, ticket, ADMISSION_REASON_LATE);
+			continue;
+		}
 		start_request(admission, ticket, now_us);
 		admission->ops.run(admission->private, ticket, ticket->private);
 	}
@@ -174,7 +182,8 @@
 static admission_ticket_t *ticket_create(admission_t *admission,
 					 const admission_request_t *request,
 					 request_class_t *class,
-					 latency_kind_t *kind)
+					 latency_kind_t *kind,
+					 int64_t objective_us)
 {
 	admission_ticket_t *ticket = talloc_zero(admission, admission_ticket_t);
 
@@ -185,6 +194,11 @@
 	ticket->kind = kind;
 	ticket->deadline_us = request->deadline_us;
 	ticket->state_since_us = cas_clock_now(admission->clock);
+	ticket->objective_us = objective_us;
+	ticket->latest_start_us = objective_latest_start(
+		kind, ticket->state_since_us, objective_us);
+	ticket->order_us = objective_order(ticket->state_since_us,
+					   ticket->latest_start_us);
 	ticket->private = request->private;
 	return ticket;
 }
@@ -230,7 +244,7 @@
 	latency_kind_t *kind =
 		latency_kind(&admission->limit.latency, request->kind);
 	request_class_t *class = record_arrival(admission, request, kind);
-
+	int64_t objective_us;
 	bool start_now;
 
 	*ticket = NULL;
@@ -244,9 +258,13 @@
 		return reject(reason, ADMISSION_REASON_SHED);
 	dispatch(admission);
 	start_now = !admission->queued && limit_allows(&admission->limit);
+	objective_us = objective_applicable(request, kind, now_us);
+	if (!start_now && !objective_fits(admission, queue_for(request, class),
+					  kind, now_us, objective_us))
+		return reject(reason, ADMISSION_REASON_LATE);
 	if (!start_now && !make_room(admission, queue_for(request, class)))
 		return reject(reason, ADMISSION_REASON_QUEUE_FULL);
-	*ticket = ticket_create(admission, request, class, kind);
+	*ticket = ticket_create(admission, request, class, kind, objective_us);
 	if (!*ticket)
 		return reject(reason, ADMISSION_REASON_MEMORY);
 	if (start_now) {
@@ -307,14 +325,19 @@
 	return time_us > QUEUE_TIME_MIN_US ? time_us : QUEUE_TIME_MIN_US;
 }
 
-/* Returns why a queued request must be dropped, or ADMISSION_REASON_NONE. */
+/* Returns why a queued request must be dropped, or ADMISSION_REASON_NONE.
+ * position is its place in its queue. */
 static admission_reason_t expiry_reason(const admission_t *admission,
-					const admission_ticket_t *ticket,
-					int64_t now_us)
+					admission_ticket_t *ticket,
+					int32_t position, int64_t now_us)
 {
 	if (misses_deadline(ticket->kind, ticket->queue, now_us,
 			    ticket->deadline_us))
 		return ADMISSION_REASON_DEADLINE;
+	if (ticket->objective_us)
+		return objective_is_late(admission, ticket, position, now_us)
+			       ? ADMISSION_REASON_LATE
+			       : ADMISSION_REASON_NONE;
 	/* A child call may wait until its deadline, because the work of its
 	 * parent is lost with it. */
 	if (!is_child_queue(ticket->queue) &&
@@ -334,11 +357,14 @@
 	if (!head)
 		return NULL;
 	do {
+		int32_t position = 0;
+
 		for (ticket_link_t *link = queue->tickets.next;
 		     link != &queue->tickets; link = link->next) {
 			admission_ticket_t *ticket = (void *)link;
 
-			*reason = expiry_reason(admission, ticket, now_us);
+			*reason = expiry_reason(admission, ticket, position++,
+						now_us);
 			if (*reason != ADMISSION_REASON_NONE)
 				return ticket;
 		}
--- a/packages/admission/admission_internal.h
+++ b/packages/admission/admission_internal.h
@@ -60,6 +60,7 @@
 	double mean_request_us; /* smoothed work of one request */
 	double demand; /* smoothed, as a number of requests in flight */
 	double allocated; /* part of the capacity, in the same unit */
+	double above; /* capacity allocated to more important classes */
 	double fraction; /* admitted fraction, 0..1 */
 	double fraction_history[CLASS_FRACTION_HISTORY]; /* circular buffer */
 	int fraction_history_next; /* index of its oldest entry */
@@ -72,11 +73,15 @@
 	request_queue_t *queue;
 	latency_kind_t *kind;
 	int64_t deadline_us;
+	int64_t objective_us; /* 0: none, or not to be reached */
+	int64_t latest_start_us; /* for the objective; INT64_MAX: none */
+	int64_t order_us; /* place in the queue, see objective_order */
 	int64_t state_since_us; /* when it was queued, then when it started */
 	int64_t child_us; /* time spent waiting for child calls */
 	uint32_t probe_number; /* as returned by limit_start */
 	void *private;
 	bool running;
+	bool confirmed; /* expected to be in time when last looked at */
 };
 
 struct admission {
@@ -105,8 +110,12 @@
 void queue_init(request_class_t *class);
 /* Returns the number of queued requests of a class. */
 int32_t queue_class_count(const request_class_t *class);
-/* Appends a request to the queue named in its ticket. */
+/* Adds a request to the queue named in its ticket, ordered by order_us;
+ * after those with the same one. */
 void queue_push(admission_t *admission, admission_ticket_t *ticket);
+/* Returns how many requests of a queue would be served before a new one with
+ * the order order_us. */
+int32_t queue_position(const request_queue_t *queue, int64_t order_us);
 void queue_remove(admission_t *admission, admission_ticket_t *ticket);
 /* Removes and returns the next request in order, or NULL. */
 admission_ticket_t *queue_pop(admission_t *admission);
@@ -116,6 +125,41 @@
 admission_ticket_t *queue_victim(admission_t *admission,
 				 const request_queue_t *incoming);
 
+/* Expected waits (expect.c). */
+
+/* Returns the expected time in microseconds until a request starts that has
+ * position requests of its queue before it. 0: not known. */
+int64_t expect_wait_us(const admission_t *admission,
+		       const request_queue_t *queue, int32_t position);
+
+/* Requests and their objectives (objective.c). Times are absolute, in
+ * microseconds; an objective of 0 is always met. */
+
+/* Returns whether a request that starts at start_us can be in time. */
+bool objective_met(const latency_kind_t *kind, int64_t now_us, int64_t start_us,
+		   int64_t objective_us);
+/* Returns the objective to apply to a new request, or 0. While the request
+ * would miss it even without waiting, it is not applied: all would be refused,
+ * and nothing would show that the upstream has become faster. */
+int64_t objective_applicable(const admission_request_t *request,
+			     const latency_kind_t *kind, int64_t now_us);
+/* Returns the latest start that is in time; INT64_MAX without an objective. */
+int64_t objective_latest_start(const latency_kind_t *kind, int64_t now_us,
+			       int64_t objective_us);
+/* Returns the place in the queue of a request that arrives at now_us: half way
+ * between its arrival and its latest start. In the order of latest starts alone
+ * a request with a long objective would be overtaken until it is nearly late. */
+int64_t objective_order(int64_t now_us, int64_t latest_start_us);
+/* Returns whether a new request is expected to be in time if it is queued. */
+bool objective_fits(const admission_t *admission, const request_queue_t *queue,
+		    const latency_kind_t *kind, int64_t now_us,
+		    int64_t objective_us);
+/* Returns whether a queued request is to be dropped because it is not expected
+ * to be in time. position is its place in its queue, from 0. It must have an
+ * objective. */
+bool objective_is_late(const admission_t *admission, admission_ticket_t *ticket,
+		       int32_t position, int64_t now_us);
+
 /* Classes and their demand (demand.c). */
 
 /* Creates the table of classes. Returns 0 or ADMISSION_ENOMEM. */
--- a/packages/admission/divide.c
+++ b/packages/admission/divide.c
@@ -221,6 +221,8 @@
 		remaining.corrected =
 			capacity * queue_correction(admission, importance) -
 			allocated;
+		for (size_t i = begin; i < end; i++)
+			classes[i]->above = allocated;
 		divide_importance(classes + begin, end - begin, &remaining);
 	}
 }
--- a/packages/admission/include/cassia/admission.h
+++ b/packages/admission/include/cassia/admission.h
@@ -33,6 +33,11 @@
 	cas_id_t customer;
 	int32_t weight; /* share of the customer, 1 or more */
 	int64_t deadline_us; /* absolute, on the clock of the controller */
+	/* Until when a response has its full value, absolute; 0: not known.
+	 * Requests of one importance and customer then wait in the order in
+	 * which they have to start, and one that cannot be in time is refused
+	 * early. Not applied to child calls. */
+	int64_t objective_us;
 	/* A child call of a request that was admitted earlier. Its draw is
 	 * compared with the highest recent fraction instead of the current one,
 	 * because a rejection wastes the work already done for its parent. */
@@ -59,6 +64,7 @@
 	ADMISSION_REASON_QUEUE_TIME, /* waited for the maximum queue time */
 	ADMISSION_REASON_MEMORY, /* out of memory */
 	ADMISSION_REASON_STOPPED, /* by admission_stop_queue */
+	ADMISSION_REASON_LATE, /* would finish, but not within its objective */
 } admission_reason_t;
 
 /* Returns a short name for logs and problem details. */
@@ -152,6 +158,11 @@
 void admission_add_early_rejections(admission_t *admission, int32_t importance,
 				    cas_id_t customer, uint64_t count);
 
+/* Returns the time in microseconds until a request of an importance and
+ * customer that is refused now can be expected to be admitted. */
+int64_t admission_retry_after_us(const admission_t *admission,
+				 int32_t importance, cas_id_t customer);
+
 /* Returns the concurrency limit, in requests. */
 int32_t admission_limit(const admission_t *admission);
 /* Returns the number of running requests. */
--- a/packages/admission/processor.c
+++ b/packages/admission/processor.c
@@ -1,5 +1,6 @@
 /* The processor limit: decides on requests by the divided capacity and by the
  * work that was taken in and is not yet worked off. */
+#include "cassia/return_time.h"
 #include "processor_internal.h"
 
 /* Work that may be taken in ahead of the capacity: while nothing is refused,
@@ -16,10 +17,6 @@
 #define NET_WEIGHT 0.05
 /* Number of values of a draw, 2^32. */
 #define DRAW_RANGE 4294967296.0
-/* Time until a refused request has a chance again: this, divided by the
- * fraction taken in; at most the second. */
-#define RETRY_BASE_US (200 * CAS_USEC_PER_MSEC)
-#define RETRY_MAX_US (2 * CAS_USEC_PER_SEC)
 /* Time without a measurement after which one is due before the timer runs. */
 #define MEASURE_US (20 * CAS_USEC_PER_MSEC)
 /* Importance above which a class that is not known yet may fill all of the
@@ -271,13 +268,8 @@
 int64_t processor_retry_after_us(const processor_t *processor,
 				 int32_t importance, cas_id_t customer)
 {
-	double fraction =
-		processor_fraction(processor, importance, customer, false);
-	double wait_us = (double)RETRY_MAX_US;
-
-	if (fraction * wait_us > (double)RETRY_BASE_US)
-		wait_us = (double)RETRY_BASE_US / fraction;
-	return (int64_t)wait_us;
+	return return_time_when_shed(
+		processor_fraction(processor, importance, customer, false));
 }
 
 static int32_t permille(double value)
--- a/packages/admission/queue.c
+++ b/packages/admission/queue.c
@@ -1,7 +1,8 @@
 /*
  * The queue of requests. Child calls go first, because work has already been
  * done for their root request; then requests go by importance. Within one
- * importance, customers are served by weighted deficit round robin.
+ * importance, customers are served by weighted deficit round robin. The requests
+ * of one customer that have an objective are ordered by it (objective_order).
  */
 #include "admission_internal.h"
 
@@ -68,16 +69,34 @@
 	request_queue_t *queue = ticket->queue;
 	ticket_link_t *head = &queue->tickets;
 
-	ticket->link.next = head;
-	ticket->link.prev = head->prev;
-	head->prev->next = &ticket->link;
-	head->prev = &ticket->link;
+	ticket_link_t *after = head->prev;
+
+	while (after != head &&
+	       ((admission_ticket_t *)after)->order_us > ticket->order_us)
+		after = after->prev;
+	ticket->link.next = after->next;
+	ticket->link.prev = after;
+	after->next->prev = &ticket->link;
+	after->next = &ticket->link;
 	if (!queue->count++)
 		activate(admission, queue);
 	admission->queued_by_importance[queue->class->importance]++;
 	admission->queued++;
 }
 
+int32_t queue_position(const request_queue_t *queue, int64_t order_us)
+{
+	const ticket_link_t *link = queue->tickets.prev;
+	int32_t position = queue->count;
+
+	while (link != &queue->tickets &&
+	       ((const admission_ticket_t *)link)->order_us > order_us) {
+		link = link->prev;
+		position--;
+	}
+	return position;
+}
+
 void queue_remove(admission_t *admission, admission_ticket_t *ticket)
 {
 	request_queue_t *queue = ticket->queue;
--- a/programs/cassiad/entry.c
+++ b/programs/cassiad/entry.c
@@ -6,6 +6,7 @@
 #include "entry.h"
 
 #include "cassia/http_error.h"
+#include "cassia/return_time.h"
 #include "child_calls.h"
 #include "processor_use.h"
 #include "stats.h"
@@ -104,8 +105,36 @@
 	return request->has_processor_time;
 }
 
+/* Returns whether capacity, and not the state of a daemon, decides when a
+ * refused request can be served. */
+static bool waits_for_capacity(reason_t reason)
+{
+	return reason == REASON_SHED || reason == REASON_OVER_RATE ||
+	       reason == REASON_DEADLINE || reason == REASON_REJECTED ||
+	       reason == REASON_NO_UPSTREAM;
+}
+
+/* Returns the time after which to tell the caller of a refused request to
+ * return. */
+static int64_t return_time(const entry_request_t *request, int64_t expected_us)
+{
+	const cassiad_t *daemon = request->daemon;
+	const attempt_context *context = &request->context;
+	int64_t left_us = context->deadline - cas_clock_now(daemon->clock);
+
+	if (!daemon_hosts_are_shared(daemon) ||
+	    !waits_for_capacity(request->reason))
+		return expected_us;
+	if (expected_us <= 0)
+		expected_us = return_time_when_shed(thresholds_fraction(
+			daemon->thresholds, entry_chain_key(context),
+			(int32_t)context->importance, context->customer));
+	return return_time_choose(daemon->rng, expected_us, left_us,
+				  request->reason == REASON_OVER_RATE);
+}
+
 void entry_refuse(entry_request_t *request, reason_t reason,
-		  int64_t retry_after_us)
+		  int64_t expected_us)
 {
 	if (request->answered)
 		return;
@@ -119,7 +148,7 @@
 	request->outcome =
 		request->may_have_run ? ATTEMPT_UNKNOWN : ATTEMPT_NOT_RUN;
 	request->status = retry_safe_status(request);
-	entry_reply_refusal(request, retry_after_us);
+	entry_reply_refusal(request, return_time(request, expected_us));
 }
 
 static void read_body(entry_request_t *request)
@@ -235,7 +264,9 @@
 			     processor_use_retry_after_us(daemon,
 							  &request->context));
 	else if (!is_call_without_handle(request) && is_shed_early(request))
-		entry_refuse(request, REASON_SHED, CAS_USEC_PER_SEC);
+		entry_refuse(
+			request, REASON_SHED,
+			daemon_hosts_are_shared(daemon) ? 0 : CAS_USEC_PER_SEC);
 	else if (entry_copy_headers(request) != REASON_NONE)
 		entry_refuse(request, REASON_OVERLOADED, 0);
 	else
--- a/programs/cassiad/entry.h
+++ b/programs/cassiad/entry.h
@@ -60,9 +60,10 @@
 };
 
 /* entry.c: cancels all work for a request and answers it with an error. Does
- * nothing when a response was started. retry_after_us 0: no estimate. */
+ * nothing when a response was started. expected_us is when capacity is expected,
+ * in microseconds from now; 0: no estimate. */
 void entry_refuse(entry_request_t *request, reason_t reason,
-		  int64_t retry_after_us);
+		  int64_t expected_us);
 
 /* Returns the id of a route at its depth in the call chain, under which
  * admitted fractions and usual times are kept. The admitted fraction of a route
@@ -85,7 +86,7 @@
 void entry_start_attempt(entry_request_t *request);
 
 /* entry_reply.c: sends the error response of a refused request; status, outcome
- * and reason are set. */
+ * and reason are set. retry_after_us may be RETURN_TIME_NONE. */
 void entry_reply_refusal(entry_request_t *request, int64_t retry_after_us);
 
 /* Passes the response of the upstream on. Takes over headers and body of
--- a/programs/cassiad/entry_reply.c
+++ b/programs/cassiad/entry_reply.c
@@ -1,5 +1,6 @@
 /* Responses to callers. */
 #include "cassia/http_problem.h"
+#include "cassia/return_time.h"
 #include "entry.h"
 #include "stats.h"
 
@@ -61,6 +62,8 @@
 		retry_s = 1;
 	if (request->status == 429 && add_rate_limit(request, headers, retry_s))
 		return -1;
+	if (retry_after_us == RETURN_TIME_NONE)
+		return 0;
 	if (request->daemon->profile->fractional_retry_after)
 		return add_fractional_retry_after(headers, retry_after_us);
 	return http_headers_add_int(headers, headers, "Retry-After", retry_s);
--- a/programs/cassiad/processor_use.c
+++ b/programs/cassiad/processor_use.c
@@ -9,10 +9,6 @@
 /* Shortest time between two log lines that say whether the limit acts. It may
  * begin and end to act several times a second near the capacity. */
 #define LOG_INTERVAL_US CAS_USEC_PER_SEC
-/* A retry time is drawn from this share of the expected time up to the same
- * amount above it, so that refused clients do not return together. */
-#define RETRY_SPREAD_MIN 0.5
-
 /* The limit and what was last logged about it. */
 struct processor_use {
 	processor_t *limit;
@@ -216,12 +212,9 @@
 int64_t processor_use_retry_after_us(const cassiad_t *daemon,
 				     const attempt_context *context)
 {
-	int64_t mean_us = processor_retry_after_us(daemon->processor->limit,
-						   (int32_t)context->importance,
-						   context->customer);
-	double spread = RETRY_SPREAD_MIN + cas_rng_double(daemon->rng);
-
-	return (int64_t)((double)mean_us * spread);
+	return processor_retry_after_us(daemon->processor->limit,
+					(int32_t)context->importance,
+					context->customer);
 }
 
 void processor_use_fill_load(const cassiad_t *daemon, attempt_outcome *report)
--- a/programs/cassiad/processor_use.h
+++ b/programs/cassiad/processor_use.h
@@ -35,8 +35,8 @@
 double processor_use_fraction(const cassiad_t *daemon,
 			      const attempt_context *context);
 
-/* Returns when to retry a request that processor_use_admits refused, in
- * microseconds from now, spread at random. */
+/* Returns when a request that processor_use_admits refused can be expected to be
+ * taken in, in microseconds from now. */
 int64_t processor_use_retry_after_us(const cassiad_t *daemon,
 				     const attempt_context *context);
 
--- a/programs/cassiad/upstream_request.c
+++ b/programs/cassiad/upstream_request.c
@@ -134,6 +134,23 @@
 		CAS_LOG_INT("queued", admission_queued(daemon->admission)));
 }
 
+/* Returns when a request that was refused for lack of capacity can be expected
+ * to be admitted, 0: not given. */
+static int64_t retry_after_ms(const upstream_request_t *request)
+{
+	const attempt_context *context = &request->context;
+	int64_t wait_us;
+
+	if (!daemon_hosts_are_shared(request->daemon) ||
+	    request->result.outcome != ATTEMPT_NOT_RUN ||
+	    request->result.reason != REASON_SHED)
+		return 0;
+	wait_us = admission_retry_after_us(request->daemon->admission,
+					   (int32_t)context->importance,
+					   context->customer);
+	return wait_us / CAS_USEC_PER_MSEC;
+}
+
 static void finish_request(upstream_request_t *request)
 {
 	call_attempt_result_t *result = &request->result;
@@ -144,6 +161,8 @@
 		result->outcome, result->reason, reason_status(result->reason),
 		&result->report);
 	result->has_report = true;
+	result->report.retry_after_ms = (u_int)retry_after_ms(request);
+	result->retry_after_ms = result->report.retry_after_ms;
 	remove_live_entry(request, result->outcome != ATTEMPT_SERVED);
 	request->ops->done(request->private, result);
 	talloc_free(request);
@@ -444,6 +463,24 @@
 	schedule_finish(request, ATTEMPT_NOT_RUN, reason_of_admission(reason));
 }
 
+/* Returns until when a response has its full value, 0: not known. A deadline that
+ * comes first takes its place. */
+static int64_t objective_us(const upstream_request_t *request)
+{
+	const cassiad_t *daemon = request->daemon;
+	const attempt_context *context = &request->context;
+	const table_route_t *route =
+		daemon->table ? table_find_route(daemon->table, context->route)
+			      : NULL;
+	int64_t objective;
+
+	if (!route || !route->objective_ms || !daemon_hosts_are_shared(daemon))
+		return 0;
+	objective = cas_clock_now(daemon->clock) +
+		    route->objective_ms * CAS_USEC_PER_MSEC;
+	return objective < context->deadline ? objective : context->deadline;
+}
+
 static void offer_to_admission(upstream_request_t *request)
 {
 	const attempt_context *context = &request->context;
@@ -453,6 +490,7 @@
 		.customer = context->customer,
 		.weight = (int32_t)context->weight,
 		.deadline_us = context->deadline,
+		.objective_us = objective_us(request),
 		.kind = entry_chain_key(context),
 		.child = context->depth > 0,
 		.private = request,
