--- a/packages/admission/include/cassia/processor.h
+++ b/packages/admission/include/cassia/processor.h
@@ -85,6 +85,10 @@
 bool processor_admit(processor_t *processor,
 		     const processor_request_t *request);
 
+/* Counts a request that was refused without a decision of this limit, so that
+ * its cost is not taken for that of other work. */
+void processor_count_refusal(processor_t *processor);
+
 /* Takes back a request that was taken in and has been refused by another check
  * since, before most of its cost was spent. It then counts as a refusal. */
 void processor_turned_away(processor_t *processor,
--- a/packages/admission/processor.c
+++ b/packages/admission/processor.c
@@ -171,14 +171,18 @@
 	return processor->backlog_us < limit_us;
 }
 
+static double allowance_us(const processor_t *processor)
+{
+	return (double)(processor->limiting ? LIMITING_BURST_US : BURST_US) *
+	       processor->capacity.capacity;
+}
+
 bool processor_admit(processor_t *processor, const processor_request_t *request)
 {
 	processor_class_t *class =
 		ensure_class(processor, request->importance, request->customer,
 			     request->child);
-	double allowance_us =
-		(double)(processor->limiting ? LIMITING_BURST_US : BURST_US) *
-		processor->capacity.capacity;
+	double burst_us = allowance_us(processor);
 	bool admitted = false;
 
 	/* Without memory for the class nothing is known about the load. */
@@ -188,17 +192,23 @@
 	record_arrival(processor, class, request);
 	if (draw_below(request->draw, request->child ? highest_fraction(class)
 						     : class->fraction)) {
-		admitted = fits_burst(processor, class, allowance_us);
+		admitted = fits_burst(processor, class, burst_us);
 		if (!admitted)
 			processor->burst_refused++;
 	}
 	count_work(processor, admitted ? request->work : PROCESSOR_REFUSAL,
-		   allowance_us);
+		   burst_us);
 	processor->admitted += admitted;
 	processor->refused += !admitted;
 	return admitted;
 }
 
+void processor_count_refusal(processor_t *processor)
+{
+	drain_backlog(processor);
+	count_work(processor, PROCESSOR_REFUSAL, allowance_us(processor));
+}
+
 void processor_turned_away(processor_t *processor,
 			   const processor_request_t *request)
 {
--- a/programs/cassiad/entry.c
+++ b/programs/cassiad/entry.c
@@ -254,6 +254,8 @@
 		return;
 	}
 	reason = entry_check_head(request, local);
+	if (reason != REASON_NONE)
+		processor_use_count_refusal(daemon);
 	if (reason != REASON_NONE)
 		entry_refuse(request, reason,
 			     reason == REASON_STARTING ? STARTING_RETRY_US : 0);
--- a/programs/cassiad/processor_use.c
+++ b/programs/cassiad/processor_use.c
@@ -176,6 +176,12 @@
 	return processor_admit(daemon->processor->limit, &request);
 }
 
+void processor_use_count_refusal(cassiad_t *daemon)
+{
+	if (daemon->processor->in_force)
+		processor_count_refusal(daemon->processor->limit);
+}
+
 void processor_use_turned_away(cassiad_t *daemon, processor_work_t work,
 			       const attempt_context *context)
 {
--- a/programs/cassiad/processor_use.h
+++ b/programs/cassiad/processor_use.h
@@ -22,6 +22,9 @@
 bool processor_use_admits(cassiad_t *daemon, processor_work_t work,
 			  const attempt_context *context);
 
+/* Counts a request that was refused without processor_use_admits. */
+void processor_use_count_refusal(cassiad_t *daemon);
+
 /* Takes back a request that processor_use_admits took in and that another check
  * has refused since. */
 void processor_use_turned_away(cassiad_t *daemon, processor_work_t work,
