--- a/programs/cassiad/daemon.h
+++ b/programs/cassiad/daemon.h
@@ -36,6 +36,7 @@
 typedef struct compressed_document compressed_document_t;
 typedef struct stats stats_t;
 typedef struct warm_up_watch warm_up_watch_t;
+typedef struct processor_use processor_use_t;
 typedef struct entry_request entry_request_t;
 typedef struct peer_request peer_request_t;
 
@@ -87,6 +88,7 @@
 	compressed_document_t *compressed_documents[CONFIG_DOCUMENT_COUNT];
 	int64_t next_seed_fetch_us;
 	cas_timer_t *tick_timer;
+	int64_t tick_due_us; /* planned time of the next tick */
 
 	http_server_t *front_server; /* for callers */
 	/* For child calls of the upstream; NULL if not configured. */
@@ -106,6 +108,7 @@
 	retry_throttle_t *throttle; /* limits retries by service */
 	retry_plan_t *retry_plan; /* of calls that services reject */
 	control_t *control; /* heartbeats, fence and tokens */
+	processor_use_t *processor; /* limits what is taken in */
 	drain_t *drain;
 	drain_times_t *times; /* of served requests, by entry_chain_key */
 
--- a/programs/cassiad/entry.c
+++ b/programs/cassiad/entry.c
@@ -6,7 +6,9 @@
 #include "entry.h"
 
 #include "cassia/http_error.h"
+#include "cassia/return_time.h"
 #include "child_calls.h"
+#include "processor_use.h"
 #include "stats.h"
 #include "stop.h"
 
@@ -92,19 +94,62 @@
 	return status;
 }
 
+static processor_work_t work_of(const entry_request_t *request)
+{
+	return request->context.depth ? PROCESSOR_CHILD_CALL : PROCESSOR_ENTRY;
+}
+
+static bool take_processor_time(entry_request_t *request)
+{
+	request->has_processor_time = processor_use_admits(
+		request->daemon, work_of(request), &request->context);
+	return request->has_processor_time;
+}
+
+/* Returns whether capacity, and not the state of a daemon, decides when a
+ * refused request can be served. */
+static bool waits_for_capacity(reason_t reason)
+{
+	return reason == REASON_SHED || reason == REASON_OVER_RATE ||
+	       reason == REASON_DEADLINE || reason == REASON_REJECTED ||
+	       reason == REASON_NO_UPSTREAM;
+}
+
+/* Returns the time after which to tell the caller of a refused request to
+ * return. */
+static int64_t return_time(const entry_request_t *request, int64_t expected_us)
+{
+	const cassiad_t *daemon = request->daemon;
+	const attempt_context *context = &request->context;
+	int64_t left_us = context->deadline - cas_clock_now(daemon->clock);
+
+	if (!daemon_hosts_are_shared(daemon) ||
+	    !waits_for_capacity(request->reason))
+		return expected_us;
+	if (expected_us <= 0)
+		expected_us = return_time_when_shed(thresholds_fraction(
+			daemon->thresholds, entry_chain_key(context),
+			(int32_t)context->importance, context->customer));
+	return return_time_choose(daemon->rng, expected_us, left_us,
+				  request->reason == REASON_OVER_RATE);
+}
+
 void entry_refuse(entry_request_t *request, reason_t reason,
-		  int64_t retry_after_us)
+		  int64_t expected_us)
 {
 	if (request->answered)
 		return;
 	request->answered = true;
+	if (request->has_processor_time && !request->sending_started)
+		processor_use_turned_away(request->daemon, work_of(request),
+					  &request->context);
 	cancel_work(request);
 	request->reason = reason;
 	request->status = reason_status(reason);
 	request->outcome =
 		request->may_have_run ? ATTEMPT_UNKNOWN : ATTEMPT_NOT_RUN;
 	request->status = retry_safe_status(request);
-	entry_reply_refusal(request, retry_after_us);
+	entry_reply_refusal(request, return_time(request, expected_us));
 }
 
 static void read_body(entry_request_t *request)
@@ -225,6 +270,8 @@
 		return;
 	}
 	reason = entry_check_head(request, local);
+	if (reason != REASON_NONE)
+		processor_use_count_refusal(daemon);
 	if (reason != REASON_NONE)
 		entry_refuse(request, reason,
 			     reason == REASON_STARTING ? STARTING_RETRY_US : 0);
@@ -232,8 +279,16 @@
 		entry_refuse(request, REASON_DRAINING, ENTRY_STOPPING_RETRY_US);
 	else if (!entry_has_allowed_upstream(request))
 		refuse_without_upstream(request);
+	else if (!take_processor_time(request))
+		entry_refuse(request, REASON_SHED,
+			     processor_use_retry_after_us(daemon,
+							  &request->context));
 	else if (!is_call_without_handle(request) && is_shed_early(request))
-		entry_refuse(request, REASON_SHED, CAS_USEC_PER_SEC);
+		entry_refuse(
+			request, REASON_SHED,
+			daemon_hosts_are_shared(daemon) ? 0 : CAS_USEC_PER_SEC);
+	else if (entry_copy_headers(request) != REASON_NONE)
+		entry_refuse(request, REASON_OVERLOADED, 0);
 	else
 		take_token(request);
 }
--- a/programs/cassiad/entry.h
+++ b/programs/cassiad/entry.h
@@ -63,6 +63,7 @@
 	control_token_wait_t *token_wait; /* pending token, NULL: none */
 	call_attempt_t *attempt; /* running attempt, NULL: none */
 	int64_t attempt_started_us;
+	bool has_processor_time; /* the processor limit took it in */
 	bool sending_started; /* the first attempt was started */
 	bool may_have_run; /* an attempt may have run without a result */
 	bool answered; /* a response was started */
@@ -72,9 +73,10 @@
 };
 
 /* entry.c: cancels all work for a request and answers it with an error. Does
- * nothing when a response was started. retry_after_us 0: no estimate. */
+ * nothing when a response was started. expected_us is when capacity is expected,
+ * in microseconds from now; 0: no estimate. */
 void entry_refuse(entry_request_t *request, reason_t reason,
-		  int64_t retry_after_us);
+		  int64_t expected_us);
 
 /* Returns the id of a route at its depth in the call chain, under which
  * admitted fractions and usual times are kept. The admitted fraction of a route
@@ -87,6 +89,11 @@
  * or the reason for which it is refused. */
 reason_t entry_check_head(entry_request_t *request, bool local);
 
+/* Copies the fields of the caller without its key, which upstreams and other
+ * daemons must not see. Needed before the first attempt, and not for a refusal.
+ * Returns REASON_NONE, or REASON_OVERLOADED when memory is short. */
+reason_t entry_copy_headers(entry_request_t *request);
+
 /* entry_regions.c: keeps the list of regions that the table in force allows to
  * a request whose route and customer are known. is_orphan: it may be a child
  * call whose parent, and with it the customer, is unknown. Returns 0, or -1
@@ -123,7 +130,7 @@
 bool entry_plan_repeat(entry_request_t *request, const routing_query_t *query);
 
 /* entry_reply.c: sends the error response of a refused request; status, outcome
- * and reason are set. */
+ * and reason are set. retry_after_us may be RETURN_TIME_NONE. */
 void entry_reply_refusal(entry_request_t *request, int64_t retry_after_us);
 
 /* Passes the response of the upstream on. Takes over headers and body of
--- a/programs/cassiad/upstream_request.c
+++ b/programs/cassiad/upstream_request.c
@@ -5,6 +5,7 @@
 #include "cassia/log.h"
 #include "child_calls.h"
 #include "entry.h"
+#include "processor_use.h"
 #include "stats.h"
 #include "stop.h"
 #include "upstream_gate.h"
@@ -81,8 +82,12 @@
 					      (int32_t)context->importance,
 					      context->customer);
 
+	double processor_fraction = processor_use_fraction(daemon, context);
+
 	if (live && live->fraction < fraction)
 		fraction = live->fraction;
+	if (processor_fraction < fraction)
+		fraction = processor_fraction;
 	*report = (attempt_outcome){
 		.host = daemon->settings->host_id,
 		.incarnation = daemon->incarnation,
@@ -99,6 +104,21 @@
 		report->retry_after_ms = warm_up_retry_ms(daemon);
 	fill_load(daemon, entry_chain_key(context), &report->load);
 	memcpy(report->attempt, context->attempt, ATTEMPT_ID_BYTES);
+	processor_use_fill_load(daemon, report);
+}
+
+void upstream_request_count_early(cassiad_t *daemon, attempt_context *context)
+{
+	processor_use_count_early(daemon, context);
+	for (u_int i = 0; i < context->early.early_len; i++) {
+		const attempt_early *early = &context->early.early_val[i];
+
+		admission_add_early_rejections(daemon->admission,
+					       (int32_t)early->importance,
+					       early->customer, early->count);
+	}
+	context->early.early_len = 0;
+	context->early.early_val = NULL;
 }
 
 /* Removes the handle, so that it no longer admits child calls, and detaches the
@@ -175,6 +195,23 @@
 		counter->value++;
 }
 
+/* Returns when a request that was refused for lack of capacity can be expected
+ * to be admitted, 0: not given. */
+static int64_t retry_after_ms(const upstream_request_t *request)
+{
+	const attempt_context *context = &request->context;
+	int64_t wait_us;
+
+	if (!daemon_hosts_are_shared(request->daemon) ||
+	    request->result.outcome != ATTEMPT_NOT_RUN ||
+	    request->result.reason != REASON_SHED)
+		return 0;
+	wait_us = admission_retry_after_us(request->daemon->admission,
+					   (int32_t)context->importance,
+					   context->customer);
+	return wait_us / CAS_USEC_PER_MSEC;
+}
+
 static void finish_request(upstream_request_t *request)
 {
 	call_attempt_result_t *result = &request->result;
@@ -186,6 +223,8 @@
 		result->outcome, result->reason, reason_status(result->reason),
 		&result->report);
 	result->has_report = true;
+	if (!result->report.retry_after_ms)
+		result->report.retry_after_ms = (u_int)retry_after_ms(request);
 	result->retry_after_ms = result->report.retry_after_ms;
 	remove_live_entry(request, result->outcome != ATTEMPT_SERVED);
 	request->ops->done(request->private, result);
@@ -503,6 +542,24 @@
 	schedule_finish(request, ATTEMPT_NOT_RUN, reason_of_admission(reason));
 }
 
+/* Returns until when a response has its full value, 0: not known. A deadline that
+ * comes first takes its place. */
+static int64_t objective_us(const upstream_request_t *request)
+{
+	const cassiad_t *daemon = request->daemon;
+	const attempt_context *context = &request->context;
+	const table_route_t *route =
+		daemon->table ? table_find_route(daemon->table, context->route)
+			      : NULL;
+	int64_t objective;
+
+	if (!route || !route->objective_ms || !daemon_hosts_are_shared(daemon))
+		return 0;
+	objective = cas_clock_now(daemon->clock) +
+		    route->objective_ms * CAS_USEC_PER_MSEC;
+	return objective < context->deadline ? objective : context->deadline;
+}
+
 static void offer_to_admission(upstream_request_t *request)
 {
 	const attempt_context *context = &request->context;
@@ -512,6 +569,7 @@
 		.customer = context->customer,
 		.weight = (int32_t)context->weight,
 		.deadline_us = context->deadline,
+		.objective_us = objective_us(request),
 		.kind = entry_chain_key(context),
 		.child = context->depth > 0,
 		.private = request,
@@ -555,15 +613,7 @@
 		talloc_free(request);
 		return NULL;
 	}
-	for (u_int i = 0; i < context->early.early_len; i++) {
-		const attempt_early *early = &context->early.early_val[i];
-
-		admission_add_early_rejections(daemon->admission,
-					       (int32_t)early->importance,
-					       early->customer, early->count);
-	}
-	request->context.early.early_len = 0;
-	request->context.early.early_val = NULL;
+	upstream_request_count_early(daemon, &request->context);
 	reason = upstream_gate_check(daemon, context);
 	/* Admission counts the requests whose deadline has passed. */
 	if (reason == REASON_NONE || reason == REASON_DEADLINE)
