Use the time of the event loop where the processor clock counts waits

Change: used and idle time that together exceed the elapsed time show such a clock. Then the time in which the loop is not idle counts, and all of it may be used.

--- a/packages/admission/include/cassia/processor.h
+++ b/packages/admission/include/cassia/processor.h
@@ -46,6 +46,9 @@
 	int64_t wait_us; /* mean wait of ready work for the event loop */
 	int64_t cost_us[PROCESSOR_WORK_COUNT]; /* learned, of one request */
 	int64_t measured_age_us; /* since the last complete measurement */
+	/* The processor clock is wrong, so use and capacity are shares of the
+	 * time of the event loop instead. */
+	bool uses_loop_time;
 	uint64_t admitted; /* since the start */
 	uint64_t refused;
 	uint64_t discarded; /* measurements that could not be right */
--- a/packages/admission/processor.c
+++ b/packages/admission/processor.c
@@ -270,7 +270,7 @@
 {
 	double share = (double)processor->share_micro / 1000000;
 
-	if (share <= 0 || share > 1)
+	if (share <= 0 || share > 1 || processor->capacity.uses_loop_time)
 		share = 1;
 	return (int32_t)(processor->capacity.used / share * 1000);
 }
@@ -302,6 +302,7 @@
 		.measured_age_us = now_us - capacity->measured_us,
 		.admitted = processor->admitted,
 		.refused = processor->refused,
+		.uses_loop_time = capacity->uses_loop_time,
 		.discarded = capacity->discarded,
 	};
 	for (int i = 0; i < PROCESSOR_WORK_COUNT; i++)
--- a/packages/admission/processor_capacity.c
+++ b/packages/admission/processor_capacity.c
@@ -69,6 +69,9 @@
  * was suspended; its lateness says nothing about its load. */
 #define SUSPENDED_LATE_US CAS_USEC_PER_SEC
 #define SUSPENDED_USED_SHARE 0.2
+/* Used and idle time together exceed the elapsed time by more than this part
+ * only if the processor clock also counts time in which the process waits. */
+#define CLOCK_EXCESS_MAX 0.1
 /* Weight of the newest window in the smoothed use. */
 #define USED_WEIGHT 0.5
 
@@ -240,13 +243,34 @@
 	capacity->last_us = now_us;
 }
 
+/* Stops using the processor clock when it cannot be right. Some environments
+ * report elapsed time in its place, and the share says nothing about that: then
+ * the time in which the loop is not idle counts, of which all may be used. */
+static void check_clock(processor_capacity_t *capacity, double elapsed_us,
+			double used_us, double idle_us)
+{
+	if (capacity->uses_loop_time ||
+	    used_us + idle_us <= elapsed_us * (1 + CLOCK_EXCESS_MAX))
+		return;
+	capacity->uses_loop_time = true;
+	capacity->ceiling = CEILING_SHARE;
+	capacity->capacity = CEILING_SHARE;
+	capacity->speed = 1;
+	capacity->used = 0;
+}
+
 static void end_window(processor_capacity_t *capacity, int64_t now_us,
 		       const processor_sample_t *sample)
 {
 	double elapsed_us = (double)(now_us - capacity->window_start_us);
 	double used_us = (double)(sample->used_us - capacity->window_used_us);
 	double idle_us = (double)(sample->idle_us - capacity->window_idle_us);
-	double used = used_us / elapsed_us;
+	double used;
+
+	check_clock(capacity, elapsed_us, used_us, idle_us);
+	if (capacity->uses_loop_time)
+		used_us = elapsed_us > idle_us ? elapsed_us - idle_us : 0;
+	used = used_us / elapsed_us;
 
 	capacity->wait_us = (int64_t)(capacity->late_integral / elapsed_us);
 	capacity->used += USED_WEIGHT * (used - capacity->used);
--- a/packages/admission/processor_internal.h
+++ b/packages/admission/processor_internal.h
@@ -43,6 +43,9 @@
 /* Measurements and what is learned from them (processor_capacity.c). */
 typedef struct processor_capacity {
 	double ceiling; /* most that is ever taken in, in cores */
+	/* The processor clock is wrong: the time in which the loop is not idle
+	 * is used in its place, and one core stands for all of the time. */
+	bool uses_loop_time;
 	double speed; /* smoothed use while the loop is not idle, in cores */
 	double capacity; /* taken in now, in cores */
 	double late_capacity; /* at which the loop was late, 0: none lately */
--- a/packages/admission/tests/test_processor.c
+++ b/packages/admission/tests/test_processor.c
@@ -56,6 +56,7 @@
 	uint32_t end;
 	int64_t tick_due_us;
 	double used_us;
+	bool clock_counts_waits; /* the processor clock counts all time */
 	int64_t idle_us;
 	double period_used_us; /* of the quota */
 	int64_t period_start_us;
@@ -202,7 +203,9 @@
 static void measure(fixture_t *fixture, int64_t late_us)
 {
 	const processor_sample_t sample = {
-		.used_us = (int64_t)fixture->used_us,
+		.used_us = fixture->clock_counts_waits
+				   ? cas_clock_now(fixture->clock)
+				   : (int64_t)fixture->used_us,
 		.idle_us = fixture->idle_us,
 		.late_us = late_us,
 	};
@@ -409,6 +412,28 @@
 	}
 }
 
+/* Guards against refusing nearly everything where the processor clock also counts
+ * the time in which the process waits, as seen in a simulated environment: the
+ * process then seems to use a whole core, far beyond its share. */
+static void test_clock_that_counts_waits(void **state)
+{
+	static const double loads[] = { 0.7, 1, 2, 10 };
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(loads) / sizeof(*loads); i++) {
+		fixture_t *fixture = create(SHARE, SHARE_SLOWER);
+		double served;
+
+		fixture->clock_counts_waits = true;
+		served = goodput(fixture, loads[i]);
+		if (loads[i] < 1)
+			assert_int_equal(fixture->refused + fixture->early, 0);
+		assert_true(served >=
+			    0.9 * (loads[i] < 0.85 ? loads[i] : 0.85));
+		talloc_free(fixture);
+	}
+}
+
 /* Shows that the simulated overload is real: without a limit the goodput
  * collapses. */
 static void test_without_limit(void **state)
@@ -584,6 +609,7 @@
 		cmocka_unit_test(test_quota),
 		cmocka_unit_test(test_unknown_share),
 		cmocka_unit_test(test_unknown_quota),
+		cmocka_unit_test(test_clock_that_counts_waits),
 		cmocka_unit_test(test_without_limit),
 		cmocka_unit_test(test_moderate_load),
 		cmocka_unit_test(test_importance),
