--- a/packages/http/local_conn.c
+++ b/packages/http/local_conn.c
@@ -3,6 +3,7 @@
 
 #include <errno.h>
 #include <sys/socket.h>
+#include <sys/un.h>
 #include <unistd.h>
 
 #include "cassia/http_error.h"
@@ -19,22 +20,45 @@
 	};
 }
 
+void local_conn_set_owed(local_conn_t *local_conn, bool owed)
+{
+	if (local_conn->owed == owed)
+		return;
+	local_conn->owed = owed;
+	if (owed)
+		local_conn->server->owed_count++;
+	else
+		local_conn->server->owed_count--;
+}
+
+bool local_conn_has_ended(const local_conn_t *local_conn)
+{
+	return local_conn->attached && !local_conn->mhd_conn;
+}
+
 void local_conn_close(local_conn_t *local_conn)
 {
 	TALLOC_FREE(local_conn->fde);
 	TALLOC_FREE(local_conn->unsent);
 	local_conn->unsent_len = 0;
-	if (local_conn->mhd_conn)
+	local_conn_set_owed(local_conn, false);
+	if (local_conn->mhd_conn) {
+		/* libmicrohttpd may not poll it at this time. */
+		server_schedule_run(local_conn->server);
 		pipeline_detach_conn(local_conn->mhd_conn);
+	}
 	if (local_conn->fd >= 0)
 		close(local_conn->fd);
 	local_conn->fd = -1;
 	local_conn->mhd_fd = -1;
+	local_conn->attached = false;
 }
 
-int local_conn_open(local_conn_t *local_conn, const struct sockaddr_in *address,
-		    tevent_fd_handler_t on_ready)
+int local_conn_open(local_conn_t *local_conn, tevent_fd_handler_t on_ready)
 {
+	/* With an IP address libmicrohttpd would set options of TCP, which fail,
+	 * for each response. */
+	static const struct sockaddr_un address = { .sun_family = AF_UNIX };
 	http_server_t *server = local_conn->server;
 	int fds[2];
 
@@ -44,14 +68,15 @@
 	local_conn->fd = fds[0];
 	local_conn->mhd_fd = fds[1];
 	local_conn->mhd_closed = false;
+	local_conn->may_read = false;
 	local_conn->fde =
 		tevent_add_fd(server->ev, local_conn->client, local_conn->fd,
 			      TEVENT_FD_READ, on_ready, local_conn);
 	/* libmicrohttpd closes its side of the pair also when it refuses it. */
 	if (!local_conn->fde ||
 	    MHD_add_connection(server->mhd_daemon, local_conn->mhd_fd,
-			       (const void *)address,
-			       sizeof(*address)) != MHD_YES) {
+			       (const void *)&address,
+			       sizeof(address)) != MHD_YES) {
 		local_conn_close(local_conn);
 		return HTTP_ENOMEM;
 	}
--- a/packages/http/local_conn_internal.h
+++ b/packages/http/local_conn_internal.h
@@ -24,9 +24,12 @@
 	http_conn_t *mhd_conn;
 	struct tevent_fd *fde; /* on fd */
 	bool busy; /* has a request whose response is not fully forwarded */
+	bool owed; /* counted in owed_count of the server */
 	bool reply_written; /* libmicrohttpd has finished the response */
 	bool reply_truncated; /* the response is truncated */
-	bool mhd_closed; /* libmicrohttpd has closed its side */
+	bool attached; /* mhd_conn was set since the connection was opened */
+	bool may_read; /* fd may have unread bytes */
+	bool mhd_closed; /* the end of its side was read */
 	char *unsent; /* bytes that the socket buffer had no space for */
 	size_t unsent_len;
 };
@@ -35,11 +38,17 @@
 void local_conn_init(local_conn_t *local_conn, http_server_t *server,
 		     client_conn_t *client);
 
-/* Opens the local connection; address is that of the client. on_ready is called
- * with the local connection when fd is readable, or writable while there are
+/* Opens the local connection. on_ready is called with the local connection when fd is readable, or writable while there are
  * unsent bytes. Returns 0 or HTTP_ENOMEM. */
-int local_conn_open(local_conn_t *local_conn, const struct sockaddr_in *address,
-		    tevent_fd_handler_t on_ready);
+int local_conn_open(local_conn_t *local_conn, tevent_fd_handler_t on_ready);
+
+/* Records whether libmicrohttpd has a request of this connection to process or a
+ * response to send. */
+void local_conn_set_owed(local_conn_t *local_conn, bool owed);
+
+/* Returns whether libmicrohttpd has ended the connection. Bytes that it has sent
+ * before may still be unread. */
+bool local_conn_has_ended(const local_conn_t *local_conn);
 
 /* Closes the local connection, if it is open. */
 void local_conn_close(local_conn_t *local_conn);
--- a/packages/http/pipeline_internal.h
+++ b/packages/http/pipeline_internal.h
@@ -28,6 +28,9 @@
 /* Detaches a connection of libmicrohttpd from its local connection, if any. */
 void pipeline_detach_conn(http_conn_t *conn);
 
+/* Returns the address of the client of a local connection. */
+struct in_addr pipeline_client_address(const local_conn_t *local_conn);
+
 /* Records that the request on the local connection is over. complete is false
  * when its response is truncated. */
 void pipeline_request_done(local_conn_t *local_conn, bool complete);
--- a/packages/http/server.c
+++ b/packages/http/server.c
@@ -9,12 +9,25 @@
 
 #define LISTEN_BACKLOG 4096
 
+/* Returns whether no request needs libmicrohttpd until one arrives or a suspended
+ * one is resumed. libmicrohttpd would run once more after each response, only
+ * to find that the next request has not arrived; with a pipeline, which
+ * schedules a run whenever it passes bytes on, that is not needed. */
+static bool server_is_quiet(const http_server_t *server)
+{
+	return server->pipeline &&
+	       server->owed_count == server->suspended_count &&
+	       server->exchange_count == server->suspended_count;
+}
+
 static void server_run(http_server_t *server)
 {
 	MHD_UNSIGNED_LONG_LONG wait_ms;
 
 	server->run_scheduled = false;
 	MHD_run(server->mhd_daemon);
+	if (server_is_quiet(server))
+		return;
 	if (MHD_get_timeout(server->mhd_daemon, &wait_ms) == MHD_YES &&
 	    !wait_ms)
 		server_schedule_run(server);
@@ -46,11 +59,22 @@
 				  on_run_immediate, server);
 }
 
+void exchange_set_suspended(http_exchange_t *exchange, bool suspended)
+{
+	if (exchange->suspended == suspended)
+		return;
+	exchange->suspended = suspended;
+	if (suspended)
+		exchange->server->suspended_count++;
+	else
+		exchange->server->suspended_count--;
+}
+
 void exchange_resume(http_exchange_t *exchange)
 {
 	if (!exchange->suspended)
 		return;
-	exchange->suspended = false;
+	exchange_set_suspended(exchange, false);
 	MHD_resume_connection(exchange->mhd);
 	server_schedule_run(exchange->server);
 }
@@ -83,6 +107,7 @@
 {
 	http_server_t *server = exchange->server;
 
+	exchange_set_suspended(exchange, false);
 	server->exchange_count--;
 	exchange->conn->exchange = NULL;
 	if (exchange->conn->local_conn)
@@ -146,6 +171,8 @@
 		exchange->mhd, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
 	const struct sockaddr_in *address;
 
+	if (exchange->conn->local_conn)
+		return pipeline_client_address(exchange->conn->local_conn);
 	if (!info || info->client_addr->sa_family != AF_INET)
 		return (struct in_addr){ 0 };
 	address = (const struct sockaddr_in *)(const void *)info->client_addr;
--- a/packages/http/server_internal.h
+++ b/packages/http/server_internal.h
@@ -86,6 +86,10 @@
 	http_conn_t *conns;
 	unsigned int conn_count;
 	unsigned int exchange_count;
+	unsigned int suspended_count; /* of them, suspended in libmicrohttpd */
+	/* Local connections on which libmicrohttpd has a request to process or a
+	 * response to send. */
+	unsigned int owed_count;
 	uint16_t port;
 };
 
@@ -93,6 +97,8 @@
 
 /* Lets libmicrohttpd run in the next round of the event loop. */
 void server_schedule_run(http_server_t *server);
+/* Records that the connection of an exchange is suspended or no longer is. */
+void exchange_set_suspended(http_exchange_t *exchange, bool suspended);
 /* Resumes the connection of an exchange, if it is suspended. */
 void exchange_resume(http_exchange_t *exchange);
 /* Returns a new exchange owned by conn, or NULL when memory runs out. */
--- a/packages/http/server_mhd.c
+++ b/packages/http/server_mhd.c
@@ -100,7 +100,7 @@
 	if (!exchange)
 		return;
 	*req_cls = NULL;
-	exchange->suspended = false;
+	exchange_set_suspended(exchange, false);
 	exchange->complete = code == MHD_REQUEST_TERMINATED_COMPLETED_OK &&
 			     exchange->phase == PHASE_SENDING &&
 			     !exchange->aborted;
@@ -126,7 +126,7 @@
 		exchange->aborted = true;
 		return MHD_NO;
 	}
-	exchange->suspended = true;
+	exchange_set_suspended(exchange, true);
 	MHD_suspend_connection(exchange->mhd);
 	return MHD_YES;
 }
--- a/packages/http/tests/test_pipeline.c
+++ b/packages/http/tests/test_pipeline.c
@@ -15,6 +15,7 @@
 #define DEPTH 3 /* requests processed concurrently */
 #define EXCHANGES_MAX 16
 #define TURNS_MAX 200 /* of the event loop, until a wait fails */
+#define AT_ONCE_TURNS 25 /* half a second */
 
 typedef struct fixture {
 	struct tevent_context *ev;
@@ -145,6 +146,105 @@
 #define POST(path)                                                             \
 	"POST " path " HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nbody"
 
+/* Runs up to AT_ONCE_TURNS turns, fewer than the period of the timeout check,
+ * which would also process what was left waiting. */
+static void wait_end_at_once(fixture_t *f)
+{
+	for (int i = 0; i < AT_ONCE_TURNS && !f->ended; i++)
+		run_turn(f);
+	assert_true(f->ended);
+}
+
+/* Guards against a request that waits for the timeout check because
+ * libmicrohttpd does not read all of its head at once. */
+static void test_long_head_is_read_at_once(void **state)
+{
+	fixture_t *f = *state;
+	char *target = talloc_size(f, 8001);
+
+	memset(target, 'a', 8000);
+	target[8000] = '\0';
+	for (size_t number = 1; number <= 3; number++) {
+		send_text(f, talloc_asprintf(f,
+					     "GET /%s HTTP/1.1\r\nHost: x\r\n"
+					     "X-Long: %s\r\n\r\n",
+					     target, target + 1500));
+		for (int i = 0; i < AT_ONCE_TURNS && f->exchange_count < number;
+		     i++)
+			run_turn(f);
+		assert_int_equal(f->exchange_count, number);
+		reply(f, number - 1, "ok");
+		run_turn(f);
+	}
+	assert_int_equal(f->closed, 3);
+}
+
+/* Guards against a connection that stays open after a response that ends it. */
+static void test_client_asks_for_the_end(void **state)
+{
+	fixture_t *f = *state;
+
+	send_text(f, GET("/1"));
+	wait_exchanges(f, 1);
+	reply(f, 0, "first");
+	wait_text(f, "first");
+	send_text(f, "GET /2 HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+	wait_exchanges(f, 2);
+	reply(f, 1, "second");
+	wait_end_at_once(f);
+	assert_non_null(strstr(f->received, "second"));
+}
+
+/* Guards against an error response of libmicrohttpd itself, of which the
+ * application does not know, that is lost with the end of its connection; also
+ * after a request with a chunked body, whose connection is not parsed here. */
+static void test_malformed_request_is_answered(void **state)
+{
+	fixture_t *f = *state;
+
+	send_text(f, "POST /1 HTTP/1.1\r\nHost: x\r\n"
+		     "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
+	wait_exchanges(f, 1);
+	reply(f, 0, "first");
+	wait_text(f, "first");
+	send_text(f, "GET /2 HTTP/1.1\r\nHost: x\r\nHost: y\r\n"
+		     "Content-Length: x\r\n\r\n");
+	wait_end_at_once(f);
+	assert_non_null(strstr(f->received, "HTTP/1.1 400"));
+}
+
+/* Guards against a request without a pipeline that is processed only at the
+ * timeout check because it arrived together with the previous one. */
+static void test_requests_after_one_another(void **state)
+{
+	fixture_t *f = *state;
+	const http_server_settings_t settings = {
+		.address.s_addr = htonl(INADDR_LOOPBACK),
+		.connections_max = 100,
+		.header_max_bytes = 16384,
+		.read_timeout_us = 10 * CAS_USEC_PER_SEC,
+		.idle_timeout_s = 30,
+	};
+	int error;
+
+	talloc_free(f->server);
+	f->server = http_server_create(f, f->ev, cas_clock_create_real(f),
+				       &settings, &ops, f, &error);
+	assert_non_null(f->server);
+	close(f->fd);
+	f->fd = loopback_connect(http_server_port(f->server));
+	send_text(f, GET("/1") GET("/2") POST("/3") GET("/4"));
+	for (size_t number = 1; number <= 4; number++) {
+		for (int i = 0; i < AT_ONCE_TURNS && f->exchange_count < number;
+		     i++)
+			run_turn(f);
+		assert_int_equal(f->exchange_count, number);
+		reply(f, number - 1, "ok");
+	}
+	run_turn(f);
+	assert_int_equal(f->closed, 4);
+}
+
 /* Guards against a pipelined request that waits for the response to the
  * previous one, and against responses out of order. */
 static void test_concurrent_requests_in_order(void **state)
@@ -384,6 +484,10 @@
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		TEST(test_long_head_is_read_at_once),
+		TEST(test_client_asks_for_the_end),
+		TEST(test_malformed_request_is_answered),
+		TEST(test_requests_after_one_another),
 		TEST(test_concurrent_requests_in_order),
 		TEST(test_concurrency_limit),
 		TEST(test_request_with_body_waits),
