Find requests on kept peer connections without polling twice

Cause: after each response libmicrohttpd ran once more, found nothing to read, added the connection to its epoll set, was woken because the new entry was writable, and removed the entry again with the next request. Change: a server without a pipeline polls its connections for reading itself, once for their lifetime, and libmicrohttpd runs only while a request is not suspended.

--- a/packages/http/server.c
+++ b/packages/http/server.c
@@ -11,16 +11,18 @@
 
 /* Returns whether no request needs libmicrohttpd until one arrives or a suspended
  * one is resumed. libmicrohttpd would run once more after each response, only
- * to find that the next request has not arrived; with a pipeline, which
- * schedules a run whenever it passes bytes on, that is not needed. */
+ * to find that the next request has not arrived and to poll for it. That is not
+ * needed, because a run is started when the pipeline passes bytes on or
+ * server_watch.c finds a connection readable. */
 static bool server_is_quiet(const http_server_t *server)
 {
-	return server->pipeline &&
-	       server->owed_count == server->suspended_count &&
-	       server->exchange_count == server->suspended_count;
+	if (server->exchange_count != server->suspended_count)
+		return false;
+	return server->pipeline ? server->owed_count == server->suspended_count
+				: !server->has_unwatched_conn;
 }
 
-static void server_run(http_server_t *server)
+void server_run(http_server_t *server)
 {
 	MHD_UNSIGNED_LONG_LONG wait_ms;
 
@@ -114,6 +116,8 @@
 		pipeline_request_done(exchange->conn->local_conn,
 				      exchange->phase == PHASE_NEW ||
 					      exchange->complete);
+	if (exchange->conn->fde)
+		TEVENT_FD_READABLE(exchange->conn->fde);
 	exchange->conn->idle_bytes_valid = false;
 	exchange->conn->last_used_us = cas_clock_now(server->clock);
 	http_body_on_data(exchange->body, NULL, NULL);
--- a/packages/http/server_internal.h
+++ b/packages/http/server_internal.h
@@ -32,6 +32,8 @@
 	http_exchange_t *exchange; /* NULL between requests */
 	struct local_conn *local_conn; /* NULL without pipelining */
 	int fd; /* owned by libmicrohttpd */
+	/* On fd, polled for reading between requests; NULL with pipelining. */
+	struct tevent_fd *fde;
 	/* Total bytes received at the last timeout check between requests. */
 	uint64_t idle_received_bytes;
 	bool idle_bytes_valid; /* idle_received_bytes is valid */
@@ -90,11 +92,14 @@
 	/* Local connections on which libmicrohttpd has a request to process or a
 	 * response to send. */
 	unsigned int owed_count;
+	bool has_unwatched_conn; /* memory for an fde ran out */
 	uint16_t port;
 };
 
 /* server.c */
 
+/* Lets libmicrohttpd run. */
+void server_run(http_server_t *server);
 /* Lets libmicrohttpd run in the next round of the event loop. */
 void server_schedule_run(http_server_t *server);
 /* Records that the connection of an exchange is suspended or no longer is. */
@@ -121,7 +126,8 @@
 /* Starts the detection of disconnected clients and the timeout checks. Returns
  * 0 or HTTP_ENOMEM. */
 int server_watch_start(http_server_t *server);
-/* Watches a connection for a client that closes its side. */
+/* Watches a connection for a client that closes its side and, without
+ * pipelining, for requests. */
 void server_watch_add(http_conn_t *conn);
 
 #endif
--- a/packages/http/server_watch.c
+++ b/packages/http/server_watch.c
@@ -37,13 +37,36 @@
 	}
 }
 
+/* libmicrohttpd polls a connection only once it has found nothing to read on it,
+ * which is not before its next run. */
+static void on_conn_readable(struct tevent_context *ev, struct tevent_fd *fde,
+			     uint16_t flags, void *private)
+{
+	http_conn_t *conn = private;
+
+	(void)ev;
+	(void)flags;
+	/* Until the end of the exchange, libmicrohttpd reads when it needs to.
+	 */
+	if (conn->exchange)
+		TEVENT_FD_NOT_READABLE(fde);
+	else
+		server_run(conn->server);
+}
+
 void server_watch_add(http_conn_t *conn)
 {
+	http_server_t *server = conn->server;
 	struct epoll_event event = { .events = EPOLLRDHUP | EPOLLET,
 				     .data.ptr = conn };
 
-	epoll_ctl(conn->server->watch_epoll_fd, EPOLL_CTL_ADD, conn->fd,
-		  &event);
+	epoll_ctl(server->watch_epoll_fd, EPOLL_CTL_ADD, conn->fd, &event);
+	if (server->pipeline)
+		return;
+	conn->fde = tevent_add_fd(server->ev, conn, conn->fd, TEVENT_FD_READ,
+				  on_conn_readable, conn);
+	if (!conn->fde)
+		server->has_unwatched_conn = true;
 }
 
 /* Returns the number of bytes that the kernel has received on the connection, 0
