Allocate the small objects of a request in pools

Cause: a request through one daemon took 84 allocations, most of them small objects of one exchange, call or attempt that are freed together. Change: an exchange, a call, an attempt and an upstream request are talloc pools with room for their objects; response fields are passed to libmicrohttpd from buffers on the stack; a complete body is sent from the exchange instead of a copy; a target without percent signs is not decoded.

--- a/packages/http/client_call.c
+++ b/packages/http/client_call.c
@@ -3,6 +3,12 @@
 
 #include "cassia/http_error.h"
 
+/* Memory that is allocated at once for a call and its small objects: the fields
+ * of the response and the first part of the buffer of its body. What exceeds it
+ * is allocated as usual. */
+#define CALL_OBJECTS 16
+#define CALL_POOL_BYTES 7168
+
 static size_t read_request_body(char *data, size_t size, size_t count,
 				void *cls)
 {
@@ -139,10 +145,12 @@
 static http_call_t *call_create(http_client_t *client,
 				const http_call_ops_t *ops, void *private)
 {
-	http_call_t *call = talloc_zero(client, http_call_t);
+	http_call_t *call = talloc_pooled_object(client, http_call_t,
+						 CALL_OBJECTS, CALL_POOL_BYTES);
 
 	if (!call)
 		return NULL;
+	memset(call, 0, sizeof(*call));
 	call->client = client;
 	call->ops = ops;
 	call->private = private;
--- a/packages/http/server.c
+++ b/packages/http/server.c
@@ -8,6 +8,11 @@
 #include "cassia/http_error.h"
 
 #define LISTEN_BACKLOG 4096
+/* Memory that is allocated at once for an exchange and its small objects: those
+ * of this package and of the application. What exceeds it is allocated as
+ * usual. */
+#define EXCHANGE_OBJECTS 16
+#define EXCHANGE_POOL_BYTES 5120
 
 /* Returns whether no request needs libmicrohttpd until one arrives or a suspended
  * one is resumed. libmicrohttpd would run once more after each response, only
@@ -83,10 +88,12 @@
 
 http_exchange_t *exchange_create(http_conn_t *conn, const char *target)
 {
-	http_exchange_t *exchange = talloc_zero(conn, http_exchange_t);
+	http_exchange_t *exchange = talloc_pooled_object(
+		conn, http_exchange_t, EXCHANGE_OBJECTS, EXCHANGE_POOL_BYTES);
 
 	if (!exchange)
 		return NULL;
+	memset(exchange, 0, sizeof(*exchange));
 	exchange->server = conn->server;
 	exchange->conn = conn;
 	exchange->mhd = conn->mhd;
--- a/packages/http/server_mhd.c
+++ b/packages/http/server_mhd.c
@@ -21,6 +21,8 @@
 #define REPLY_BLOCK_BYTES ((size_t)16 * 1024)
 /* Bodies of rejected requests up to this size are read and discarded. */
 #define DISCARDED_BODY_MAX_BYTES (64 * 1024)
+/* Longer names and values of header fields are copied to allocated memory. */
+#define FIELD_TEXT_BYTES 512
 /* Number of bytes beyond the limit of an oversized chunked body that are read
  * and discarded before the connection is closed without a response. */
 #define OVERSIZE_DISCARD_BYTES (256 * 1024)
@@ -168,7 +170,8 @@
 }
 
 /* A small response that is already complete is sent from memory, any other is
- * streamed. */
+ * streamed. Its body is not copied: it belongs to the exchange, which is freed
+ * when libmicrohttpd has sent the response or given it up. */
 static struct MHD_Response *make_response(http_exchange_t *exchange)
 {
 	const http_reply_t *reply = &exchange->reply;
@@ -179,7 +182,7 @@
 	    !http_body_error(reply->body) && bytes.len <= REPLY_BLOCK_BYTES)
 		return MHD_create_response_from_buffer(
 			bytes.len, (void *)(uintptr_t)bytes.ptr,
-			MHD_RESPMEM_MUST_COPY);
+			MHD_RESPMEM_PERSISTENT);
 	if (reply->content_length >= 0)
 		size = (uint64_t)reply->content_length;
 	http_body_on_data(reply->body, on_reply_data, exchange);
@@ -187,16 +190,32 @@
 						 read_reply, exchange, NULL);
 }
 
+/* Copies a text to buffer and terminates it, or to new memory of ctx if it is too
+ * long. Returns NULL when memory runs out. */
+static const char *terminated(TALLOC_CTX *ctx, cas_str_t text,
+			      char buffer[FIELD_TEXT_BYTES])
+{
+	if (text.len >= FIELD_TEXT_BYTES)
+		return cas_str_dup(ctx, text).ptr;
+	memcpy(buffer, text.ptr, text.len);
+	buffer[text.len] = '\0';
+	return buffer;
+}
+
 static void add_reply_fields(struct MHD_Response *response,
 			     const http_headers_t *headers, TALLOC_CTX *ctx)
 {
+	char name_buffer[FIELD_TEXT_BYTES];
+	char value_buffer[FIELD_TEXT_BYTES];
+
 	for (size_t i = 0; headers && i < headers->count; i++) {
 		const http_header_t *header = &headers->items[i];
-		cas_str_t name = cas_str_dup(ctx, header->name);
-		cas_str_t value = cas_str_dup(ctx, header->value);
+		const char *name = terminated(ctx, header->name, name_buffer);
+		const char *value =
+			terminated(ctx, header->value, value_buffer);
 
-		if (name.ptr && value.ptr)
-			MHD_add_response_header(response, name.ptr, value.ptr);
+		if (name && value)
+			MHD_add_response_header(response, name, value);
 	}
 }
 
--- a/programs/cassiad/call_attempt.c
+++ b/programs/cassiad/call_attempt.c
@@ -15,6 +15,10 @@
 #define INCARNATION_RETRIES_MAX 3
 /* How often an attempt is sent again after its connection was reset. */
 #define RESET_RETRIES_MAX 1
+/* Memory that is allocated at once for an attempt and its small objects, such as
+ * the header fields of its request. */
+#define ATTEMPT_OBJECTS 8
+#define ATTEMPT_POOL_BYTES 2048
 
 struct call_attempt {
 	cassiad_t *daemon;
@@ -331,10 +335,12 @@
 				      const call_attempt_ops_t *ops,
 				      void *private)
 {
-	call_attempt_t *attempt = talloc_zero(daemon, call_attempt_t);
+	call_attempt_t *attempt = talloc_pooled_object(
+		daemon, call_attempt_t, ATTEMPT_OBJECTS, ATTEMPT_POOL_BYTES);
 
 	if (!attempt)
 		return NULL;
+	memset(attempt, 0, sizeof(*attempt));
 	attempt->finish_event = tevent_create_immediate(attempt);
 	if (!attempt->finish_event) {
 		talloc_free(attempt);
--- a/programs/cassiad/entry_head.c
+++ b/programs/cassiad/entry_head.c
@@ -17,10 +17,13 @@
  * would find the key. Returns true if memory runs out. */
 static bool contains_encoded_key(cas_str_t target)
 {
-	char *decoded = talloc_size(NULL, target.len + 1);
 	size_t decoded_len = 0;
+	char *decoded;
 	bool found;
 
+	if (!memchr(target.ptr, '%', target.len))
+		return contains_key(target);
+	decoded = talloc_size(NULL, target.len + 1);
 	if (!decoded)
 		return true;
 	for (size_t i = 0; i < target.len; i++) {
--- a/programs/cassiad/upstream_request.c
+++ b/programs/cassiad/upstream_request.c
@@ -9,6 +9,11 @@
 #include "stop.h"
 #include "upstream_gate.h"
 
+/* Memory that is allocated at once for a request and its small objects, such as
+ * the header fields that are sent to the upstream. */
+#define REQUEST_OBJECTS 8
+#define REQUEST_POOL_BYTES 2048
+
 struct upstream_request {
 	cassiad_t *daemon;
 	const call_attempt_ops_t *ops;
@@ -459,11 +464,14 @@
 					   const call_attempt_ops_t *ops,
 					   void *private)
 {
-	upstream_request_t *request = talloc_zero(daemon, upstream_request_t);
+	upstream_request_t *request =
+		talloc_pooled_object(daemon, upstream_request_t,
+				     REQUEST_OBJECTS, REQUEST_POOL_BYTES);
 	const attempt_context *context = spec->context;
 
 	if (!request)
 		return NULL;
+	memset(request, 0, sizeof(*request));
 	request->daemon = daemon;
 	request->ops = ops;
 	request->private = private;
