--- a/packages/http/server.c
+++ b/packages/http/server.c
@@ -8,13 +8,33 @@
 #include "cassia/http_error.h"
 
 #define LISTEN_BACKLOG 4096
+/* Memory that is allocated at once for an exchange and its small objects: those
+ * of this package and of the application. What exceeds it is allocated as
+ * usual. */
+#define EXCHANGE_OBJECTS 16
+#define EXCHANGE_POOL_BYTES 5120
+
+/* Returns whether no request needs libmicrohttpd until one arrives or a suspended
+ * one is resumed. libmicrohttpd would run once more after each response, only
+ * to find that the next request has not arrived and to poll for it. That is not
+ * needed, because a run is started when the pipeline passes bytes on or
+ * server_watch.c finds a connection readable. */
+static bool server_is_quiet(const http_server_t *server)
+{
+	if (server->exchange_count != server->suspended_count)
+		return false;
+	return server->pipeline ? server->owed_count == server->suspended_count
+				: !server->has_unwatched_conn;
+}
 
-static void server_run(http_server_t *server)
+void server_run(http_server_t *server)
 {
 	MHD_UNSIGNED_LONG_LONG wait_ms;
 
 	server->run_scheduled = false;
 	MHD_run(server->mhd_daemon);
+	if (server_is_quiet(server))
+		return;
 	if (MHD_get_timeout(server->mhd_daemon, &wait_ms) == MHD_YES &&
 	    !wait_ms)
 		server_schedule_run(server);
@@ -46,21 +66,34 @@
 				  on_run_immediate, server);
 }
 
+void exchange_set_suspended(http_exchange_t *exchange, bool suspended)
+{
+	if (exchange->suspended == suspended)
+		return;
+	exchange->suspended = suspended;
+	if (suspended)
+		exchange->server->suspended_count++;
+	else
+		exchange->server->suspended_count--;
+}
+
 void exchange_resume(http_exchange_t *exchange)
 {
 	if (!exchange->suspended)
 		return;
-	exchange->suspended = false;
+	exchange_set_suspended(exchange, false);
 	MHD_resume_connection(exchange->mhd);
 	server_schedule_run(exchange->server);
 }
 
 http_exchange_t *exchange_create(http_conn_t *conn, const char *target)
 {
-	http_exchange_t *exchange = talloc_zero(conn, http_exchange_t);
+	http_exchange_t *exchange = talloc_pooled_object(
+		conn, http_exchange_t, EXCHANGE_OBJECTS, EXCHANGE_POOL_BYTES);
 
 	if (!exchange)
 		return NULL;
+	memset(exchange, 0, sizeof(*exchange));
 	exchange->server = conn->server;
 	exchange->conn = conn;
 	exchange->mhd = conn->mhd;
@@ -83,12 +116,15 @@
 {
 	http_server_t *server = exchange->server;
 
+	exchange_set_suspended(exchange, false);
 	server->exchange_count--;
 	exchange->conn->exchange = NULL;
 	if (exchange->conn->local_conn)
 		pipeline_request_done(exchange->conn->local_conn,
 				      exchange->phase == PHASE_NEW ||
 					      exchange->complete);
+	if (exchange->conn->fde)
+		TEVENT_FD_READABLE(exchange->conn->fde);
 	exchange->conn->idle_bytes_valid = false;
 	exchange->conn->last_used_us = cas_clock_now(server->clock);
 	http_body_on_data(exchange->body, NULL, NULL);
@@ -146,6 +182,8 @@
 		exchange->mhd, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
 	const struct sockaddr_in *address;
 
+	if (exchange->conn->local_conn)
+		return pipeline_client_address(exchange->conn->local_conn);
 	if (!info || info->client_addr->sa_family != AF_INET)
 		return (struct in_addr){ 0 };
 	address = (const struct sockaddr_in *)(const void *)info->client_addr;
