Estimate upstreams that respond without a load from their limit

Cause: one upstream of a service may report its load while it warms up, and the others none; each of these would have got one trial request at a time.

Change: their room and wait follow from the limit and its use in the outcome.

--- a/packages/routing/estimate.c
+++ b/packages/routing/estimate.c
@@ -15,6 +15,7 @@
 #define TURNED_AWAY_LIFE_US (2 * CAS_USEC_PER_SEC)
 /* Weights of the newest sample. */
 #define SMOOTHING 0.05
+#define LIMIT_SMOOTHING 0.2
 #define UNEXPLAINED_SMOOTHING 0.1
 /* The usual speed of an upstream is a mean over this time: it has about 100
  * intervals of 600 ms, so that their chance part is a few percent. */
@@ -397,6 +398,19 @@
 	       SMOOTHING);
 }
 
+static void learn_limit(estimate_upstream_t *upstream,
+			const routing_result_t *result)
+{
+	double limit = clamp(result->limit_hint, 1, LIMIT_MAX);
+
+	if (result->limit_hint <= 0)
+		return;
+	if (!(upstream->limit > 0))
+		upstream->limit = limit;
+	smooth(&upstream->limit, limit,
+	       result->load.warming_up ? 1 : LIMIT_SMOOTHING);
+}
+
 /* Takes over the report, within bounds. late_us: its age at the arrival. */
 static void take_report(estimate_upstream_t *upstream,
 			const routing_load_t *load, int64_t late_us,
@@ -428,14 +442,7 @@
 		return false;
 	kind = use_kind(kinds, service_id, result->kind, now_us);
 	learn_own_time(upstream, service, kind, &result->load, now_us);
-	if (result->limit_hint > 0) {
-		double limit = clamp(result->limit_hint, 1, LIMIT_MAX);
-
-		if (!(upstream->limit > 0))
-			upstream->limit = limit;
-		smooth(&upstream->limit, limit,
-		       result->load.warming_up ? 1 : SMOOTHING * 4);
-	}
+	learn_limit(upstream, result);
 	if (result->outcome == ROUTING_OK) {
 		double rest_us = learn_latency(upstream, kind, tier, result);
 		double own_us = clamp((double)result->load.own_us, 0,
@@ -453,3 +460,22 @@
 		learn_service(upstream, service, now_us);
 	return late_us < (double)REPORT_LIFE_US;
 }
+
+void estimate_learn_plain(estimate_upstream_t *upstream,
+			  const estimate_service_t *service,
+			  const routing_result_t *result, int64_t now_us)
+{
+	double busy = clamp(result->busy_permille / 1000.0, 0, LIMIT_MAX);
+	double own_us = service->own_us > 0 ? service->own_us : DEFAULT_OWN_US;
+	routing_load_t load = { .known = false };
+
+	if (result->limit_hint <= 0 ||
+	    now_us - result->latency_us < upstream->run_since_us)
+		return;
+	learn_limit(upstream, result);
+	if (busy < 1)
+		load.room = (int32_t)(upstream->limit * (1 - busy));
+	else
+		load.wait_us = (int64_t)((busy - 1) * own_us);
+	take_report(upstream, &load, 0, now_us);
+}
--- a/packages/routing/estimate.h
+++ b/packages/routing/estimate.h
@@ -131,4 +131,10 @@
 		    routing_tier_t tier, const routing_result_t *result,
 		    int64_t now_us, int64_t *transfer_us, int64_t *spread_us);
 
+/* Learns from a result without a load, from the use of the concurrency limit. In
+ * a service some upstreams may report their load while others do not. */
+void estimate_learn_plain(estimate_upstream_t *upstream,
+			  const estimate_service_t *service,
+			  const routing_result_t *result, int64_t now_us);
+
 #endif
--- a/packages/routing/links.c
+++ b/packages/routing/links.c
@@ -80,7 +80,6 @@
 
 static void grow(link_t *link, int64_t bytes)
 {
-	link->hold_us = 0;
 	link->window_bytes = window_of(link) + (double)bytes / 4;
 	if (link->window_bytes > WINDOW_MAX_BYTES)
 		link->window_bytes = WINDOW_MAX_BYTES;
@@ -104,6 +103,7 @@
 		shrink(link, began_us, now_us);
 		return;
 	}
+	link->hold_us = 0;
 	if (transfer_us < 0)
 		return;
 	grow(link, bytes);
--- a/packages/routing/placement.c
+++ b/packages/routing/placement.c
@@ -463,6 +463,11 @@
 	int64_t transfer_us = -1;
 	int64_t spread_us = 0;
 
+	if (service && !result->load.known && result->busy_permille >= 0) {
+		estimate_learn_plain(&upstream->estimate, &service->estimate,
+				     result, now_us);
+		placement_update_weight(routing, service, upstream);
+	}
 	if (service && result->load.known) {
 		if (!estimate_learn(&upstream->estimate, &service->estimate,
 				    &routing->kinds, service->service,
--- a/packages/routing/tests/test_completion.c
+++ b/packages/routing/tests/test_completion.c
@@ -360,6 +360,30 @@
 	talloc_free(fixture);
 }
 
+/* Guards against few trials for upstreams that respond without a load, because
+ * another one of the service reports its own while it warms up. */
+static void test_only_one_reports(void **state)
+{
+	fixture_t *fixture = create_fixture(8, 0);
+	const routing_result_t result = healthy_result();
+	routing_result_t plain = result;
+	routing_choice_t choice;
+	int sent = 0;
+
+	(void)state;
+	plain.load = (routing_load_t){ .known = false };
+	for (size_t i = 1; i < 8; i++)
+		report(fixture, 1000 + i, &plain);
+	report(fixture, 1000, &result);
+	for (int i = 0; i < 40; i++) {
+		assert_int_equal(pick(fixture, 0, false, &choice), 0);
+		routing_begin(fixture->routing, choice.host);
+		sent += choice.host != 1000;
+	}
+	assert_true(sent > 20);
+	talloc_free(fixture);
+}
+
 /* Guards against more requests than an upstream that is warming up has room
  * for, and against ejecting it for its rejections. */
 static void test_warming_up(void **state)
@@ -641,6 +665,7 @@
 		cmocka_unit_test(test_report_of_an_earlier_run),
 		cmocka_unit_test(test_daemon_paused_with_reports_in_flight),
 		cmocka_unit_test(test_trials_without_report),
+		cmocka_unit_test(test_only_one_reports),
 		cmocka_unit_test(test_warming_up),
 		cmocka_unit_test(test_other_region_saves_requests),
 		cmocka_unit_test(test_link_is_cut),
