--- a/packages/routing/lists.c
+++ b/packages/routing/lists.c
@@ -80,8 +80,44 @@
 	return end;
 }
 
+static bool add_name(placement_t *placement, cas_id_t id, cas_str_t name)
+{
+	placement_name_t *added = &placement->names[placement->name_count++];
+
+	added->id = id;
+	added->name = cas_str_dup(placement, name);
+	return added->name.ptr;
+}
+
+static bool copy_names(placement_t *placement, const table_t *table)
+{
+	size_t most = table->service_count + table->data_centre_count;
+	bool copied;
+
+	placement->names =
+		talloc_zero_array(placement, placement_name_t, most + 1);
+	copied = placement->names;
+	for (size_t i = 0; copied && i < table->service_count; i++)
+		copied = add_name(placement, table->services[i].id,
+				  table->services[i].name);
+	for (size_t i = 0; copied && i < table->data_centre_count; i++)
+		copied = add_name(placement, table->data_centres[i].region_id,
+				  table->data_centres[i].region);
+	return copied;
+}
+
+cas_str_t placement_name(const routing_t *routing, cas_id_t id)
+{
+	const placement_t *placement = routing->placement;
+
+	for (size_t i = 0; placement && i < placement->name_count; i++)
+		if (placement->names[i].id == id)
+			return placement->names[i].name;
+	return CAS_STR("-");
+}
+
 placement_t *placement_create(routing_t *routing, upstream_t *upstreams,
-			      size_t count)
+			      size_t count, const table_t *table)
 {
 	placement_t *placement = talloc_zero(routing, placement_t);
 	size_t services = 0;
@@ -94,7 +130,7 @@
 	placement->host_count = count;
 	placement->services =
 		talloc_zero_array(placement, placement_service_t, services + 1);
-	if (!placement->services)
+	if (!placement->services || !copy_names(placement, table))
 		goto error;
 	for (size_t begin = 0; begin < count;) {
 		placement_service_t *service =
--- a/packages/routing/placement.c
+++ b/packages/routing/placement.c
@@ -41,14 +41,15 @@
 /* Work leaves the region when the region turns away more than this part. */
 #define PRESSURE_MIN 0.05
 
-static void log_in_force(placement_service_t *service, bool in_force,
-			 int64_t age_us)
+static void log_in_force(const routing_t *routing, placement_service_t *service,
+			 bool in_force, int64_t age_us)
 {
 	if (service->was_in_force == in_force)
 		return;
 	service->was_in_force = in_force;
 	cas_log(CAS_LOG_INFO, "placement",
-		CAS_LOG_INT("service", (int64_t)service->service),
+		CAS_LOG_STR("service",
+			    placement_name(routing, service->service)),
 		CAS_LOG_INT("by_load", in_force),
 		CAS_LOG_INT("load_age_us", age_us));
 }
@@ -63,7 +64,7 @@
 		return false;
 	age_us = cas_clock_now(routing->clock) - service->estimate.load_seen_us;
 	in_force = age_us < LOAD_SEEN_US;
-	log_in_force(service, in_force, age_us);
+	log_in_force(routing, service, in_force, age_us);
 	return in_force;
 }
 
@@ -441,7 +442,8 @@
 		    now_us);
 	if (link->shrunk_at_us != held_at_us)
 		cas_log(CAS_LOG_WARN, "link_held",
-			CAS_LOG_INT("region", (int64_t)link->region),
+			CAS_LOG_STR("region",
+				    placement_name(routing, link->region)),
 			CAS_LOG_INT("lost", is_lost(result->outcome)),
 			CAS_LOG_INT("transfer_us", transfer_us),
 			CAS_LOG_INT("usual_us",
--- a/packages/routing/routing_internal.h
+++ b/packages/routing/routing_internal.h
@@ -62,8 +62,16 @@
 	bool was_in_force; /* at the last choice, for the log */
 } placement_service_t;
 
+/* A name from the table, for log lines. */
+typedef struct placement_name {
+	cas_id_t id;
+	cas_str_t name;
+} placement_name_t;
+
 /* The candidate lists of one view. */
 typedef struct placement {
+	placement_name_t *names; /* of services and regions */
+	size_t name_count;
 	placement_service_t *services;
 	size_t service_count;
 	size_t host_count; /* daemons of the fleet */
@@ -134,10 +142,14 @@
 link_t *routing_link(routing_t *routing, cas_id_t region);
 
 /* Builds the candidate lists for sorted upstreams. What is known of a service
- * is taken over from the present lists. Returns the lists (owned by routing),
+ * is taken over from the present lists. table is borrowed during the call.
+ * Returns the lists (owned by routing),
  * or NULL when out of memory. */
 placement_t *placement_create(routing_t *routing, upstream_t *upstreams,
-			      size_t count);
+			      size_t count, const table_t *table);
+
+/* Returns the name of a service or region (borrowed), "-" if it has none. */
+cas_str_t placement_name(const routing_t *routing, cas_id_t id);
 
 /* Returns what is kept of the service (borrowed), or NULL. */
 placement_service_t *placement_find(const routing_t *routing, cas_id_t service);
--- a/packages/routing/view.c
+++ b/packages/routing/view.c
@@ -220,7 +220,8 @@
 	by_host = create_index(upstreams, roster->host_count);
 	if (!by_host)
 		goto error;
-	placement = placement_create(routing, upstreams, roster->host_count);
+	placement =
+		placement_create(routing, upstreams, roster->host_count, table);
 	if (!placement)
 		goto error;
 	talloc_free(routing->placement);
