Ask an upstream with a cold bound for its health when it turns slow

An upstream may become cold again without a restart, and its entry tells of it up to 1.5 s later. Responses that take 1.6 times the usual, beyond what the reported slowdown explains, now raise a doubt, at most every 10 s; one health request then tells.

--- a/packages/admission/admission.c
+++ b/packages/admission/admission.c
@@ -359,6 +359,8 @@
 	if (result == ADMISSION_OK)
 		load_track_response(&admission->track, (double)response.own_us,
 				    ticket->kind->mean_own_us);
+	warm_up_note_ratio(&admission->warm_up, now_us,
+			   load_track_unexplained(&admission->track, now_us));
 	warm_up_finish(&admission->warm_up, now_us, &response);
 }
 
--- a/packages/admission/load_report.c
+++ b/packages/admission/load_report.c
@@ -153,6 +153,13 @@
 		       : 1;
 }
 
+double load_track_unexplained(const load_track_t *track, int64_t now_us)
+{
+	if (track->observed_samples < OBSERVED_SAMPLES)
+		return 1;
+	return track->observed_ratio / load_track_slowdown(track, now_us);
+}
+
 int32_t load_track_slots(const load_track_t *track, int64_t now_us,
 			 int32_t listed_slots)
 {
@@ -160,9 +167,7 @@
 
 	if (!report.known || !report.slowdown || !report.waiting ||
 	    report.slots >= listed_slots ||
-	    track->observed_samples < OBSERVED_SAMPLES ||
-	    track->observed_ratio <
-		    QUEUEING_RATIO * load_track_slowdown(track, now_us))
+	    load_track_unexplained(track, now_us) < QUEUEING_RATIO)
 		return listed_slots;
 	return report.slots;
 }
--- a/packages/admission/load_report_internal.h
+++ b/packages/admission/load_report_internal.h
@@ -28,6 +28,10 @@
 /* Returns the slowdown of the host relative to its mean; 1: not known. */
 double load_track_slowdown(const load_track_t *track, int64_t now_us);
 
+/* Returns how much longer than usual the latest responses took, beyond what the
+ * reported slowdown explains; 1: not known. */
+double load_track_unexplained(const load_track_t *track, int64_t now_us);
+
 /* Returns the number of slots, which is that of the host list unless a report
  * and the responses show that the upstream has fewer. */
 int32_t load_track_slots(const load_track_t *track, int64_t now_us,
--- a/packages/admission/tests/test_warm_up.c
+++ b/packages/admission/tests/test_warm_up.c
@@ -204,6 +204,50 @@
 	talloc_free(site);
 }
 
+/* Guards against an upstream that becomes cold without a restart and gets its
+ * full load until its entry tells of it, and against a health request for every
+ * slow moment. */
+static void test_cold_again(void **state)
+{
+	site_t *site = site_create(&bounded);
+	int asked = 0;
+
+	(void)state;
+	admission_set_slots(site->admission, SLOTS);
+	site->rate_per_s = LOAD;
+	simulate(site, 15 * SECOND);
+	assert_false(admission_warm_up_status(site->admission).in_doubt);
+	site->cold_until_us = site_now(site) + COLD_US;
+	for (int i = 0; i < 30; i++) {
+		simulate(site, 10 * MS);
+		if (admission_warm_up_status(site->admission).in_doubt)
+			break;
+	}
+	printf("figure: cold again: doubt after %d ms\n",
+	       (int)((site_now(site) + COLD_US - site->cold_until_us) / MS));
+	assert_true(admission_warm_up_status(site->admission).in_doubt);
+	admission_note_cold_left(site->admission,
+				 site->cold_until_us - site_now(site),
+				 site_now(site));
+	assert_true(admission_warm_up_status(site->admission).limits);
+	simulate(site, SECOND);
+	site->worst_window = 0;
+	simulate(site, 1500 * MS);
+	assert_true(site->worst_window <= COLD_RATE);
+	simulate(site, 10 * SECOND);
+	for (int i = 0; i < 100; i++) {
+		bool before =
+			admission_warm_up_status(site->admission).in_doubt;
+
+		site->slow_factor = i % 4 ? 1 : 2.5;
+		simulate(site, 600 * MS);
+		asked += !before &&
+			 admission_warm_up_status(site->admission).in_doubt;
+	}
+	assert_in_range(asked, 1, 7);
+	talloc_free(site);
+}
+
 /* Guards against a health response that is believed although it was sent before
  * the upstream restarted, or is out of range. */
 static void test_health_response(void **state)
@@ -448,6 +492,7 @@
 		cmocka_unit_test(test_daemon_restart),
 		cmocka_unit_test(test_no_health_response),
 		cmocka_unit_test(test_return_after_long),
+		cmocka_unit_test(test_cold_again),
 		cmocka_unit_test(test_health_response),
 		cmocka_unit_test(test_lying_health_response),
 		cmocka_unit_test(test_nothing_known),
--- a/packages/admission/warm_up.c
+++ b/packages/admission/warm_up.c
@@ -50,6 +50,12 @@
  * longer than usual at the lowest concurrency; a cold one takes twice as
  * long. */
 #define COLD_RATIO 1.6
+/* An upstream that is warm may be cold again when its responses take COLD_RATIO
+ * times the usual. Then a health response is useful for this time, and not
+ * again before SUSPECT_PAUSE_US: there are other reasons to be slow, and health
+ * requests have a cost. */
+#define SUSPECT_US CAS_USEC_PER_SEC
+#define SUSPECT_PAUSE_US (10 * CAS_USEC_PER_SEC)
 /* Without a slow response for this time, the warm-up ends at any concurrency:
  * an upstream with few requests does not need a higher one, and one that has
  * run for so long is no longer a new one. */
@@ -442,6 +448,16 @@
 	warm_up_tick(warm_up, now_us, response->limit);
 }
 
+void warm_up_note_ratio(warm_up_t *warm_up, int64_t now_us, double ratio)
+{
+	if (ratio < COLD_RATIO || !has_bound(warm_up) || warm_up->active ||
+	    warm_up_is_cold(warm_up, now_us) ||
+	    now_us - warm_up->suspected_us < SUSPECT_PAUSE_US)
+		return;
+	warm_up->suspected_us = now_us;
+	warm_up->doubt_until_us = now_us + SUSPECT_US;
+}
+
 void warm_up_tick(warm_up_t *warm_up, int64_t now_us, double limit)
 {
 	int64_t warm_since_us =
--- a/packages/admission/warm_up_internal.h
+++ b/packages/admission/warm_up_internal.h
@@ -20,6 +20,7 @@
 	/* Its connections were refused or broken, and it has not answered
 	 * since: its cold time begins when it does. */
 	bool unreachable;
+	int64_t suspected_us; /* the last time that responses raised a doubt */
 	/* Responses were as slow as those of a cold upstream that said it was
 	 * warm. */
 	bool distrusted;
@@ -102,6 +103,10 @@
 void warm_up_finish(warm_up_t *warm_up, int64_t now_us,
 		    const warm_up_response_t *response);
 
+/* Takes note of how much longer than usual the latest responses took (ratio),
+ * beyond what the slowdown of the host explains. May raise a doubt. */
+void warm_up_note_ratio(warm_up_t *warm_up, int64_t now_us, double ratio);
+
 /* Ends the warm-up when it is no longer needed. limit is that of admission. */
 void warm_up_tick(warm_up_t *warm_up, int64_t now_us, double limit);
 
