--- a/packages/admission/tests/simulated_upstream.h
+++ b/packages/admission/tests/simulated_upstream.h
@@ -21,8 +21,8 @@
 #define COLD_US (3 * SECOND)
 #define SLOTS 8
 #define SERVICE_US (40 * MS)
-/* Requests a second that all slots serve. */
-#define FULL_RATE (SLOTS * SECOND / SERVICE_US)
+/* Requests a second that all slots serve: SLOTS in SERVICE_US. */
+#define FULL_RATE 200
 
 typedef struct call {
 	admission_ticket_t *ticket;
--- a/packages/admission/tests/test_load_report.c
+++ b/packages/admission/tests/test_load_report.c
@@ -74,7 +74,7 @@
 	site_t *site = site_create(&unbounded);
 
 	admission_set_slots(site->admission, SLOTS);
-	site->rate_per_s = FULL_RATE / 2;
+	site->rate_per_s = FULL_RATE * 0.5;
 	return site;
 }
 
--- a/packages/admission/tests/test_warm_up.c
+++ b/packages/admission/tests/test_warm_up.c
@@ -5,7 +5,7 @@
 #include <stdio.h>
 
 /* Load of the steady tests: 80% of what all slots serve. */
-#define LOAD (FULL_RATE * 8 / 10)
+#define LOAD 160
 /* The ramp that senders used before: from a tenth to the whole in 10 s. */
 #define RAMP_US (10 * SECOND)
 #define RAMP_MIN 0.1
@@ -63,7 +63,7 @@
 {
 	site_t *site = site_create(rules);
 
-	site->rate_per_s = LOAD / 2;
+	site->rate_per_s = LOAD * 0.5;
 	simulate(site, 6 * SECOND);
 	site->rate_per_s = 0;
 	restart_upstream(site);
@@ -327,7 +327,7 @@
 
 	(void)state;
 	admission_set_slots(site->admission, SLOTS);
-	site->rate_per_s = FULL_RATE / 2;
+	site->rate_per_s = FULL_RATE * 0.5;
 	simulate(site, 12 * SECOND);
 	site->slow_factor = 2;
 	site->rate_per_s = FULL_RATE;
