Keep requests away from evacuated data centres

Cause: an evacuated data centre must get no work at its upstreams, wherever the work waits, while its daemons go on as entry daemons.

Change: routing treats the upstreams as unfit, checks a chosen host again before each transmission, and begins a slow start afterwards.

--- a/packages/drain/drain.c
+++ b/packages/drain/drain.c
@@ -12,6 +12,7 @@
 	int64_t gave_up_us; /* valid in DRAIN_GIVING_UP */
 	int64_t upstream_until_us; /* the upstream accepts work before this */
 	bool upstream_closed; /* ops->upstream_closed was called */
+	bool upstream_held; /* see drain_hold_upstream */
 };
 
 drain_t *drain_create(TALLOC_CTX *ctx, const cas_clock_t *clock,
@@ -71,6 +72,15 @@
 	close_upstream_if_due(drain);
 }
 
+void drain_hold_upstream(drain_t *drain, bool held)
+{
+	bool was_held = drain->upstream_held;
+
+	drain->upstream_held = held;
+	if (held && !was_held)
+		drain->ops->upstream_closed(drain->private_data);
+}
+
 void drain_cancel(drain_t *drain)
 {
 	drain->upstream_until_us = INT64_MAX;
@@ -210,7 +220,8 @@
 
 bool drain_accepts_upstream_work(const drain_t *drain)
 {
-	return cas_clock_now(drain->clock) < drain->upstream_until_us &&
+	return !drain->upstream_held &&
+	       cas_clock_now(drain->clock) < drain->upstream_until_us &&
 	       serves_accepted_work(drain);
 }
 
--- a/packages/drain/include/cassia/drain.h
+++ b/packages/drain/include/cassia/drain.h
@@ -23,6 +23,8 @@
  * announcement the upstream is closed: work that has not reached it yet is
  * refused, wherever it waits, until the drain is cancelled. A stop that replaces
  * the drain does not open the upstream again.
+ *
+ * The upstream may also be held closed, apart from any drain.
  */
 #ifndef CASSIA_DRAIN_H
 #define CASSIA_DRAIN_H
@@ -114,6 +116,11 @@
  * has its host as not leaving. Does not cancel a stop. */
 void drain_cancel(drain_t *drain);
 
+/* Holds the upstream closed for new work, or ends that: for example while its
+ * data centre is evacuated. Changes no state and depends on none: the upstream
+ * accepts work only if it is neither held nor closed by a drain. */
+void drain_hold_upstream(drain_t *drain, bool held);
+
 /* Makes the state transitions that are due and calls back; must be called at
  * least every 100 ms during a drain. */
 void drain_tick(drain_t *drain, const drain_load_t *load);
--- a/packages/drain/tests/test_drain.c
+++ b/packages/drain/tests/test_drain.c
@@ -319,12 +319,36 @@
 	assert_false(drain_accepts_upstream_work(f->drain));
 }
 
+/* Guards against an evacuation that leaves queued work waiting, ends the drain of
+ * the upstream when it ends, or is ended by a listing as not leaving. */
+static void test_upstream_is_held(void **state)
+{
+	fixture_t *f = *state;
+
+	drain_hold_upstream(f->drain, true);
+	drain_hold_upstream(f->drain, true);
+	assert_int_equal(f->upstream_closed_calls, 1);
+	assert_false(drain_accepts_upstream_work(f->drain));
+	assert_true(drain_accepts_request(f->drain, 1));
+	assert_int_equal(drain_state(f->drain), DRAIN_SERVING);
+	drain_cancel(f->drain);
+	assert_false(drain_accepts_upstream_work(f->drain));
+	drain_hold_upstream(f->drain, false);
+	assert_true(drain_accepts_upstream_work(f->drain));
+	drain_close_upstream(f->drain);
+	drain_hold_upstream(f->drain, true);
+	drain_hold_upstream(f->drain, false);
+	assert_false(drain_accepts_upstream_work(f->drain));
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test_setup_teardown(
 			test_listeners_stay_open_while_announcing, setup,
 			teardown),
+		cmocka_unit_test_setup_teardown(test_upstream_is_held, setup,
+						teardown),
 		cmocka_unit_test_setup_teardown(test_exit_waits_for_requests,
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_stop_times_out, setup,
--- a/packages/routing/eject.c
+++ b/packages/routing/eject.c
@@ -48,11 +48,12 @@
 
 static bool is_unavailable(const upstream_t *upstream, int64_t now_us)
 {
-	return upstream->leaving || now_us < upstream->ejected_until_us;
+	return routing_is_closed(upstream) ||
+	       now_us < upstream->ejected_until_us;
 }
 
 /* Counts upstreams of the same service. scope_size: those in the scope of the
- * cap that are not leaving. already_ejected: the ejected ones among these
+ * cap that are not closed. already_ejected: the ejected ones among these
  * apart from upstream. usable_others: usable ones of any tier apart from
  * upstream; one whose daemon is stopping is of more use only than an upstream
  * that certainly does not serve. */
@@ -72,7 +73,7 @@
 		    !is_unavailable(peer, now_us) &&
 		    (!peer->stopping || cap == EJECT_CAP_NONE))
 			(*usable_others)++;
-		if (peer->leaving ||
+		if (routing_is_closed(peer) ||
 		    (cap == EJECT_CAP_TIER && peer->tier != upstream->tier))
 			continue;
 		(*scope_size)++;
--- a/packages/routing/gate.c
+++ b/packages/routing/gate.c
@@ -6,6 +6,8 @@
 static int check_rules(const routing_t *routing, const routing_query_t *query,
 		       const upstream_t *upstream)
 {
+	if (upstream->evacuated)
+		return ROUTING_EEVACUATED;
 	if (!region_limits_allow(routing->limits, query, upstream->region))
 		return ROUTING_EREGION;
 	return 0;
@@ -26,13 +28,15 @@
 int routing_check_host(const routing_t *routing, const routing_query_t *query,
 		       cas_id_t host)
 {
+	bool is_limited = routing->limits || query->regions;
 	const upstream_t *upstream;
 
-	if (!routing->limits && !query->regions)
+	if (!is_limited && !routing->has_evacuations)
 		return 0;
 	upstream = routing_find_upstream(routing, host);
-	return upstream ? check_rules(routing, query, upstream)
-			: ROUTING_EREGION;
+	if (!upstream)
+		return is_limited ? ROUTING_EREGION : 0;
+	return check_rules(routing, query, upstream);
 }
 
 cas_id_t routing_own_region(const routing_t *routing)
--- a/packages/routing/include/cassia/routing.h
+++ b/packages/routing/include/cassia/routing.h
@@ -24,6 +24,7 @@
 	ROUTING_ESELF = -1604, /* the data centre of the own host is unknown */
 	ROUTING_EBUSY = -1605, /* all connections to usable hosts are in use */
 	ROUTING_EREGION = -1606, /* the region of the host is not allowed */
+	ROUTING_EEVACUATED = -1607, /* its data centre is evacuated */
 };
 
 /* Distance of an upstream from the own host, nearest first. */
@@ -138,8 +139,8 @@
 		 routing_choice_t *choice);
 
 /* Checks again whether a request may be sent to a host that was chosen for it
- * before. Returns 0 or ROUTING_EREGION. A host that is no longer listed may get
- * only requests without a limit of regions. */
+ * before. Returns 0, ROUTING_EREGION or ROUTING_EEVACUATED. A host that is no
+ * longer listed may get only requests without a limit of regions. */
 int routing_check_host(const routing_t *routing, const routing_query_t *query,
 		       cas_id_t host);
 
--- a/packages/routing/routing_internal.h
+++ b/packages/routing/routing_internal.h
@@ -17,6 +17,7 @@
 	cas_id_t region;
 	routing_tier_t tier;
 	bool leaving; /* listed as leaving: gets no new requests */
+	bool evacuated; /* its data centre is: gets no new requests */
 	int32_t max_connections; /* of this daemon, 0: not in the subset */
 	bool stopping; /* its daemon announces a stop, see routing_set_stopping */
 	/* From traffic; kept when the table or the host list changes. */
@@ -56,6 +57,7 @@
 	link_bytes_t *links; /* one for each region, added when first used */
 	size_t link_count;
 	cas_id_t self_region; /* of the own host */
+	bool has_evacuations; /* a data centre is evacuated */
 	region_limits_t *limits; /* NULL: the table limits no regions */
 };
 
@@ -73,6 +75,12 @@
 			  const routing_query_t *query,
 			  const upstream_t *upstream, int64_t now_us);
 
+/* Returns whether the host list closes the upstream for new requests. */
+static inline bool routing_is_closed(const upstream_t *upstream)
+{
+	return upstream->leaving || upstream->evacuated;
+}
+
 /* Returns the upstreams of the service (borrowed) and their count. */
 upstream_t *routing_service_upstreams(const routing_t *routing,
 				      cas_id_t service, size_t *count);
--- a/packages/routing/subset.c
+++ b/packages/routing/subset.c
@@ -119,7 +119,7 @@
 
 /* A daemon that got no upstream of the service takes one connection from the
  * reserve, to the upstream with the highest rendezvous weight. region 0: among
- * all upstreams; else among those of the region. */
+ * all upstreams; else among those of the region. Evacuated ones do not count. */
 static void assign_reserve(upstream_t *upstreams, size_t count, cas_id_t self,
 			   cas_id_t region)
 {
@@ -130,7 +130,8 @@
 		uint64_t weight =
 			cas_rendezvous_weight(upstreams[i].host, self);
 
-		if (region && upstreams[i].region != region)
+		if (upstreams[i].evacuated ||
+		    (region && upstreams[i].region != region))
 			continue;
 		if (upstreams[i].max_connections)
 			return;
--- a/packages/routing/tests/test_regions.c
+++ b/packages/routing/tests/test_regions.c
@@ -1,4 +1,5 @@
-/* Tests that no choice of an upstream leaves the allowed regions. */
+/* Tests that no choice of an upstream leaves the allowed regions, or falls into
+ * a data centre that is evacuated. */
 #include "cassia/test.h"
 
 #include "cassia/routing.h"
@@ -280,6 +281,110 @@
 	talloc_free(fixture);
 }
 
+/* Sets which data centre is evacuated, by index; -1: none. */
+static void evacuate(fixture_t *fixture, int dc)
+{
+	static cas_id_t id;
+
+	id = dc < 0 ? 0 : 100 + (cas_id_t)dc;
+	fixture->roster.evacuated =
+		(name_list_t){ .ids = &id, .count = dc < 0 ? 0 : 1 };
+	set_view(fixture);
+}
+
+/* Guards against a choice of an upstream that is evacuated: on its own host, as
+ * the last resort, or because the allowed regions have no other one. */
+static void test_evacuation(void **state)
+{
+	fixture_t *fixture = create_fixture(0);
+	const routing_query_t query = { .service = SERVICE };
+
+	(void)state;
+	evacuate(fixture, 0);
+	assert_int_equal(picked_regions(fixture, &query) & 1, 0);
+	assert_true(picked_regions(fixture, &query));
+	assert_int_equal(routing_set_view(fixture->routing, &fixture->table,
+					  &fixture->roster, FIRST_HOST, 100),
+			 0);
+	assert_int_equal(picked_regions(fixture, &query) & 1, 0);
+	finish_all(fixture, 2, 4, ROUTING_REFUSED);
+	assert_int_equal(picked_regions(fixture, &query) & 1, 0);
+	limit(&fixture->route.regions, 0, 1);
+	evacuate(fixture, 0);
+	assert_int_equal(picked_regions(fixture, &limited_query), 0);
+	evacuate(fixture, -1);
+	assert_int_equal(picked_regions(fixture, &limited_query), 1);
+	talloc_free(fixture);
+}
+
+/* Guards against a request that is sent to a host which was chosen before its
+ * data centre was evacuated. */
+static void test_check_evacuated_host(void **state)
+{
+	fixture_t *fixture = create_fixture(0);
+	const routing_query_t query = { .service = SERVICE };
+
+	(void)state;
+	evacuate(fixture, -1);
+	assert_int_equal(
+		routing_check_host(fixture->routing, &query, FIRST_HOST), 0);
+	evacuate(fixture, 0);
+	assert_int_equal(
+		routing_check_host(fixture->routing, &query, FIRST_HOST),
+		ROUTING_EEVACUATED);
+	assert_int_equal(
+		routing_check_host(fixture->routing, &query, FIRST_HOST + 2),
+		0);
+	assert_int_equal(routing_check_host(fixture->routing, &query, 7), 0);
+	talloc_free(fixture);
+}
+
+/* Guards against full load on upstreams that may have become cold during an
+ * evacuation. The daemon is in data centre 102; the other two are equally far. */
+static void test_slow_start_after_evacuation(void **state)
+{
+	static const cas_id_t own_dc[] = { FIRST_HOST + 4, 1 };
+	fixture_t *fixture = create_fixture(0);
+	const routing_query_t query = { .service = SERVICE,
+					.exclude = own_dc,
+					.exclude_count = 2 };
+	int picks = 0;
+
+	(void)state;
+	for (size_t i = 0; i < DCS; i++)
+		fixture->dcs[i].region_id = OWN_REGION;
+	fixture->hosts[HOSTS - 1].id = 1;
+	set_view(fixture);
+	cas_clock_advance(fixture->clock, 60 * CAS_USEC_PER_SEC);
+	evacuate(fixture, 0);
+	cas_clock_advance(fixture->clock, 60 * CAS_USEC_PER_SEC);
+	evacuate(fixture, -1);
+	for (int i = 0; i < PICKS; i++) {
+		routing_choice_t choice;
+
+		assert_int_equal(
+			routing_pick(fixture->routing, &query, &choice), 0);
+		picks += choice.host < FIRST_HOST + 2;
+	}
+	assert_true(picks < PICKS / 4);
+	talloc_free(fixture);
+}
+
+/* Guards against requests that are rejected because the subset of this daemon
+ * has only evacuated upstreams. */
+static void test_subset_beside_evacuation(void **state)
+{
+	fixture_t *fixture = create_fixture(1);
+	const routing_query_t query = { .service = SERVICE };
+
+	(void)state;
+	for (int i = 0; i < DCS; i++) {
+		evacuate(fixture, i);
+		assert_true(picked_regions(fixture, &query));
+	}
+	talloc_free(fixture);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -291,6 +396,10 @@
 		cmocka_unit_test(test_list_binds_on_error),
 		cmocka_unit_test(test_unknown_region),
 		cmocka_unit_test(test_subset_reaches_region),
+		cmocka_unit_test(test_evacuation),
+		cmocka_unit_test(test_check_evacuated_host),
+		cmocka_unit_test(test_slow_start_after_evacuation),
+		cmocka_unit_test(test_subset_beside_evacuation),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/packages/routing/view.c
+++ b/packages/routing/view.c
@@ -48,7 +48,7 @@
 }
 
 /* Copies the traffic state of a host that was listed before. A new host, and
- * one that is no longer leaving, begin a slow start. */
+ * one that is no longer leaving or evacuated, begin a slow start. */
 static void carry_over_state(const routing_t *routing, upstream_t *upstream)
 {
 	const upstream_t *previous =
@@ -64,7 +64,8 @@
 	upstream->region = listed.region;
 	upstream->tier = listed.tier;
 	upstream->leaving = listed.leaving;
-	if (previous->leaving && !listed.leaving)
+	upstream->evacuated = listed.evacuated;
+	if (routing_is_closed(previous) && !routing_is_closed(&listed))
 		upstream->slow_start_at_us = cas_clock_now(routing->clock);
 }
 
@@ -88,6 +89,8 @@
 		upstream->host = host->id;
 		upstream->service = host->service_id;
 		upstream->leaving = host->leaving;
+		upstream->evacuated =
+			name_list_has(&roster->evacuated, host->data_centre_id);
 		upstream->region =
 			routing_region_of(table, host->data_centre_id);
 		upstream->tier = tier_of(host, upstream->region, self, self_dc,
@@ -174,6 +177,7 @@
 	talloc_free(routing->upstreams);
 	routing->upstreams = upstreams;
 	routing->upstream_count = roster->host_count;
+	routing->has_evacuations = roster->evacuated.count > 0;
 	routing->self_region = routing_region_of(table, self_dc);
 	return 0;
 }
--- a/programs/cassiad/config.c
+++ b/programs/cassiad/config.c
@@ -243,8 +243,12 @@
 static void on_hosts(void *private, const roster_t *roster)
 {
 	cassiad_t *daemon = private;
+	const roster_t *previous = daemon->roster;
 
 	daemon->roster = roster;
+	/* First, as the own listing may open the upstream and start queued
+	 * requests. */
+	evacuation_follow(daemon, previous);
 	apply_own_listing(daemon);
 	config_apply(daemon);
 	cas_log(CAS_LOG_INFO, "hosts_accepted",
--- a/programs/cassiad/daemon.h
+++ b/programs/cassiad/daemon.h
@@ -148,6 +148,10 @@
 /* Passes the current table and host list to all components. */
 void config_apply(cassiad_t *daemon);
 
+/* evacuation.c: follows the evacuations in the host list that comes into force;
+ * previous is the one before, or NULL. */
+void evacuation_follow(cassiad_t *daemon, const roster_t *previous);
+
 /* Handles a notice that another host holds a newer revision of a document. */
 void config_on_newer_revision(cassiad_t *daemon, config_document_t document,
 			      int64_t revision, cas_id_t host);
--- a/programs/cassiad/entry_attempts.c
+++ b/programs/cassiad/entry_attempts.c
@@ -79,16 +79,21 @@
 	return !error || error == ROUTING_EBUSY;
 }
 
-/* The table may have changed since the host was chosen. */
+/* The table or the host list may have changed since the host was chosen. */
 static reason_t check_send(void *private)
 {
 	const entry_request_t *request = private;
 	const routing_query_t query = routing_query_of(request);
 
-	return routing_check_host(request->daemon->routing, &query,
-				  current_host(request))
-		       ? REASON_REGION
-		       : REASON_NONE;
+	switch (routing_check_host(request->daemon->routing, &query,
+				   current_host(request))) {
+	case 0:
+		return REASON_NONE;
+	case ROUTING_EEVACUATED:
+		return REASON_DRAINING;
+	default:
+		return REASON_REGION;
+	}
 }
 
 /* Picks a host that was tried before if no other one is left. */
--- a/programs/cassiad/operator_server.c
+++ b/programs/cassiad/operator_server.c
@@ -131,28 +131,43 @@
 	talloc_free(ctx);
 }
 
+/* Adds the evacuated data centres; a deployment without any has no such
+ * member. */
+static void add_evacuated(const cassiad_t *daemon, json_t *status)
+{
+	const roster_t *roster = daemon->roster;
+	json_t *names;
+
+	if (!status || !roster || !roster->evacuated.count)
+		return;
+	names = json_array();
+	for (size_t i = 0; i < roster->evacuated.count; i++)
+		json_array_append_new(
+			names, json_stringn(roster->evacuated.names[i].ptr,
+					    roster->evacuated.names[i].len));
+	json_object_set_new(status, "evacuated", names);
+}
+
 static void handle_status(cassiad_t *daemon, http_exchange_t *exchange)
 {
 	cas_str_t host = daemon->settings->host;
 	json_t *faults = json_array();
 	int64_t uptime_us = cas_clock_now(daemon->clock) - daemon->started_us;
+	json_t *status;
 
 	add_faults(daemon, CONFIG_TABLE, faults);
 	add_faults(daemon, CONFIG_HOSTS, faults);
-	reply_json(exchange, 200,
-		   json_pack("{s:s%, s:I, s:s, s:I, s:I, s:b, s:I, s:o}",
-			     "host", host.ptr, host.len, "incarnation",
-			     (json_int_t)daemon->incarnation, "state",
-			     daemon_state(daemon), "table_revision",
-			     (json_int_t)config_store_revision(daemon->store,
-							       CONFIG_TABLE),
-			     "hosts_revision",
-			     (json_int_t)config_store_revision(daemon->store,
-							       CONFIG_HOSTS),
-			     "fence_held", control_fence_held(daemon),
-			     "uptime_s",
-			     (json_int_t)(uptime_us / CAS_USEC_PER_SEC),
-			     "faults", faults));
+	status = json_pack(
+		"{s:s%, s:I, s:s, s:I, s:I, s:b, s:I, s:o}", "host", host.ptr,
+		host.len, "incarnation", (json_int_t)daemon->incarnation,
+		"state", daemon_state(daemon), "table_revision",
+		(json_int_t)config_store_revision(daemon->store, CONFIG_TABLE),
+		"hosts_revision",
+		(json_int_t)config_store_revision(daemon->store, CONFIG_HOSTS),
+		"fence_held", control_fence_held(daemon), "uptime_s",
+		(json_int_t)(uptime_us / CAS_USEC_PER_SEC), "faults", faults);
+	add_evacuated(daemon, status);
+	reply_json(exchange, 200, status);
 }
 
 static void handle_top(cassiad_t *daemon, http_exchange_t *exchange)
