--- a/tests/test_allowed_regions.sh
+++ b/tests/test_allowed_regions.sh
@@ -181,5 +181,6 @@
 check "requests with an unknown outcome" "$(count_attempts load unknown)" 0
 check_at_least "requests that the daemon of the upstream refused" \
 	"$(curl -s --max-time 1 "http://$NET.12:$OPERATORS_PORT/metrics" |
-		sed -n 's/^cassia_region_refused_total //p')" 3
+		awk '$1 == "cassia_region_refused_total" { n = $2 }
+			END { print n + 0 }')" 3
 [ $FAILED -eq 0 ]
--- a/tools/site.sh
+++ b/tools/site.sh
@@ -349,6 +349,8 @@
 # start_platform: starts the platform's stand-in for 120 s at most. Sets
 # PLATFORM, its URL, and PLATFORM_PID.
 start_platform() {
+	# An earlier one may have left its port here.
+	rm -f "$SITE/platform.port"
 	"$BUILD/standins/platform" "$SITE/table.toml" "$SITE/hosts.toml" 120 \
 		> "$SITE/platform.port" &
 	PLATFORM_PID=$!
