Carry the share of completable trees to the roots by itself

Cause: the share travelled as an admitted fraction, which entry daemons learn by customer.

Change: the outcome's load has the share, and entry daemons keep it by route and importance.

--- a/packages/attempt/include/cassia/attempt.h
+++ b/packages/attempt/include/cassia/attempt.h
@@ -116,6 +116,9 @@
 	attempt_context context; /* deadline on the clock of this host */
 	retry_budget_t budget; /* left for the retries of child calls */
 	double fraction; /* lowest admitted fraction of child calls, 0..1 */
+	/* Share of such requests whose child calls can be completed, the lowest
+	 * of all calls; 0: none has ended. */
+	double tree_share;
 	/* Child calls may overlap. A period lasts while any of them runs. */
 	int64_t child_period_started_us; /* start of the last period */
 	int64_t child_total_us; /* sum of the periods that have ended */
--- a/packages/attempt/messages/attempt.x
+++ b/packages/attempt/messages/attempt.x
@@ -57,6 +57,9 @@
 	unsigned int processor;		/* use of the daemon's share of the
 					 * processor, in per mille */
 	unsigned int warming_up;	/* 0 or 1: its pace is being found */
+	unsigned int tree_share;	/* requests of this kind whose calls
+					 * can be completed, in millionths; 0:
+					 * no calls were made */
 };
 
 union attempt_load_option switch (unsigned int known) {
--- a/programs/cassiad/daemon.c
+++ b/programs/cassiad/daemon.c
@@ -113,6 +113,7 @@
 	}
 	if (ticks % 100 == 0) {
 		thresholds_tick(daemon->thresholds);
+		thresholds_tick(daemon->tree_shares);
 		stats_tick(daemon);
 	}
 	stop_tick(daemon);
@@ -173,6 +174,7 @@
 		attempt_table_create(daemon, daemon->clock, ATTEMPTS_MAX);
 	daemon->live_requests = attempt_live_create(daemon);
 	daemon->thresholds = thresholds_create(daemon, daemon->clock);
+	daemon->tree_shares = thresholds_create(daemon, daemon->clock);
 	daemon->routing =
 		routing_create(daemon, daemon->clock, daemon->rng, NULL, NULL);
 	daemon->throttle = retry_throttle_create(daemon, daemon->clock);
@@ -182,8 +184,8 @@
 	if (!daemon->metrics || !daemon->stats || !daemon->keys ||
 	    !daemon->peer_client || !daemon->upstream_client ||
 	    !daemon->attempts || !daemon->live_requests ||
-	    !daemon->thresholds || !daemon->routing || !daemon->throttle ||
-	    !daemon->retry_plan || stop_create(daemon) ||
+	    !daemon->thresholds || !daemon->tree_shares || !daemon->routing ||
+	    !daemon->throttle || !daemon->retry_plan || stop_create(daemon) ||
 	    processor_use_create(daemon))
 		return BASE_ENOMEM;
 	retry_throttle_set_ratio(daemon->throttle,
--- a/programs/cassiad/daemon.h
+++ b/programs/cassiad/daemon.h
@@ -104,6 +104,8 @@
 	admission_t *admission;
 	warm_up_watch_t *warm_up_watch; /* of the own upstream */
 	thresholds_t *thresholds; /* admitted fractions from outcomes */
+	/* Shares of request trees that can be completed, from outcomes. */
+	thresholds_t *tree_shares;
 	routing_t *routing;
 	retry_throttle_t *throttle; /* limits retries by service */
 	retry_plan_t *retry_plan; /* of calls that services reject */
--- a/programs/cassiad/entry.h
+++ b/programs/cassiad/entry.h
@@ -115,8 +115,8 @@
 /* entry_repeats.c: counts a first attempt or a repeat in the plan of retries. */
 void entry_count_call(const entry_request_t *request);
 
-/* Returns whether the called service, if it rejects a share of its arrivals,
- * leaves the request enough retries to be completed. */
+/* Returns whether the services that the request calls, if they reject a share of
+ * their arrivals, leave it enough retries to be completed. */
 bool entry_may_be_completed(const entry_request_t *request);
 
 /* Tells the plan of retries about an attempt that has ended, if it reached the
@@ -124,6 +124,10 @@
 void entry_record_arrival(entry_request_t *request, cas_id_t host,
 			  const call_attempt_result_t *result);
 
+/* Learns from an outcome which share of such requests can be completed. */
+void entry_learn_tree_share(entry_request_t *request,
+			    const attempt_outcome *report);
+
 /* Decides whether to send a request again that its upstream has rejected as not
  * run although it had room. If so, sets next_host; the body is at its start.
  * Since nothing has run, no retry unit is used; the plan limits these repeats. */
--- a/programs/cassiad/entry_attempts.c
+++ b/programs/cassiad/entry_attempts.c
@@ -255,6 +255,7 @@
 			 fraction);
 	if (request->parent && fraction < request->parent->fraction)
 		request->parent->fraction = fraction;
+	entry_learn_tree_share(request, report);
 	retry_budget_return(request_retry_budget(request),
 			    request->granted_retries, (int32_t)report->unspent);
 	request->granted_retries = 0;
--- a/programs/cassiad/entry_repeats.c
+++ b/programs/cassiad/entry_repeats.c
@@ -6,6 +6,8 @@
 
 #define MICRO_PER_UNIT 1e6
 #define PERMILLE 1000
+/* A share of 0 means that none is known. */
+#define TREE_SHARE_MIN 1e-6
 
 static retry_call_t retry_call_of(const entry_request_t *request)
 {
@@ -26,12 +28,19 @@
 	retry_plan_count_call(request->daemon->retry_plan, &call);
 }
 
+/* The shares are kept for all customers together: a daemon sees too few
+ * requests of one customer to follow them. */
 bool entry_may_be_completed(const entry_request_t *request)
 {
+	const attempt_context *context = &request->context;
 	const retry_call_t call = retry_call_of(request);
+	cassiad_t *daemon = request->daemon;
 
-	return !daemon_hosts_are_shared(request->daemon) ||
-	       retry_plan_includes(request->daemon->retry_plan, &call);
+	return !daemon_hosts_are_shared(daemon) ||
+	       (retry_plan_includes(daemon->retry_plan, &call) &&
+		thresholds_check(daemon->tree_shares, entry_chain_key(context),
+				 (int32_t)context->importance, 0,
+				 context->draw));
 }
 
 /* Remembers a host whose upstream the request has reached. */
@@ -44,19 +53,43 @@
 		request->arrived_hosts[request->arrived_host_count++] = host;
 }
 
-/* The share of trees that can be completed limits the admitted fraction of the
- * request that makes this call; with its response it travels up to the root. */
-static void limit_parent(entry_request_t *request)
+/* Takes over the share of trees that a child call has reported. With the
+ * responses it travels up to the root. */
+static void limit_parent(attempt_live_entry_t *parent, double share)
+{
+	if (!parent->tree_share || share < parent->tree_share)
+		parent->tree_share =
+			share > TREE_SHARE_MIN ? share : TREE_SHARE_MIN;
+}
+
+/* Limits the parent by the plan for the service that was called. */
+static void limit_parent_by_plan(entry_request_t *request)
+{
+	const attempt_context *context = &request->context;
+
+	if (request->parent && daemon_hosts_are_shared(request->daemon))
+		limit_parent(request->parent,
+			     retry_plan_share(request->daemon->retry_plan,
+					      context->service,
+					      (int32_t)context->importance));
+}
+
+void entry_learn_tree_share(entry_request_t *request,
+			    const attempt_outcome *report)
 {
 	const attempt_context *context = &request->context;
-	double share;
+	u_int millionths =
+		report->load.known
+			? report->load.attempt_load_option_u.load.tree_share
+			: 0;
+	double share = (double)millionths / ATTEMPT_FRACTION_SCALE;
 
-	if (!request->parent || !daemon_hosts_are_shared(request->daemon))
+	if (!millionths)
 		return;
-	share = retry_plan_share(request->daemon->retry_plan, context->service,
-				 (int32_t)context->importance);
-	if (share < request->parent->fraction)
-		request->parent->fraction = share;
+	thresholds_learn(request->daemon->tree_shares, entry_chain_key(context),
+			 (int32_t)context->importance, 0, share);
+	if (request->parent)
+		limit_parent(request->parent, share);
 }
 
 void entry_record_arrival(entry_request_t *request, cas_id_t host,
@@ -69,7 +102,7 @@
 		return;
 	add_arrived_host(request, host);
 	retry_plan_record_arrival(request->daemon->retry_plan, &call, rejected);
-	limit_parent(request);
+	limit_parent_by_plan(request);
 }
 
 /* Returns whether another attempt can end in time, if it takes as long as the
--- a/programs/cassiad/upstream_request.c
+++ b/programs/cassiad/upstream_request.c
@@ -108,6 +108,9 @@
 	if (reason == REASON_WARMING_UP)
 		report->retry_after_ms = warm_up_retry_ms(daemon);
 	fill_load(daemon, entry_chain_key(context), &report->load);
+	if (live && report->load.known)
+		report->load.attempt_load_option_u.load.tree_share =
+			(u_int)(live->tree_share * ATTEMPT_FRACTION_SCALE);
 	memcpy(report->attempt, context->attempt, ATTEMPT_ID_BYTES);
 	processor_use_fill_load(daemon, report);
 }
