--- a/programs/cassiad/daemon.c
+++ b/programs/cassiad/daemon.c
@@ -113,7 +113,6 @@
 	}
 	if (ticks % 100 == 0) {
 		thresholds_tick(daemon->thresholds);
-		thresholds_tick(daemon->tree_shares);
 		stats_tick(daemon);
 	}
 	stop_tick(daemon);
@@ -174,7 +173,7 @@
 		attempt_table_create(daemon, daemon->clock, ATTEMPTS_MAX);
 	daemon->live_requests = attempt_live_create(daemon);
 	daemon->thresholds = thresholds_create(daemon, daemon->clock);
-	daemon->tree_shares = thresholds_create(daemon, daemon->clock);
+	daemon->tree_shares = tree_shares_create(daemon, daemon->clock);
 	daemon->routing =
 		routing_create(daemon, daemon->clock, daemon->rng, NULL, NULL);
 	daemon->throttle = retry_throttle_create(daemon, daemon->clock);
--- a/programs/cassiad/daemon.h
+++ b/programs/cassiad/daemon.h
@@ -29,6 +29,7 @@
 #include "cassia/source.h"
 #include "cassia/thresholds.h"
 #include "cassia/timer.h"
+#include "cassia/tree_shares.h"
 #include "reason.h"
 
 typedef struct control control_t;
@@ -105,7 +106,7 @@
 	warm_up_watch_t *warm_up_watch; /* of the own upstream */
 	thresholds_t *thresholds; /* admitted fractions from outcomes */
 	/* Shares of request trees that can be completed, from outcomes. */
-	thresholds_t *tree_shares;
+	tree_shares_t *tree_shares;
 	routing_t *routing;
 	retry_throttle_t *throttle; /* limits retries by service */
 	retry_plan_t *retry_plan; /* of calls that services reject */
--- a/programs/cassiad/entry_repeats.c
+++ b/programs/cassiad/entry_repeats.c
@@ -34,13 +34,13 @@
 {
 	const attempt_context *context = &request->context;
 	const retry_call_t call = retry_call_of(request);
-	cassiad_t *daemon = request->daemon;
+	const cassiad_t *daemon = request->daemon;
 
 	return !daemon_hosts_are_shared(daemon) ||
 	       (retry_plan_includes(daemon->retry_plan, &call) &&
-		thresholds_check(daemon->tree_shares, entry_chain_key(context),
-				 (int32_t)context->importance, 0,
-				 context->draw));
+		tree_shares_include(
+			daemon->tree_shares, entry_chain_key(context),
+			(int32_t)context->importance, context->draw));
 }
 
 /* Remembers a host whose upstream the request has reached. */
@@ -86,8 +86,9 @@
 
 	if (!millionths)
 		return;
-	thresholds_learn(request->daemon->tree_shares, entry_chain_key(context),
-			 (int32_t)context->importance, 0, share);
+	tree_shares_learn(request->daemon->tree_shares,
+			  entry_chain_key(context),
+			  (int32_t)context->importance, share);
 	if (request->parent)
 		limit_parent(request->parent, share);
 }
