--- a/programs/cassiad/daemon.h
+++ b/programs/cassiad/daemon.h
@@ -71,7 +71,9 @@
 	bool ready; /* requests may be served from table and roster */
 	bool stopping; /* the process exits at the end of the drain */
 	bool stopped; /* ends the event loop */
-	uint64_t tick_count;
+	int64_t tick_due_us; /* of the next tick */
+	int64_t config_tick_due_us;
+	int64_t slow_tick_due_us;
 	bool watches_platform; /* for its data centre */
 	own_listing_t own_listing; /* by the host list in use */
 	uint64_t draining_digest; /* of the ids of the draining hosts */
@@ -89,7 +91,6 @@
 	compressed_document_t *compressed_documents[CONFIG_DOCUMENT_COUNT];
 	int64_t next_seed_fetch_us;
 	cas_timer_t *tick_timer;
-	int64_t tick_due_us; /* planned time of the next tick */
 
 	http_server_t *front_server; /* for callers */
 	/* For child calls of the upstream; NULL if not configured. */
