Test the head of the queue itself in the fleet test

Cause: clang-tidy cannot see that the count and the head of the queue agree.

Change: the loop tests the head.

--- a/packages/routing/tests/test_fleet.c
+++ b/packages/routing/tests/test_fleet.c
@@ -360,7 +360,7 @@
 			upstream->running[--upstream->running_count];
 		respond(fleet, request, ROUTING_OK);
 	}
-	while (upstream->running_count < SLOTS && upstream->queued) {
+	while (upstream->running_count < SLOTS && upstream->queue_head) {
 		request_t *next = upstream->queue_head;
 
 		upstream->queue_head = next->next;
