--- a/packages/admission/divide.c
+++ b/packages/admission/divide.c
@@ -210,7 +210,10 @@
 	if (limit->phase == LIMIT_STARTUP)
 		capacity *= STARTUP_CAPACITY_FACTOR;
 	remaining.nominal = capacity * QUEUE_CORRECTION_MAX;
-	qsort(classes, count, sizeof(request_class_t *), compare_classes);
+	/* Without any class there is no array. */
+	if (count)
+		qsort(classes, count, sizeof(request_class_t *),
+		      compare_classes);
 	for (size_t end, begin = 0; begin < count; begin = end) {
 		int32_t importance = classes[begin]->importance;
 
--- a/tests/test_warm_up.sh
+++ b/tests/test_warm_up.sh
@@ -130,6 +130,8 @@
 echo "figure: sent=$(count_attempts load .) served=$(count_attempts load served)" \
 	"not_run=$(count_attempts load not-run)" \
 	"unknown=$(count_attempts load unknown)"
+check_at_least "requests refused and sent on" \
+	"$(grep -c 'event=attempt .*reason=warming-up' "$SITE/e1.log")" 10
 check "malformed load reports" "$(metric 13 load_reports_malformed_total)" 0
 check "implausible load reports" \
 	"$(metric 13 load_reports_implausible_total)" 0
