--- a/packages/admission/processor_divide.c
+++ b/packages/admission/processor_divide.c
@@ -216,7 +216,8 @@
 		processor->offered += classes[i]->demand;
 	}
 	if (count)
-		qsort(classes, count, sizeof(*classes), compare_classes);
+		qsort(classes, count, sizeof(processor_class_t *),
+		      compare_classes);
 	for (size_t end, begin = 0; begin < count; begin = end) {
 		double share = BURST_SHARE_MIN +
 			       (1 - BURST_SHARE_MIN) * remaining / available;
--- a/packages/admission/tests/test_processor.c
+++ b/packages/admission/tests/test_processor.c
@@ -345,10 +345,11 @@
 	simulate(fixture, seconds * CAS_USEC_PER_SEC);
 	print_message("load=%.0f served=%.3f late=%d refused=%d early=%d "
 		      "tick_late_max_us=%lld\n",
-		      load, sum(fixture->served) / seconds / FULL_RATE_PER_S,
+		      load,
+		      (double)sum(fixture->served) / seconds / FULL_RATE_PER_S,
 		      fixture->late, fixture->refused, fixture->early,
 		      (long long)fixture->tick_late_max_us);
-	return sum(fixture->served) / seconds / FULL_RATE_PER_S;
+	return (double)sum(fixture->served) / seconds / FULL_RATE_PER_S;
 }
 
 /* Checks that goodput stays level from one to ten times the load. */
