Tell the roots of request trees what a daemon's processor takes in

Change: the share of completable trees includes the part of the child calls of an importance that the processor limit of the called daemon takes in.

--- a/packages/admission/include/cassia/processor.h
+++ b/packages/admission/include/cassia/processor.h
@@ -17,6 +17,9 @@
 #include "cassia/clock.h"
 #include "cassia/hash.h"
 
+/* Number of importance levels. */
+#define PROCESSOR_IMPORTANCES 16
+
 /* Kinds of work whose processor cost is learned separately. */
 typedef enum processor_work {
 	PROCESSOR_ENTRY, /* a request of a caller */
@@ -108,6 +111,11 @@
 double processor_fraction(const processor_t *processor, int32_t importance,
 			  cas_id_t customer, bool child);
 
+/* Returns the fraction (0..1) of the child calls of an importance that is taken
+ * in, over all customers. */
+double processor_child_fraction(const processor_t *processor,
+				int32_t importance);
+
 /* Returns the use of the daemon's share in per mille; of one core when the
  * share is not known. */
 int32_t processor_permille(const processor_t *processor);
--- a/packages/admission/processor.c
+++ b/packages/admission/processor.c
@@ -61,6 +61,8 @@
 	talloc_set_destructor(processor, destroy);
 	processor_capacity_init(&processor->capacity, share_micro);
 	processor->boost = 1;
+	for (int i = 0; i < PROCESSOR_IMPORTANCES; i++)
+		processor->child_fraction[i] = 1;
 	processor->divided_us = cas_clock_now(clock);
 	processor->backlog_as_of_us = processor->divided_us;
 	return processor;
@@ -266,6 +268,12 @@
 	return class ? class->fraction : 1;
 }
 
+double processor_child_fraction(const processor_t *processor,
+				int32_t importance)
+{
+	return processor->child_fraction[importance];
+}
+
 int32_t processor_permille(const processor_t *processor)
 {
 	double share = (double)processor->share_micro / 1000000;
--- a/packages/admission/processor_divide.c
+++ b/packages/admission/processor_divide.c
@@ -164,6 +164,19 @@
 	return remaining;
 }
 
+/* Returns the fraction of the requests of one importance that is taken in. */
+static double group_fraction(processor_class_t **classes, size_t count)
+{
+	double demand = 0;
+	double admitted = 0;
+
+	for (size_t i = 0; i < count; i++) {
+		demand += classes[i]->demand;
+		admitted += classes[i]->demand * classes[i]->fraction;
+	}
+	return demand > 0 ? admitted / demand : 1;
+}
+
 static double clamp(double value, double low, double high)
 {
 	if (value < low)
@@ -218,6 +231,8 @@
 	if (count)
 		qsort(classes, count, sizeof(processor_class_t *),
 		      compare_classes);
+	for (int i = 0; i < PROCESSOR_IMPORTANCES; i++)
+		processor->child_fraction[i] = 1;
 	for (size_t end, begin = 0; begin < count; begin = end) {
 		double share = BURST_SHARE_MIN +
 			       (1 - BURST_SHARE_MIN) * remaining / available;
@@ -231,6 +246,9 @@
 			divide_group(classes + begin, end - begin, remaining);
 		for (size_t i = begin; i < end; i++)
 			classes[i]->burst_share = share;
+		if (classes[begin]->child)
+			processor->child_fraction[classes[begin]->importance] =
+				group_fraction(classes + begin, end - begin);
 	}
 	processor->limiting = processor->burst_refused > 0;
 	for (size_t i = 0; i < count; i++) {
--- a/packages/admission/processor_internal.h
+++ b/packages/admission/processor_internal.h
@@ -74,6 +74,9 @@
 	int64_t divided_us; /* time of the last division */
 	uint64_t arrived; /* of all classes since then */
 	double offered; /* smoothed demand of all classes, in cores */
+	/* Part of the child calls of an importance that is taken in, over all
+	 * customers; 1: all of them. */
+	double child_fraction[PROCESSOR_IMPORTANCES];
 	/* Factor of the capacity that is divided, see update_boost. */
 	double boost;
 	bool limiting;
--- a/programs/cassiad/processor_use.c
+++ b/programs/cassiad/processor_use.c
@@ -216,6 +216,15 @@
 				  context->customer, context->depth > 0);
 }
 
+double processor_use_tree_share(const cassiad_t *daemon,
+				const attempt_context *context)
+{
+	if (!daemon->processor->in_force || !context->depth)
+		return 1;
+	return processor_child_fraction(daemon->processor->limit,
+					(int32_t)context->importance);
+}
+
 int64_t processor_use_retry_after_us(const cassiad_t *daemon,
 				     const attempt_context *context)
 {
--- a/programs/cassiad/processor_use.h
+++ b/programs/cassiad/processor_use.h
@@ -34,6 +34,11 @@
 void processor_use_count_early(cassiad_t *daemon,
 			       const attempt_context *context);
 
+/* Returns the share (0..1) of request trees whose calls to the upstream of this
+ * host are taken in, for the importance of a child call; 1 for other requests. */
+double processor_use_tree_share(const cassiad_t *daemon,
+				const attempt_context *context);
+
 /* Returns the fraction of requests like this one that is taken in, 0..1. */
 double processor_use_fraction(const cassiad_t *daemon,
 			      const attempt_context *context);
--- a/programs/cassiad/upstream_request.c
+++ b/programs/cassiad/upstream_request.c
@@ -77,6 +77,21 @@
 	};
 }
 
+/* Returns the share of the request trees of this kind that can be completed, by
+ * the calls that the request has made and by the processor time that this daemon
+ * has for such calls. 0: nothing is known. */
+static double tree_share_of(const cassiad_t *daemon,
+			    const attempt_context *context,
+			    const attempt_live_entry_t *live)
+{
+	double share = processor_use_tree_share(daemon, context);
+	double calls_share = live ? live->tree_share : 0;
+
+	if (share < 1)
+		return calls_share && calls_share < share ? calls_share : share;
+	return calls_share;
+}
+
 void upstream_request_fill_outcome(cassiad_t *daemon,
 				   const attempt_context *context,
 				   const attempt_live_entry_t *live,
@@ -108,9 +123,10 @@
 	if (reason == REASON_WARMING_UP)
 		report->retry_after_ms = warm_up_retry_ms(daemon);
 	fill_load(daemon, entry_chain_key(context), &report->load);
-	if (live && report->load.known)
+	if (report->load.known)
 		report->load.attempt_load_option_u.load.tree_share =
-			(u_int)(live->tree_share * ATTEMPT_FRACTION_SCALE);
+			(u_int)(tree_share_of(daemon, context, live) *
+				ATTEMPT_FRACTION_SCALE);
 	memcpy(report->attempt, context->attempt, ATTEMPT_ID_BYTES);
 	processor_use_fill_load(daemon, report);
 }
