Read a timer only if its handler does not arm it again

Cause: each expiry of a timer, such as the tick, took a read of its descriptor and a call that armed it again, which makes it unreadable too. Change: the descriptor is read after the handler only if it is not armed. The counting allocator of the bench names its parameters as libc does, which the linter wants. Result: one system call less for each tick (2 instead of 3).

--- a/bench/count_allocations.c
+++ b/bench/count_allocations.c
@@ -32,16 +32,16 @@
 	return __libc_malloc(size);
 }
 
-void *calloc(size_t count, size_t size)
+void *calloc(size_t nmemb, size_t size)
 {
 	atomic_fetch_add(&allocation_count, 1);
-	return __libc_calloc(count, size);
+	return __libc_calloc(nmemb, size);
 }
 
-void *realloc(void *old, size_t size)
+void *realloc(void *ptr, size_t size)
 {
 	atomic_fetch_add(&allocation_count, 1);
-	return __libc_realloc(old, size);
+	return __libc_realloc(ptr, size);
 }
 
 void *memalign(size_t alignment, size_t size)
@@ -55,10 +55,10 @@
 	return memalign(alignment, size);
 }
 
-int posix_memalign(void **memory, size_t alignment, size_t size)
+int posix_memalign(void **memptr, size_t alignment, size_t size)
 {
-	*memory = memalign(alignment, size);
-	return *memory ? 0 : ENOMEM;
+	*memptr = memalign(alignment, size);
+	return *memptr ? 0 : ENOMEM;
 }
 
 /* Formats without the C library, which may not be used in a signal handler. */
--- a/packages/base/tests/test_timer.c
+++ b/packages/base/tests/test_timer.c
@@ -77,11 +77,57 @@
 	talloc_free(ev);
 }
 
+static void free_timer(void *private)
+{
+	cas_timer_t **timer = private;
+
+	TALLOC_FREE(*timer);
+}
+
+static void set_flag(struct tevent_context *ev, struct tevent_timer *timer,
+		     struct timeval now, void *private)
+{
+	(void)ev;
+	(void)timer;
+	(void)now;
+	*(bool *)private = true;
+}
+
+/* Guards against a use of a timer that its handler has freed, and against an
+ * event loop that spins because a timer that its handler does not arm again, or
+ * that was disarmed, is reported as expired again and again. */
+static void test_expired_timer_is_quiet(void **state)
+{
+	struct tevent_context *ev = tevent_context_init(NULL);
+	int fired = 0;
+	bool over = false;
+	int rounds = 0;
+	cas_timer_t *once = cas_timer_create(ev, ev, count_call, &fired);
+	cas_timer_t *disarmed = cas_timer_create(ev, ev, count_call, &fired);
+	cas_timer_t *freed = NULL;
+
+	(void)state;
+	freed = cas_timer_create(ev, ev, free_timer, &freed);
+	cas_timer_arm(once, CAS_USEC_PER_MSEC);
+	cas_timer_arm(disarmed, CAS_USEC_PER_MSEC);
+	cas_timer_disarm(disarmed);
+	cas_timer_arm(freed, CAS_USEC_PER_MSEC);
+	assert_non_null(tevent_add_timer(
+		ev, ev, tevent_timeval_current_ofs(0, 50000), set_flag, &over));
+	for (; !over; rounds++)
+		tevent_loop_once(ev);
+	assert_int_equal(fired, 1);
+	assert_null(freed);
+	assert_in_range(rounds, 2, 10);
+	talloc_free(ev);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_fires_after_the_wall_clock_is_set_back),
 		cmocka_unit_test(test_last_arming_applies),
+		cmocka_unit_test(test_expired_timer_is_quiet),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/packages/base/timer.c
+++ b/packages/base/timer.c
@@ -1,6 +1,7 @@
 /* One-shot timers on the monotonic clock, with a timerfd each. */
 #include "cassia/timer.h"
 
+#include <stdbool.h>
 #include <sys/timerfd.h>
 #include <unistd.h>
 
@@ -21,6 +22,7 @@
 	int64_t armed_us; /* expiry of fd, or TIMER_DISARMED */
 	cas_timer_handler_t handler;
 	void *private_data;
+	bool *destroyed; /* set when freed; NULL unless the handler runs */
 };
 
 /* Arms the descriptor for due_us, which is delay_us microseconds from now. */
@@ -37,35 +39,52 @@
 	timer->armed_us = timer->due_us;
 }
 
+/* Makes the descriptor unreadable after it has expired. Nothing can be read if
+ * it was armed again since. */
+static void clear_descriptor(cas_timer_t *timer)
+{
+	uint64_t expirations;
+
+	if (read(timer->fd, &expirations, sizeof(expirations)) < 0)
+		return;
+}
+
+/* Arming the descriptor again also makes it unreadable, so it is read only if
+ * the handler does not do that. */
 static void on_timerfd_readable(struct tevent_context *ev,
 				struct tevent_fd *fde, uint16_t flags,
 				void *private_data)
 {
 	cas_timer_t *timer = private_data;
 	int64_t now = cas_clock_now(timer->clock);
-	uint64_t expirations;
+	bool destroyed = false;
 
 	(void)ev;
 	(void)fde;
 	(void)flags;
-	/* Nothing can be read if the descriptor was armed again after it
-	 * expired. */
-	if (read(timer->fd, &expirations, sizeof(expirations)) !=
-	    sizeof(expirations))
+	if (timer->due_us != TIMER_DISARMED && now < timer->due_us) {
+		arm_descriptor(timer, timer->due_us - now);
 		return;
+	}
 	timer->armed_us = TIMER_DISARMED;
-	if (timer->due_us == TIMER_DISARMED)
-		return;
-	if (now < timer->due_us) {
-		arm_descriptor(timer, timer->due_us - now);
+	if (timer->due_us == TIMER_DISARMED) {
+		clear_descriptor(timer);
 		return;
 	}
 	timer->due_us = TIMER_DISARMED;
+	timer->destroyed = &destroyed;
 	timer->handler(timer->private_data);
+	if (destroyed)
+		return;
+	timer->destroyed = NULL;
+	if (timer->armed_us == TIMER_DISARMED)
+		clear_descriptor(timer);
 }
 
 static int timer_destroy(cas_timer_t *timer)
 {
+	if (timer->destroyed)
+		*timer->destroyed = true;
 	talloc_free(timer->fde);
 	if (timer->fd >= 0)
 		close(timer->fd);
