Explain where a request would go with cassiactl place

Cause: operators see where requests went, but not where one would go now.

Change: GET /placement on the operators' port and cassiactl place run the choice of routing for a described request without its side effects, and show the candidates with their figures and ages.

--- a/programs/cassiactl/command_operators.c
+++ b/programs/cassiactl/command_operators.c
@@ -1,5 +1,5 @@
 /* The commands that send a request to a daemon's operators' port: status, top,
- * drain and explain. */
+ * drain, explain and place. */
 #include <arpa/inet.h>
 
 #include "ctl_internal.h"
@@ -203,3 +203,82 @@
 
 	return run_daemon_command(ctl, &usage, &request, argc, argv);
 }
+
+/* Options of the command place. */
+typedef struct place_options {
+	operators_options_t operators;
+	char *host;
+	char *method;
+	char *customer;
+	gint64 body_bytes;
+} place_options_t;
+
+/* Returns the query of a described request (owned by ctl->ctx). */
+static char *place_query(ctl_t *ctl, const place_options_t *options,
+			 const char *path)
+{
+	const struct {
+		const char *name;
+		const char *value;
+	} members[] = {
+		{ "path", path },
+		{ "host", options->host },
+		{ "method", options->method ? options->method : "GET" },
+		{ "customer", options->customer },
+	};
+	char *query = talloc_asprintf(ctl->ctx, "/placement?body_bytes=%lld",
+				      (long long)options->body_bytes);
+
+	for (size_t i = 0; i < G_N_ELEMENTS(members); i++) {
+		char *escaped;
+
+		if (!members[i].value)
+			continue;
+		escaped = g_uri_escape_string(members[i].value, NULL, FALSE);
+		query = talloc_asprintf_append_buffer(query, "&%s=%s",
+						      members[i].name, escaped);
+		g_free(escaped);
+	}
+	return query;
+}
+
+int ctl_place(ctl_t *ctl, int argc, char **argv)
+{
+	static const ctl_usage_t usage = {
+		"place PATH --operators ADDRESS:PORT",
+		"Shows where the daemon would send a request now, and why, "
+		"without sending it. Times are in microseconds.",
+		1, 1
+	};
+	place_options_t options = { 0 };
+	const GOptionEntry entries[] = {
+		{ "operators", 0, 0, G_OPTION_ARG_STRING,
+		  &options.operators.address, "Operators' port of the daemon",
+		  "ADDRESS:PORT" },
+		{ "settings", 0, 0, G_OPTION_ARG_FILENAME,
+		  &options.operators.settings,
+		  "Settings of the daemon, for its operators' port", "FILE" },
+		{ "host", 0, 0, G_OPTION_ARG_STRING, &options.host,
+		  "Host name of the request", "NAME" },
+		{ "method", 0, 0, G_OPTION_ARG_STRING, &options.method,
+		  "Method of the request, GET by default", "METHOD" },
+		{ "customer", 0, 0, G_OPTION_ARG_STRING, &options.customer,
+		  "Name of the customer", "NAME" },
+		{ "body", 0, 0, G_OPTION_ARG_INT64, &options.body_bytes,
+		  "Size of the request body", "BYTES" },
+		G_OPTION_ENTRY_NULL,
+	};
+	int exit_code = CTL_OK;
+
+	if (ctl_parse_options(ctl, &usage, entries, &argc, &argv))
+		exit_code = send_request(ctl, &options.operators, "GET",
+					 place_query(ctl, &options, argv[1]));
+	else
+		exit_code = ctl->exit_code;
+	g_free(options.operators.address);
+	g_free(options.operators.settings);
+	g_free(options.host);
+	g_free(options.method);
+	g_free(options.customer);
+	return exit_code;
+}
--- a/programs/cassiactl/ctl.c
+++ b/programs/cassiactl/ctl.c
@@ -23,6 +23,7 @@
 	{ "drain", "take an upstream or a daemon out of service", ctl_drain },
 	{ "explain", "show the outcome of a request and its cause",
 	  ctl_explain },
+	{ "place", "show where a request would go now, and why", ctl_place },
 };
 
 int ctl_fail(ctl_t *ctl, const char *format, ...)
--- a/programs/cassiactl/ctl_internal.h
+++ b/programs/cassiactl/ctl_internal.h
@@ -36,6 +36,7 @@
 int ctl_top(ctl_t *ctl, int argc, char **argv);
 int ctl_drain(ctl_t *ctl, int argc, char **argv);
 int ctl_explain(ctl_t *ctl, int argc, char **argv);
+int ctl_place(ctl_t *ctl, int argc, char **argv);
 
 /* Prints the lines of the logs at paths that are about a request or its child
  * calls, in order of time. Returns an exit code; CTL_REFUSED when there is no
--- a/programs/cassiactl/tests/test_cassiactl.c
+++ b/programs/cassiactl/tests/test_cassiactl.c
@@ -323,9 +323,9 @@
  * for wrong usage. */
 static void test_help_and_version(void **state)
 {
-	static const char *const names[] = { "check",  "diff", "key",
-					     "status", "top",  "drain",
-					     "explain" };
+	static const char *const names[] = { "check",	"diff", "key",
+					     "status",	"top",	"drain",
+					     "explain", "place" };
 	fixture_t *f = *state;
 	char line[40];
 
--- a/programs/cassiad/operator_server.c
+++ b/programs/cassiad/operator_server.c
@@ -6,6 +6,7 @@
 #include "cassia/http_problem.h"
 #include "cassia/http_target.h"
 #include "control.h"
+#include "placement_report.h"
 #include "processor_use.h"
 #include "stop.h"
 #include "warm_up_watch.h"
@@ -234,6 +235,40 @@
 					 CAS_STR("not found\n"));
 }
 
+/* Returns a value of a query without its escapes (owned by ctx), empty if it is
+ * not given. */
+static cas_str_t query_text(TALLOC_CTX *ctx, cas_str_t query, cas_str_t name)
+{
+	cas_str_t value = http_query_value(query, name);
+	char *text = value.ptr ? g_uri_unescape_segment(
+					 value.ptr, value.ptr + value.len, NULL)
+			       : NULL;
+	char *copy = text ? talloc_strdup(ctx, text) : NULL;
+
+	g_free(text);
+	return copy ? cas_str_from_cstr(copy) : CAS_STR("");
+}
+
+static void handle_placement(cassiad_t *daemon, http_exchange_t *exchange)
+{
+	cas_str_t query = http_target_query(http_exchange_target(exchange));
+	cas_str_t bytes = query_text(exchange, query, CAS_STR("body_bytes"));
+	const placement_question_t question = {
+		.host = query_text(exchange, query, CAS_STR("host")),
+		.method = query_text(exchange, query, CAS_STR("method")),
+		.path = query_text(exchange, query, CAS_STR("path")),
+		.customer = query_text(exchange, query, CAS_STR("customer")),
+		.body_bytes = bytes.len ? strtoll(bytes.ptr, NULL, 10) : 0,
+	};
+	json_t *report = placement_report_create(daemon, &question);
+
+	if (report)
+		reply_json(exchange, 200, report);
+	else
+		http_exchange_reply_text(exchange, 404, NULL,
+					 CAS_STR("no route\n"));
+}
+
 static void handle_drain(cassiad_t *daemon, http_exchange_t *exchange)
 {
 	cas_str_t query = http_target_query(http_exchange_target(exchange));
@@ -253,6 +288,7 @@
 	{ "GET", "/status", handle_status },
 	{ "GET", "/top", handle_top },
 	{ "GET", "/explain", handle_explain },
+	{ "GET", "/placement", handle_placement },
 	{ "POST", "/drain", handle_drain },
 };
 
