Go on reading a large request body after a pause

With the input of a client full, its connection was no longer polled until client_conn_process ran again. When that very call passed the whole input on, no event was left that would run it: the rest of the body stayed in the socket, and no answer was sent at the deadline.

Change: the connection is polled again when the input has room at the end of client_conn_process.

--- a/packages/http/pipeline_conn.c
+++ b/packages/http/pipeline_conn.c
@@ -14,6 +14,7 @@
 
 /* Size of the output buffer, and half the size of the input buffer. */
 #define READ_BUFFER_BYTES ((size_t)16 * 1024)
+#define INPUT_MAX_BYTES (READ_BUFFER_BYTES * 2) /* of one client */
 static void client_conn_process(client_conn_t *client, bool readable);
 
 /* Takes back a buffer of a client connection, if it has it. */
@@ -284,10 +285,10 @@
 static bool read_client(client_conn_t *client, bool readable)
 {
 	pipeline_t *pipeline = client->pipeline;
-	size_t space = READ_BUFFER_BYTES * 2 - client->input_len;
+	size_t space = INPUT_MAX_BYTES - client->input_len;
 	ssize_t received;
 
-	if (client->input_len >= READ_BUFFER_BYTES * 2) {
+	if (client->input_len >= INPUT_MAX_BYTES) {
 		TEVENT_FD_NOT_READABLE(client->fde);
 		return true;
 	}
@@ -295,7 +296,7 @@
 	if (!readable)
 		return true;
 	if (!take_buffer(pipeline, &client->input, &pipeline->spare_input,
-			 READ_BUFFER_BYTES * 2))
+			 INPUT_MAX_BYTES))
 		return false;
 	received =
 		recv(client->fd, client->input + client->input_len, space, 0);
@@ -471,6 +472,10 @@
 	process_input(client);
 	if (!client->output_len)
 		TEVENT_FD_NOT_WRITEABLE(client->fde);
+	/* The full input may have been passed on since the client was read. No
+	 * other event would then continue with the rest of a body. */
+	if (client->input_len < INPUT_MAX_BYTES)
+		TEVENT_FD_READABLE(client->fde);
 	close_ended_local_conns(client);
 	update_read_interest(client);
 	release_empty_buffers(client);
--- a/packages/http/tests/test_pipeline.c
+++ b/packages/http/tests/test_pipeline.c
@@ -14,6 +14,9 @@
 
 #define DEPTH 3 /* requests processed concurrently */
 #define EXCHANGES_MAX 16
+#define BODY_MAX_BYTES (16 << 20)
+/* Fills the body buffer and the socket buffers on the way to it. */
+#define LARGE_BODY_BYTES (12 << 20)
 #define TURNS_MAX 200 /* of the event loop, until a wait fails */
 #define AT_ONCE_TURNS 25 /* half a second */
 
@@ -23,6 +26,7 @@
 	/* Exchanges by arrival, NULL once closed. Each test replies to them. */
 	http_exchange_t *exchanges[EXCHANGES_MAX];
 	size_t exchange_count;
+	http_exchange_t *receiving; /* the last one with new body bytes */
 	size_t closed;
 	int fd;
 	char received[8192]; /* what the client has received, terminated */
@@ -34,13 +38,14 @@
 static void on_request(void *private, http_exchange_t *exchange)
 {
 	(void)private;
-	http_exchange_read_body(exchange, 1 << 20);
+	http_exchange_read_body(exchange, BODY_MAX_BYTES);
 }
 
 static void on_body(void *private, http_exchange_t *exchange)
 {
 	fixture_t *f = private;
 
+	f->receiving = exchange;
 	if (!http_body_is_closed(http_exchange_body(exchange)))
 		return;
 	assert_true(f->exchange_count < EXCHANGES_MAX);
@@ -479,6 +484,63 @@
 	assert_true(f->reset);
 }
 
+/* Sends as many zero bytes of a body as the connection takes now. */
+static size_t send_zeros(const fixture_t *f, size_t left)
+{
+	static const char zeros[65536];
+	ssize_t sent =
+		send(f->fd, zeros, left < sizeof(zeros) ? left : sizeof(zeros),
+		     MSG_NOSIGNAL | MSG_DONTWAIT);
+
+	return sent > 0 ? (size_t)sent : 0;
+}
+
+/* Reads all body bytes that have arrived. */
+static size_t read_body(const fixture_t *f)
+{
+	char bytes[65536];
+	size_t total = 0;
+	size_t len;
+
+	while ((len = http_body_read(http_exchange_body(f->receiving), bytes,
+				     sizeof(bytes))))
+		total += len;
+	return total;
+}
+
+/* Guards against a large body whose rest is never read, because its reader has
+ * paused: with the input full, the connection of the client was no longer
+ * polled, also after the whole input had been passed on. */
+static void test_large_body_continues_after_a_pause(void **state)
+{
+	fixture_t *f = *state;
+	size_t left = LARGE_BODY_BYTES;
+	size_t received = 0;
+	char head[100];
+
+	snprintf(
+		head, sizeof(head),
+		"POST /large HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n",
+		LARGE_BODY_BYTES);
+	send_text(f, head);
+	for (int i = 0; i < AT_ONCE_TURNS; i++) {
+		for (size_t sent = 1; sent; left -= sent)
+			sent = send_zeros(f, left);
+		run_turn(f);
+	}
+	assert_true(left > 0);
+	assert_non_null(f->receiving);
+	for (int i = 0; i < TURNS_MAX && received < LARGE_BODY_BYTES; i++) {
+		received += read_body(f);
+		left -= send_zeros(f, left);
+		run_turn(f);
+	}
+	assert_int_equal(received, LARGE_BODY_BYTES);
+	wait_exchanges(f, 1);
+	reply(f, 0, "done");
+	wait_text(f, "done");
+}
+
 #define TEST(name) cmocka_unit_test_setup_teardown(name, setup, teardown)
 
 int main(void)
@@ -496,6 +558,7 @@
 		TEST(test_close_after_last_request),
 		TEST(test_steady_pipelining_does_not_keep_the_connection),
 		TEST(test_close_when_the_last_response_came_first),
+		TEST(test_large_body_continues_after_a_pause),
 		TEST(test_chunked_body),
 		TEST(test_idle_client_closes_local_conns),
 		TEST(test_connection_is_idle_after_a_chunked_body),
