Mend what the review of trees and processor limit found

Cause: a repeat was checked only against windows that end now, so that after a fall of the calls later windows held more repeats than allowed. Repeats used no retry unit, so that a request could reach more upstreams than its route has attempts. An early rejection with an importance above 15 in a signed context crashed the daemon. A tree share of 0 was sent as unknown. The processor capacity stayed near its floor for 35 s after a short delay. A class with early rejections only had an undefined fraction.

Change: each window with the present slot is checked; a request reaches another upstream only within its attempts; such rejections are skipped; bounds.

--- a/packages/admission/divide.c
+++ b/packages/admission/divide.c
@@ -149,7 +149,9 @@
 			shortfall * (class->demand - fair_share) / excess;
 		if (class->allocated < 0)
 			class->allocated = 0;
-		class->fraction = class->allocated / class->demand;
+		class->fraction = class->demand > 0
+					  ? class->allocated / class->demand
+					  : 1;
 		if ((may_rise || remaining->mostly_idle) &&
 		    raised > class->fraction)
 			class->fraction = raised;
--- a/packages/admission/processor_capacity.c
+++ b/packages/admission/processor_capacity.c
@@ -59,6 +59,9 @@
 #define LATE_NEAR_SHARE 0.9
 #define LATE_RISE_FACTOR 1.004
 #define LATE_DRIFT 1.005
+/* Factor of that capacity beyond which it is forgotten: without lateness, the
+ * floor or an earlier capacity shows that more can be carried. */
+#define LATE_PASSED 1.1
 /* Factor of that capacity in a window in which less was used while late. The
  * window in which a delay ends has idle time as well. */
 #define LATE_DECAY 0.95
@@ -174,6 +177,8 @@
 static void raise_capacity(processor_capacity_t *capacity)
 {
 	capacity->late_capacity *= LATE_DRIFT;
+	if (capacity->capacity > capacity->late_capacity * LATE_PASSED)
+		capacity->late_capacity = 0;
 	if (capacity->late_capacity > 0 &&
 	    capacity->capacity > capacity->late_capacity * LATE_NEAR_SHARE)
 		capacity->capacity *= LATE_RISE_FACTOR;
--- a/packages/retry/plan.c
+++ b/packages/retry/plan.c
@@ -31,13 +31,6 @@
  * Without it, the repeats of 10 s would be used up before roots know of a
  * disturbance. */
 #define PACE_FACTOR 1.5
-/* Weight of new shares in smoothed ones: roots follow a change only after some
- * hundred milliseconds, so an undamped one would overshoot. */
-#define SHARES_WEIGHT 0.5
-/* Repeats in the last second, as a multiple of the mean that the limit allows.
- * Without it, the repeats of 10 s would be used up before roots know of a
- * disturbance. */
-#define PACE_FACTOR 1.5
 
 /* What was counted in a time of SLOT_US. */
 typedef struct slot {
@@ -139,25 +132,28 @@
 	return &service->slots[(slot + SLOTS) % SLOTS];
 }
 
-static uint64_t calls_in_window(const service_plan_t *service, int first_age)
+/* Returns the calls in a window whose last slot is last_age slots before the
+ * present one. It may be negative: later slots have no calls yet. */
+static uint64_t calls_in_window(const service_plan_t *service, int last_age)
 {
 	uint64_t calls = 0;
 
-	for (int age = first_age; age < first_age + WINDOW_SLOTS; age++)
+	for (int age = last_age < 0 ? 0 : last_age;
+	     age < last_age + WINDOW_SLOTS; age++)
 		calls += slot_at(service, age)->call_sum;
 	return calls;
 }
 
-/* Returns the most repeats in the present window. The limit counts the calls of
- * this window, of the one before it or of the one half a window before it,
- * whichever has most. */
-static double repeats_max(const retry_plan_t *plan,
-			  const service_plan_t *service)
+/* Returns the most repeats in the window whose last slot is last_age slots before
+ * the present one. The limit counts the calls of this window, of the one before
+ * it or of the one half a window before it, whichever has most. */
+static double window_max(const retry_plan_t *plan,
+			 const service_plan_t *service, int last_age)
 {
 	uint64_t most = 0;
 
-	for (int age = 0; age <= WINDOW_SLOTS; age += WINDOW_SLOTS / 2) {
-		uint64_t calls = calls_in_window(service, age);
+	for (int shift = 0; shift <= WINDOW_SLOTS; shift += WINDOW_SLOTS / 2) {
+		uint64_t calls = calls_in_window(service, last_age + shift);
 
 		if (calls > most)
 			most = calls;
@@ -165,6 +161,30 @@
 	return plan->ratio * LIMIT_USE * (double)most;
 }
 
+/* Returns the most repeats in the present window. */
+static double repeats_max(const retry_plan_t *plan,
+			  const service_plan_t *service)
+{
+	return window_max(plan, service, 0);
+}
+
+/* Returns whether one more repeat keeps the limit in all windows with the
+ * present slot, also in those that end later: when calls become fewer, the
+ * windows with many calls do not count for these. In later windows a single
+ * repeat is allowed without calls, as more calls may come. */
+static bool fits_windows(const retry_plan_t *plan,
+			 const service_plan_t *service)
+{
+	double repeats = 0;
+
+	for (int age = 0; age < WINDOW_SLOTS; age++) {
+		repeats += slot_at(service, age)->repeats;
+		if (repeats > window_max(plan, service, age - WINDOW_SLOTS + 1))
+			return false;
+	}
+	return repeats + 1 <= repeats_max(plan, service);
+}
+
 /* Returns the share of the recent arrivals that were rejected. */
 static double rejected_share(const service_plan_t *service)
 {
@@ -296,20 +316,15 @@
 bool retry_plan_has_room(retry_plan_t *plan, cas_id_t service_id)
 {
 	const service_plan_t *service = find_service(plan, service_id, false);
-	double repeats = 1;
 	double recent_repeats = 1;
-	double most;
 
 	if (!service)
 		return false;
-	for (int age = 0; age < WINDOW_SLOTS; age++)
-		repeats += slot_at(service, age)->repeats;
 	for (int age = 0; age < RECENT_SLOTS; age++)
 		recent_repeats += slot_at(service, age)->repeats;
-	most = repeats_max(plan, service);
-	return repeats <= most &&
-	       recent_repeats <=
-		       1 + most * PACE_FACTOR * RECENT_SLOTS / WINDOW_SLOTS;
+	return fits_windows(plan, service) &&
+	       recent_repeats <= 1 + repeats_max(plan, service) * PACE_FACTOR *
+						 RECENT_SLOTS / WINDOW_SLOTS;
 }
 
 bool retry_plan_allow_repeat(retry_plan_t *plan, const retry_call_t *call)
--- a/packages/retry/tests/test_retry_plan.c
+++ b/packages/retry/tests/test_retry_plan.c
@@ -337,11 +337,42 @@
 	talloc_free(world);
 }
 
+/* Guards against repeats beyond the limit after a fall of the calls: the windows
+ * before the fall must not count for repeats in windows that end long after it. */
+static void test_limit_holds_when_calls_become_fewer(void **state)
+{
+	world_t *world = create_world(true);
+	int64_t start_us = cas_clock_now(world->clock);
+	int64_t fall_us = start_us + 20 * CAS_USEC_PER_SEC;
+	retry_call_t call = { .service = LEAF, .importance = 15 };
+
+	(void)state;
+	for (int64_t now_us = start_us; now_us < start_us + END_US;
+	     now_us += STEP_US) {
+		int calls = now_us < fall_us ? 10 : now_us / STEP_US % 2;
+
+		for (int i = 0; i < calls; i++) {
+			retry_plan_count_call(world->plan, &call);
+			world->log.call_us[world->log.calls++] = now_us;
+			retry_plan_record_arrival(world->plan, &call,
+						  now_us >= fall_us);
+		}
+		for (int i = 0; now_us >= fall_us && i < 7 * calls &&
+				retry_plan_allow_repeat(world->plan, &call);
+		     i++)
+			world->log.repeat_us[world->log.repeats++] = now_us;
+		cas_clock_advance(world->clock, STEP_US);
+	}
+	assert_limit_holds(world);
+	talloc_free(world);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_important_trees_are_completed),
 		cmocka_unit_test(test_limit_holds_in_every_window),
+		cmocka_unit_test(test_limit_holds_when_calls_become_fewer),
 		cmocka_unit_test(test_all_trees_start_after_the_outage),
 		cmocka_unit_test(test_few_rejections_limit_nothing),
 		cmocka_unit_test(test_without_ratio_no_tree_is_rejected),
--- a/programs/cassiad/entry.h
+++ b/programs/cassiad/entry.h
@@ -124,6 +124,11 @@
 void entry_record_arrival(entry_request_t *request, cas_id_t host,
 			  const call_attempt_result_t *result);
 
+/* Returns whether the request may be sent to an upstream that it has not reached:
+ * repeats use no retry unit, so these alone do not keep the number of different
+ * upstreams within the attempts of the route. */
+bool entry_may_reach_other_host(const entry_request_t *request);
+
 /* Learns from an outcome which share of such requests can be completed. */
 void entry_learn_tree_share(entry_request_t *request,
 			    const attempt_outcome *report);
--- a/programs/cassiad/entry_attempts.c
+++ b/programs/cassiad/entry_attempts.c
@@ -97,6 +97,7 @@
 	routing_choice_t choice;
 
 	return request->tried_host_count < ENTRY_ATTEMPTS_MAX &&
+	       entry_may_reach_other_host(request) &&
 	       pick_host(request, &choice) == 0;
 }
 
@@ -332,7 +333,8 @@
 	    (request->has_body && !http_body_rewind(body)))
 		return false;
 	if (daemon_hosts_are_shared(daemon) &&
-	    !retry_plan_has_room(daemon->retry_plan, query.service))
+	    (!entry_may_reach_other_host(request) ||
+	     !retry_plan_has_room(daemon->retry_plan, query.service)))
 		return false;
 	if (retry_decide(&query, request_retry_budget(request),
 			 daemon->throttle, now) != RETRY_ALLOWED)
@@ -385,6 +387,7 @@
 	    !decide_retry(request, RETRY_OUTCOME_FAILED))
 		return false;
 	log_attempt(request, &dropped);
+	entry_record_arrival(request, current_host(request), &dropped);
 	call_attempt_cancel(request->attempt);
 	request->attempt = NULL;
 	request->may_have_run = true;
--- a/programs/cassiad/entry_repeats.c
+++ b/programs/cassiad/entry_repeats.c
@@ -53,6 +53,12 @@
 		request->arrived_hosts[request->arrived_host_count++] = host;
 }
 
+bool entry_may_reach_other_host(const entry_request_t *request)
+{
+	return !daemon_hosts_are_shared(request->daemon) ||
+	       request->arrived_host_count < request->hosts_max;
+}
+
 /* Takes over the share of trees that a child call has reported. With the
  * responses it travels up to the root. */
 static void limit_parent(attempt_live_entry_t *parent, double share)
@@ -99,9 +105,13 @@
 	const retry_call_t call = retry_call_of(request);
 	bool rejected = result->outcome == ATTEMPT_NOT_RUN;
 
+	/* An upstream without a free slot refuses as its daemon does, so the
+	 * request may have reached it. */
+	if (!rejected || result->reason == REASON_REJECTED ||
+	    result->reason == REASON_SHED)
+		add_arrived_host(request, host);
 	if (rejected && result->reason != REASON_REJECTED)
 		return;
-	add_arrived_host(request, host);
 	retry_plan_record_arrival(request->daemon->retry_plan, &call, rejected);
 	limit_parent_by_plan(request);
 }
@@ -128,7 +138,7 @@
 	routing_choice_t choice;
 
 	*host = request->tried_hosts[request->tried_host_count - 1];
-	if (request->arrived_host_count < request->hosts_max &&
+	if (entry_may_reach_other_host(request) &&
 	    !routing_pick(request->daemon->routing, query, &choice))
 		*host = choice.host;
 	return routing_may_use(routing, query, *host) ? 0 : ROUTING_ENONE;
--- a/programs/cassiad/processor_use.c
+++ b/programs/cassiad/processor_use.c
@@ -200,6 +200,8 @@
 	for (u_int i = 0; i < context->early.early_len; i++) {
 		const attempt_early *early = &context->early.early_val[i];
 
+		if (early->importance >= PROCESSOR_IMPORTANCES)
+			continue;
 		processor_add_early_rejections(daemon->processor->limit,
 					       (int32_t)early->importance,
 					       early->customer, early->count);
--- a/programs/cassiad/upstream_request.c
+++ b/programs/cassiad/upstream_request.c
@@ -36,6 +36,10 @@
  * upstream may be warm by then. */
 #define WARM_UP_RETRY_MAX_MS 3000U
 
+/* A tree share of 0 means that none is known. Twice the unit in which it is sent,
+ * so that it is not rounded down to 0. */
+#define TREE_SHARE_MIN (2.0 / ATTEMPT_FRACTION_SCALE)
+
 static const http_call_ops_t upstream_ops;
 
 /* Returns when a request that is refused because of the warm-up should come
@@ -87,6 +91,8 @@
 	double share = processor_use_tree_share(daemon, context);
 	double calls_share = live ? live->tree_share : 0;
 
+	if (share < TREE_SHARE_MIN)
+		share = TREE_SHARE_MIN;
 	if (share < 1)
 		return calls_share && calls_share < share ? calls_share : share;
 	return calls_share;
@@ -137,6 +143,8 @@
 	for (u_int i = 0; i < context->early.early_len; i++) {
 		const attempt_early *early = &context->early.early_val[i];
 
+		if (early->importance >= ADMISSION_IMPORTANCES)
+			continue;
 		admission_add_early_rejections(daemon->admission,
 					       (int32_t)early->importance,
 					       early->customer, early->count);
