Mend what the review of warm-up and HTTP client found

Cause: a second new instance within the cold time was taken for the first one, which had said that it was warm: 90 requests in a second where 32 are allowed. A call whose own time-out passed while a connection was opened, or whose client did not send its body, began a warm-up. A daemon without a table does not know the bound.

Change: each new instance of the host list begins anew; time-outs of the call and failed request bodies are no sign of a restart; with [warm_up] in the settings, attempts are refused as starting until a table is there.

--- a/packages/admission/tests/test_warm_up.c
+++ b/packages/admission/tests/test_warm_up.c
@@ -483,10 +483,34 @@
 	talloc_free(other);
 }
 
+/* Guards against a second new instance that is taken for the first one because
+ * that has told that it is warm. */
+static void test_second_new_instance(void **state)
+{
+	site_t *site = create_cold(&bounded);
+
+	(void)state;
+	admission_begin_warm_up(site->admission, ADMISSION_WARM_UP_LISTED, 0);
+	/* The first instance is warm: only the daemon has restarted. */
+	site->cold_until_us = 0;
+	admission_note_cold_left(site->admission, 0, site_now(site));
+	site->rate_per_s = 2;
+	simulate(site, 2 * SECOND);
+	restart_upstream(site);
+	admission_begin_warm_up(site->admission, ADMISSION_WARM_UP_LISTED, 0);
+	site->rate_per_s = LOAD;
+	simulate(site, 2 * SECOND);
+	printf("figure: second new instance: worst second %zu\n",
+	       site->worst_window);
+	assert_false(site->crashed);
+	talloc_free(site);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_steady_load),
+		cmocka_unit_test(test_second_new_instance),
 		cmocka_unit_test(test_burst),
 		cmocka_unit_test(test_sliding_window),
 		cmocka_unit_test(test_daemon_restart),
--- a/packages/admission/warm_up.c
+++ b/packages/admission/warm_up.c
@@ -170,12 +170,13 @@
 
 /* Returns whether an event is a further sign of what has begun the warm-up that
  * is going on: the host list names the new instance, or says that it is cold,
- * after connections to the former one were refused. */
+ * after connections to the former one were refused. A second new instance is no
+ * such sign: what the first one has told does not hold for it. */
 static bool is_known(const warm_up_t *warm_up, int64_t now_us,
 		     admission_warm_up_cause_t cause)
 {
 	return warm_up->active &&
-	       (cause == ADMISSION_WARM_UP_LISTED ||
+	       ((cause == ADMISSION_WARM_UP_LISTED && !warm_up->listed) ||
 		cause == ADMISSION_WARM_UP_TOLD_COLD) &&
 	       (warm_up->unreachable ||
 		now_us - warm_up->event_us < warm_up->cold_max_us);
@@ -184,6 +185,8 @@
 void warm_up_begin(warm_up_t *warm_up, latency_t *latency, int64_t now_us,
 		   admission_warm_up_cause_t cause, int64_t cold_us)
 {
+	bool known;
+
 	if (cause == ADMISSION_WARM_UP_BROKEN &&
 	    ++warm_up->breaks < BREAKS_MIN) {
 		/* Its health response tells whether it has restarted. */
@@ -193,7 +196,10 @@
 	}
 	if (!warm_up->active)
 		keep_usual_times(latency);
-	if (!is_known(warm_up, now_us, cause)) {
+	known = is_known(warm_up, now_us, cause);
+	if (cause != ADMISSION_WARM_UP_TOLD_COLD)
+		warm_up->listed = cause == ADMISSION_WARM_UP_LISTED;
+	if (!known) {
 		if (!warm_up->active || cause != warm_up->cause)
 			warm_up->begin_count++;
 		restart_concurrency(warm_up, now_us);
--- a/packages/admission/warm_up_internal.h
+++ b/packages/admission/warm_up_internal.h
@@ -20,6 +20,7 @@
 	/* Its connections were refused or broken, and it has not answered
 	 * since: its cold time begins when it does. */
 	bool unreachable;
+	bool listed; /* the host list has named an instance since the event */
 	int64_t suspected_us; /* the last time that responses raised a doubt */
 	/* Responses were as slow as those of a cold upstream that said it was
 	 * warm. */
--- a/packages/http/client_reply.c
+++ b/packages/http/client_reply.c
@@ -192,6 +192,7 @@
 	return (http_result_t){
 		.error = result_error(call, code),
 		.sent = call->send_count > 0,
+		.timed_out = code == CURLE_OPERATION_TIMEDOUT,
 		.ack_timed_out = code != CURLE_OK && os_errno == ETIMEDOUT,
 		.request_bytes = request_bytes(call),
 		.response_bytes = call->response_bytes,
--- a/packages/http/include/cassia/http_client.h
+++ b/packages/http/include/cassia/http_client.h
@@ -46,6 +46,7 @@
 	/* TCP gave up because the server's host acknowledged nothing, within
 	 * 500 ms or, with a streamed request body, 10 s. */
 	bool ack_timed_out;
+	bool timed_out; /* by a timeout of the call; no sign of a refusal */
 	int64_t request_bytes; /* sent: request line, header and body */
 	int64_t response_bytes; /* received, body only */
 } http_result_t;
--- a/packages/http/tests/test_http_client.c
+++ b/packages/http/tests/test_http_client.c
@@ -43,6 +43,7 @@
 	bool head_only; /* the next request is HEAD */
 	http_body_t *request_body; /* of the next call, NULL: none */
 	bool close_connection; /* after the next response */
+	int64_t timeout_us; /* of the next call, 0: CALL_TIMEOUT_US */
 	bool first_on_connection; /* the request of the last head received */
 	int status; /* of the last response; 0: no head was delivered */
 	bool done;
@@ -177,7 +178,8 @@
 		.target = CAS_STR("/"),
 		.headers = headers,
 		.body = f->request_body,
-		.timeout_us = CALL_TIMEOUT_US,
+		.content_length = -1,
+		.timeout_us = f->timeout_us ? f->timeout_us : CALL_TIMEOUT_US,
 		.connect_timeout_us = CAS_USEC_PER_SEC,
 	};
 
@@ -688,6 +690,24 @@
 	assert_false(f->result.sent);
 }
 
+/* Guards against a call whose own time-out ends while its connection is opened,
+ * because the event loop was busy, that looks like a refused connection. */
+static void test_timeout_while_connecting(void **state)
+{
+	fixture_t *f = *state;
+
+	f->timeout_us = 3 * CAS_USEC_PER_MSEC;
+	start_call(f, "a");
+	/* Starts the connection. */
+	for (int i = 0; i < 3 && !f->conn_count; i++) {
+		tevent_loop_once(f->ev);
+		accept_conns(f);
+	}
+	usleep(10000);
+	wait_done(f);
+	assert_true(f->result.timed_out);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -708,6 +728,8 @@
 			test_bytes_while_idle_do_not_spin, setup, teardown),
 		cmocka_unit_test_setup_teardown(test_close_connection, setup,
 						teardown),
+		cmocka_unit_test_setup_teardown(test_timeout_while_connecting,
+						setup, teardown),
 		cmocka_unit_test(test_truncated_head_is_no_response),
 		cmocka_unit_test(test_truncated_body_is_an_error),
 		cmocka_unit_test(test_endless_head_ends_call),
--- a/packages/http/tests/test_pipeline.c
+++ b/packages/http/tests/test_pipeline.c
@@ -543,6 +543,30 @@
 
 #define TEST(name) cmocka_unit_test_setup_teardown(name, setup, teardown)
 
+/* Guards against a request body that is not read any further because the input
+ * was full while the request waited for an earlier response. */
+static void test_large_body_after_a_request(void **state)
+{
+	fixture_t *f = *state;
+	size_t body_len = 100000;
+	char *body = talloc_zero_size(f, body_len);
+	char *text = talloc_asprintf(f,
+				     GET("/1") "PUT /2 HTTP/1.1\r\nHost: x\r\n"
+					       "Content-Length: %zu\r\n\r\n",
+				     body_len);
+
+	send_text(f, text);
+	assert_int_equal(send(f->fd, body, body_len, MSG_NOSIGNAL), body_len);
+	wait_exchanges(f, 1);
+	for (int i = 0; i < AT_ONCE_TURNS; i++)
+		run_turn(f);
+	reply(f, 0, "one");
+	wait_text(f, "one");
+	wait_exchanges(f, 2);
+	reply(f, 1, "two");
+	wait_text(f, "two");
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -553,6 +577,7 @@
 		TEST(test_concurrent_requests_in_order),
 		TEST(test_concurrency_limit),
 		TEST(test_request_with_body_waits),
+		TEST(test_large_body_after_a_request),
 		TEST(test_truncated_response),
 		TEST(test_caller_leaves),
 		TEST(test_close_after_last_request),
--- a/programs/cassiad/entry.c
+++ b/programs/cassiad/entry.c
@@ -224,7 +224,7 @@
 	thresholds_t *thresholds = request->daemon->thresholds;
 	cas_id_t key = entry_chain_key(context);
 
-	if (!entry_may_be_completed(request))
+	if (!request->parent && !entry_may_be_completed(request))
 		return true;
 	if (thresholds_check(thresholds, key, (int32_t)context->importance,
 			     context->customer, context->draw))
--- a/programs/cassiad/entry_repeats.c
+++ b/programs/cassiad/entry_repeats.c
@@ -90,7 +90,7 @@
 			: 0;
 	double share = (double)millionths / ATTEMPT_FRACTION_SCALE;
 
-	if (!millionths)
+	if (!millionths || millionths > ATTEMPT_FRACTION_SCALE)
 		return;
 	tree_shares_learn(request->daemon->tree_shares,
 			  entry_chain_key(context),
--- a/programs/cassiad/peer_server.c
+++ b/programs/cassiad/peer_server.c
@@ -12,6 +12,7 @@
 /* Bodies below this size are read completely before the request is offered to
  * admission; larger ones are streamed. */
 #define BODY_BUFFER_BYTES (64 * 1024)
+#define MICRO_PER_UNIT INT64_C(1000000)
 /* The smaller limit of the route was enforced by the entry daemon. */
 #define BODY_MAX_BYTES (INT64_C(1) << 30)
 
@@ -143,6 +144,14 @@
 	refuse_with_outcome(request, &report);
 }
 
+/* Returns whether the settings state a bound for cold upstreams. */
+static bool bounds_cold_upstreams(const cassiad_t *daemon)
+{
+	const settings_warm_up_t *warm_up = &daemon->settings->warm_up;
+
+	return warm_up->factor_micro > MICRO_PER_UNIT || warm_up->slack_micro;
+}
+
 /* Registers an attempt so that it runs at most once. An attempt for an earlier
  * incarnation is refused: this process does not know whether it has run,
  * because the identifiers were lost with that incarnation. */
@@ -155,6 +164,11 @@
 		refuse_with_reason(request, ATTEMPT_NOT_RUN, REASON_REBIND);
 		return;
 	}
+	/* Without a table it is not known how much a cold upstream takes. */
+	if (!request->daemon->table && bounds_cold_upstreams(request->daemon)) {
+		refuse_with_reason(request, ATTEMPT_NOT_RUN, REASON_STARTING);
+		return;
+	}
 	if (!stop_accepts_request(request->daemon, context)) {
 		refuse_with_reason(request, ATTEMPT_NOT_RUN, REASON_DRAINING);
 		return;
--- a/programs/cassiad/upstream_request.c
+++ b/programs/cassiad/upstream_request.c
@@ -342,6 +342,16 @@
 		admission_add_child_time(request->ticket, child_us);
 }
 
+/* Returns whether a failure may be due to the upstream: neither the deadline,
+ * which may pass while a connection is opened, nor a body that its client did
+ * not send whole is a sign that the upstream has restarted. */
+static bool may_be_upstream_fault(const upstream_request_t *request,
+				  const http_result_t *result)
+{
+	return !result->timed_out &&
+	       (!request->spec.body || !http_body_error(request->spec.body));
+}
+
 static void on_done(void *private, const http_result_t *result)
 {
 	upstream_request_t *request = private;
@@ -349,7 +359,8 @@
 	admission_result_t admission_result =
 		admission_result_of(request, result);
 
-	warm_up_watch_call(request->daemon, result->error);
+	if (may_be_upstream_fault(request, result))
+		warm_up_watch_call(request->daemon, result->error);
 	report_child_time(request);
 	request->call = NULL;
 	request->ticket = NULL;
