--- a/packages/retry/tests/test_retry_plan.c
+++ b/packages/retry/tests/test_retry_plan.c
@@ -161,8 +161,10 @@
 			kind_t *kind = &world->kinds[i];
 			double trees = kind->per_step;
 
-			for (; trees > cas_rng_double(world->rng); trees--)
+			while (trees > cas_rng_double(world->rng)) {
 				run_tree(world, kind);
+				trees--;
+			}
 		}
 		cas_clock_advance(world->clock, STEP_US);
 	}
