Keep one copy of the comparisons of numbers and draws

Cause: clamp stood in four files, minimum and maximum in two, and the comparison of a draw with a fraction in four; most copies came with the processor limit, placement, warm-up and request trees.

Change: cassia/number.h and cassia/draw.h hold them. No decision changes.

--- a/packages/admission/admission.c
+++ b/packages/admission/admission.c
@@ -4,6 +4,8 @@
  */
 #include "admission_internal.h"
 
+#include "cassia/draw.h"
+
 #define TICK_US (10 * CAS_USEC_PER_MSEC)
 #define DEMAND_UPDATE_US (100 * CAS_USEC_PER_MSEC)
 /* The maximum queue time is this, or the mean latency times QUEUE_TIME_FACTOR
@@ -309,7 +311,7 @@
 			    request->deadline_us))
 		return reject(reason, ADMISSION_REASON_DEADLINE);
 	if (!warm_up_limits(&admission->warm_up, now_us) &&
-	    !draw_below(request->draw, admitted_fraction(request, class)))
+	    !cas_draw_below(request->draw, admitted_fraction(request, class)))
 		return reject(reason, ADMISSION_REASON_SHED);
 	dispatch(admission);
 	start_now = !admission->queued && may_start(admission, now_us);
--- a/packages/admission/admission_internal.h
+++ b/packages/admission/admission_internal.h
@@ -192,10 +192,4 @@
  * their fractions (divide.c). elapsed_us is the time since the last call. */
 void divide_capacity(admission_t *admission, size_t count, double elapsed_us);
 
-/* Returns whether a draw, as a fraction of its range, is below fraction. */
-static inline bool draw_below(uint32_t draw, double fraction)
-{
-	return (double)draw < fraction * 4294967296.0;
-}
-
 #endif
--- a/packages/admission/demand.c
+++ b/packages/admission/demand.c
@@ -5,6 +5,8 @@
  */
 #include "admission_internal.h"
 
+#include "cassia/draw.h"
+
 /* Weights of the newest value in the smoothed demand. It falls faster than it
  * rises, so that the end of a surge shows within a second. */
 #define DEMAND_RISE_WEIGHT 0.3
@@ -13,8 +15,6 @@
  * not below CONFIDENCE_MIN. */
 #define FULL_CONFIDENCE_ARRIVALS 20
 #define CONFIDENCE_MIN 0.2
-/* Number of values of a draw, 2^32. */
-#define DRAW_RANGE 4294967296.0
 /* When the highest draw that arrives is below this share of the fraction of
  * this daemon, a callee sheds more than this daemon does. The demand is then
  * what arrives, with headroom for the callee to take more. */
@@ -136,12 +136,12 @@
 	class->mean_request_us +=
 		REQUEST_TIME_WEIGHT * (request_us - class->mean_request_us);
 	class->arrived_work_us += request_us;
-	if (request->draw > class->highest_draw * DRAW_RANGE)
-		class->highest_draw = request->draw / DRAW_RANGE;
+	if (request->draw > class->highest_draw * CAS_DRAW_RANGE)
+		class->highest_draw = request->draw / CAS_DRAW_RANGE;
 	if (!request->child)
 		return;
 	class->child_work_us += request_us;
-	if (draw_below(request->draw, unfiltered_fraction(class)))
+	if (cas_draw_below(request->draw, unfiltered_fraction(class)))
 		class->unfiltered_work_us += request_us;
 }
 
--- a/packages/admission/divide.c
+++ b/packages/admission/divide.c
@@ -7,6 +7,8 @@
 
 #include <stdlib.h>
 
+#include "cassia/number.h"
+
 /* Bounds and gain of the factor that corrects the capacity by the length of the
  * queue. */
 #define QUEUE_CORRECTION_MIN 0.7
@@ -62,13 +64,6 @@
 	return left_share > right_share;
 }
 
-static double clamp(double value, double low, double high)
-{
-	if (value < low)
-		return low;
-	return value > high ? high : value;
-}
-
 /* Returns 1 when no request of this importance or above is queued, 0 when the
  * target length is queued, and less when more is. */
 static double queue_headroom(const admission_t *admission, int importance)
@@ -86,9 +81,9 @@
 /* Returns the factor of the capacity for classes above their fair share. */
 static double queue_correction(const admission_t *admission, int importance)
 {
-	return clamp(1 + QUEUE_CORRECTION_GAIN *
-				     queue_headroom(admission, importance),
-		     QUEUE_CORRECTION_MIN, QUEUE_CORRECTION_MAX);
+	return cas_clamp(1 + QUEUE_CORRECTION_GAIN *
+					 queue_headroom(admission, importance),
+			 QUEUE_CORRECTION_MIN, QUEUE_CORRECTION_MAX);
 }
 
 /* Returns the limit divided by the mean number of requests in flight since the
@@ -199,7 +194,8 @@
 	request_class_t **classes = admission->class_list;
 	const limit_t *limit = &admission->limit;
 	double headroom = headroom_ratio(admission, elapsed_us);
-	double capacity = limit->limit * clamp(headroom, 1, HEADROOM_RATIO_MAX);
+	double capacity =
+		limit->limit * cas_clamp(headroom, 1, HEADROOM_RATIO_MAX);
 	double allocated = 0;
 	bool idle = headroom > IDLE_HEADROOM_RATIO && !admission->queued;
 	capacity_t remaining = {
--- a/packages/admission/limit.c
+++ b/packages/admission/limit.c
@@ -16,6 +16,7 @@
 #include <string.h>
 
 #include "cassia/clock.h"
+#include "cassia/number.h"
 
 /* Limits, in requests. */
 #define LIMIT_INITIAL 10.0
@@ -96,16 +97,6 @@
 /* Weight of one request in the mean latencies over all kinds. */
 #define MEAN_WEIGHT 0.05
 
-static double min_of(double a, double b)
-{
-	return a < b ? a : b;
-}
-
-static double max_of(double a, double b)
-{
-	return a > b ? a : b;
-}
-
 /* Starts a measurement period and discards the samples of the last one. */
 static void start_period(limit_t *limit, int64_t start_us)
 {
@@ -185,8 +176,8 @@
 	if (limit->fixed_limit > 0)
 		return;
 	if (limit->ceiling > 0)
-		value = min_of(value, limit->ceiling);
-	limit->limit = min_of(max_of(value, LIMIT_MIN), LIMIT_MAX);
+		value = cas_min(value, limit->ceiling);
+	limit->limit = cas_min(cas_max(value, LIMIT_MIN), LIMIT_MAX);
 	limit->effective_limit = limit->limit;
 }
 
@@ -196,7 +187,7 @@
 static double inflight_at_knee(double inflight, double inflation,
 			       double own_share)
 {
-	double excess = 1 - 1 / max_of(inflation, 1);
+	double excess = 1 - 1 / cas_max(inflation, 1);
 
 	return inflight * (1 - own_share * excess);
 }
@@ -214,7 +205,7 @@
 
 	if (kind->base_us <= 0)
 		return;
-	inflation = min_of(own_us / kind->base_us, STARTUP_OUTLIER_MAX);
+	inflation = cas_min(own_us / kind->base_us, STARTUP_OUTLIER_MAX);
 	limit->startup_inflation += STARTUP_INFLATION_WEIGHT *
 				    (inflation - limit->startup_inflation);
 	inflation = limit->startup_inflation;
@@ -225,14 +216,15 @@
 	}
 	limit->phase = LIMIT_STEADY;
 	limit->next_probe_us = now_us;
-	set_limit(limit,
-		  max_of(inflight_at_knee(
-				 max_of(limit->period_start_limit,
+	set_limit(
+		limit,
+		cas_max(inflight_at_knee(
+				cas_max(limit->period_start_limit,
 					limit->inflight / (1 + STARTUP_GROWTH)),
-				 inflation,
-				 limit->mean_own_us / limit->mean_total_us) *
-				 HEADROOM_FACTOR,
-			 min_of(limit->limit, LIMIT_INITIAL)));
+				inflation,
+				limit->mean_own_us / limit->mean_total_us) *
+				HEADROOM_FACTOR,
+			cas_min(limit->limit, LIMIT_INITIAL)));
 }
 
 /* Adds a value to an exponentially weighted mean; the first value sets it. */
@@ -288,9 +280,9 @@
 		return;
 	limit->shed_ignored_until_us =
 		now_us + (int64_t)limit->mean_total_us + 20 * CAS_USEC_PER_MSEC;
-	limit->ceiling = max_of(min_of(limit->limit, limit->inflight + 1.0) *
-					SHED_FACTOR,
-				LIMIT_MIN);
+	limit->ceiling = cas_max(cas_min(limit->limit, limit->inflight + 1.0) *
+					 SHED_FACTOR,
+				 LIMIT_MIN);
 	limit->phase = LIMIT_STEADY;
 	limit->floor = 0;
 	set_limit(limit, limit->ceiling);
@@ -304,15 +296,15 @@
 					 period->own_share) *
 			PROBE_KNEE_SHARE;
 
-	target = max_of(target, inflight * PROBE_INFLIGHT_SHARE_MIN);
+	target = cas_max(target, inflight * PROBE_INFLIGHT_SHARE_MIN);
 	limit->phase = LIMIT_PROBE;
 	limit->probe_start_us = now_us;
 	limit->pre_probe_inflight = inflight;
 	limit->pre_probe_period = *period;
-	limit->effective_limit = max_of(target, LIMIT_MIN);
+	limit->effective_limit = cas_max(target, LIMIT_MIN);
 	limit->probe_limit = limit->effective_limit;
-	limit->probe_samples_target = (int)min_of(
-		max_of(target, PROBE_REQUESTS_MIN), PROBE_REQUESTS_MAX);
+	limit->probe_samples_target = (int)cas_min(
+		cas_max(target, PROBE_REQUESTS_MIN), PROBE_REQUESTS_MAX);
 	limit->probe_settled = false;
 	limit->probe_number++;
 	limit->probe_samples_started = 0;
@@ -361,8 +353,9 @@
 	limit->base_measured = true;
 	limit->floor = limit->probe_limit;
 	latency_scale_base(&limit->latency, inflation);
-	set_limit(limit, min_of(max_of(target, limit->limit * PROBE_FACTOR_MIN),
-				limit->limit * LIMIT_FACTOR_MAX));
+	set_limit(limit,
+		  cas_min(cas_max(target, limit->limit * PROBE_FACTOR_MIN),
+			  limit->limit * LIMIT_FACTOR_MAX));
 }
 
 /* Returns whether a probe is due, which is earlier when the number in flight is
@@ -384,18 +377,19 @@
 static void adjust_limit(limit_t *limit, double inflight, double knee)
 {
 	if (knee > inflight * NO_QUEUE_RATIO) {
-		set_limit(limit, max_of(limit->limit * (1 + limit->growth_step),
-					limit->limit + 1));
+		set_limit(limit,
+			  cas_max(limit->limit * (1 + limit->growth_step),
+				  limit->limit + 1));
 		limit->growth_step =
-			min_of(limit->growth_step * 2, GROWTH_STEP_MAX);
+			cas_min(limit->growth_step * 2, GROWTH_STEP_MAX);
 		return;
 	}
 	limit->growth_step = GROWTH_STEP;
 	set_limit(limit,
-		  min_of(max_of(knee * HEADROOM_FACTOR,
-				max_of(limit->floor,
-				       limit->limit * STEADY_FACTOR_MIN)),
-			 limit->limit * LIMIT_FACTOR_MAX));
+		  cas_min(cas_max(knee * HEADROOM_FACTOR,
+				  cas_max(limit->floor,
+					  limit->limit * STEADY_FACTOR_MIN)),
+			  limit->limit * LIMIT_FACTOR_MAX));
 }
 
 static void end_steady_period(limit_t *limit, int64_t now_us, double inflight,
@@ -430,7 +424,7 @@
 	bool significant = unloaded || period->inflation < BASE_FALL_RATIO;
 	double weight = significant ? BASE_CHANGE_WEIGHT : BASE_NOISE_WEIGHT;
 
-	weight *= min_of(1, (double)period->sample_count / PERIOD_COMPLETIONS);
+	weight *= cas_min(1, (double)period->sample_count / PERIOD_COMPLETIONS);
 	if (unloaded || period->inflation < 1)
 		latency_scale_base(&limit->latency,
 				   1 + weight * (period->inflation - 1));
@@ -480,8 +474,8 @@
 static bool period_is_over(const limit_t *limit, int64_t now_us)
 {
 	bool startup = limit->phase == LIMIT_STARTUP;
-	double target = min_of(
-		max_of(limit->limit * PERIOD_LATENCIES, STARTUP_COMPLETIONS),
+	double target = cas_min(
+		cas_max(limit->limit * PERIOD_LATENCIES, STARTUP_COMPLETIONS),
 		PERIOD_COMPLETIONS);
 	int required_completions = startup ? STARTUP_COMPLETIONS : (int)target;
 	int64_t elapsed = now_us - limit->period_start_us;
--- a/packages/admission/processor.c
+++ b/packages/admission/processor.c
@@ -1,5 +1,6 @@
 /* The processor limit: decides on requests by the divided capacity and by the
  * work that was taken in and is not yet worked off. */
+#include "cassia/draw.h"
 #include "cassia/return_time.h"
 #include "processor_internal.h"
 
@@ -15,8 +16,6 @@
 #define BACKLOG_FACTOR_MAX 2.0
 /* Weight of one request in the smoothed cost of the requests of a class. */
 #define NET_WEIGHT 0.05
-/* Number of values of a draw, 2^32. */
-#define DRAW_RANGE 4294967296.0
 /* Time without a measurement after which one is due before the timer runs. */
 #define MEASURE_US (20 * CAS_USEC_PER_MSEC)
 /* Importance above which a class that is not known yet may fill all of the
@@ -108,11 +107,6 @@
 	return class;
 }
 
-static bool draw_below(uint32_t draw, double fraction)
-{
-	return (double)draw < fraction * DRAW_RANGE;
-}
-
 static double highest_fraction(const processor_class_t *class)
 {
 	double highest = class->fraction;
@@ -136,7 +130,7 @@
 	class->net_us += NET_WEIGHT * (net_us - class->net_us);
 	class->arrived++;
 	processor->arrived++;
-	if (draw_below(request->draw, processor_unfiltered_fraction(class)))
+	if (cas_draw_below(request->draw, processor_unfiltered_fraction(class)))
 		class->unfiltered++;
 }
 
@@ -192,8 +186,9 @@
 		return true;
 	drain_backlog(processor);
 	record_arrival(processor, class, request);
-	if (draw_below(request->draw, request->child ? highest_fraction(class)
-						     : class->fraction)) {
+	if (cas_draw_below(request->draw, request->child
+						  ? highest_fraction(class)
+						  : class->fraction)) {
 		admitted = fits_burst(processor, class, burst_us);
 		if (!admitted)
 			processor->burst_refused++;
--- a/packages/admission/processor_capacity.c
+++ b/packages/admission/processor_capacity.c
@@ -11,6 +11,8 @@
  */
 #include "processor_internal.h"
 
+#include "cassia/number.h"
+
 /* Initial costs in microseconds, by kind of work and for a tick. */
 static const double initial_cost_us[PROCESSOR_COST_COUNT] = {
 	[PROCESSOR_ENTRY] = 290,   [PROCESSOR_CHILD_CALL] = 290,
@@ -78,13 +80,6 @@
 /* Weight of the newest window in the smoothed use. */
 #define USED_WEIGHT 0.5
 
-static double clamp(double value, double low, double high)
-{
-	if (value < low)
-		return low;
-	return value > high ? high : value;
-}
-
 void processor_capacity_init(processor_capacity_t *capacity,
 			     int64_t share_micro)
 {
@@ -140,12 +135,12 @@
 		double change = COST_WEIGHT * (used_us - predicted_us) *
 				part_us[i] / squares;
 
-		capacity->cost_us[i] *=
-			1 + clamp(change, -COST_CHANGE_MAX, COST_CHANGE_MAX);
+		capacity->cost_us[i] *= 1 + cas_clamp(change, -COST_CHANGE_MAX,
+						      COST_CHANGE_MAX);
 		capacity->cost_us[i] =
-			clamp(capacity->cost_us[i],
-			      initial_cost_us[i] * COST_FACTOR_MIN,
-			      initial_cost_us[i] * COST_FACTOR_MAX);
+			cas_clamp(capacity->cost_us[i],
+				  initial_cost_us[i] * COST_FACTOR_MIN,
+				  initial_cost_us[i] * COST_FACTOR_MAX);
 	}
 	if (capacity->cost_us[PROCESSOR_REFUSAL] >
 	    capacity->cost_us[PROCESSOR_ATTEMPT] * REFUSAL_SHARE_MAX)
@@ -159,9 +154,9 @@
  * refusals, use that much. */
 static void lower_capacity(processor_capacity_t *capacity, double used)
 {
-	double fall = clamp(FALL_STEP * (double)capacity->wait_us /
-				    (double)WAIT_HIGH_US,
-			    FALL_STEP, FALL_MAX);
+	double fall = cas_clamp(FALL_STEP * (double)capacity->wait_us /
+					(double)WAIT_HIGH_US,
+				FALL_STEP, FALL_MAX);
 
 	double target = used * (1 - fall);
 
@@ -212,8 +207,8 @@
 	double speed = used_us / busy_us;
 
 	if (busy_us >= (double)SPEED_BUSY_MIN_US)
-		capacity->speed +=
-			SPEED_WEIGHT * (clamp(speed, 0, 1) - capacity->speed);
+		capacity->speed += SPEED_WEIGHT *
+				   (cas_clamp(speed, 0, 1) - capacity->speed);
 }
 
 /* Returns whether the counters and the clock fit together: a single thread uses
--- a/packages/admission/processor_divide.c
+++ b/packages/admission/processor_divide.c
@@ -7,6 +7,8 @@
 
 #include <stdlib.h>
 
+#include "cassia/number.h"
+
 /* Weights of the newest value in the smoothed demand. It falls faster than it
  * rises, so that the end of a surge shows at once. */
 #define DEMAND_RISE_WEIGHT 0.4
@@ -177,13 +179,6 @@
 	return demand > 0 ? admitted / demand : 1;
 }
 
-static double clamp(double value, double low, double high)
-{
-	if (value < low)
-		return low;
-	return value > high ? high : value;
-}
-
 /*
  * Corrects the division by what it has led to. Other daemons apply earlier
  * fractions than this one, and a request has to pass both, so that less is
@@ -199,8 +194,9 @@
 	if (processor->limiting && capacity->used > 0)
 		change = capacity->capacity / capacity->used - 1;
 	change *= change < 0 ? BOOST_FALL_GAIN : BOOST_GAIN;
-	processor->boost *= 1 + clamp(change, -BOOST_FALL_MAX, BOOST_RISE_MAX);
-	processor->boost = clamp(processor->boost, BOOST_MIN, BOOST_MAX);
+	processor->boost *=
+		1 + cas_clamp(change, -BOOST_FALL_MAX, BOOST_RISE_MAX);
+	processor->boost = cas_clamp(processor->boost, BOOST_MIN, BOOST_MAX);
 }
 
 void processor_divide(processor_t *processor, int64_t now_us)
--- a/packages/admission/thresholds.c
+++ b/packages/admission/thresholds.c
@@ -8,6 +8,7 @@
 #include <math.h>
 
 #include "admission_internal.h"
+#include "cassia/draw.h"
 
 /* Weight of a new fraction in the smoothed one, which also covers the other
  * upstreams of the service. */
@@ -190,7 +191,7 @@
 		find_threshold(thresholds, service, importance, customer);
 
 	if (!threshold ||
-	    draw_below(draw, current_fraction(thresholds, threshold)))
+	    cas_draw_below(draw, current_fraction(thresholds, threshold)))
 		return true;
 	threshold->early_rejections++;
 	threshold->unprobed_rejections++;
--- a/packages/admission/warm_up.c
+++ b/packages/admission/warm_up.c
@@ -15,6 +15,7 @@
 #include "warm_up_internal.h"
 
 #include "cassia/clock.h"
+#include "cassia/number.h"
 
 /* Concurrency at the begin. With one request only, one slow request would stop
  * all others. */
@@ -73,16 +74,6 @@
  * closed because it was idle. */
 #define BREAKS_MIN 2
 
-static double min_of(double a, double b)
-{
-	return a < b ? a : b;
-}
-
-static double max_of(double a, double b)
-{
-	return a > b ? a : b;
-}
-
 static int64_t later_of(int64_t a, int64_t b)
 {
 	return a > b ? a : b;
@@ -279,11 +270,11 @@
 		count = (double)wait_max_us /
 			(double)warm_up->window.interval_us;
 	if (warm_up->active && mean_us > 0)
-		count = min_of(count, (double)wait_max_us * warm_up->allowed /
-					      mean_us);
+		count = cas_min(count, (double)wait_max_us * warm_up->allowed /
+					       mean_us);
 	else if (warm_up->active)
-		count = min_of(count, warm_up->allowed);
-	return count < 1 ? 1 : (int32_t)min_of(count, INT32_MAX);
+		count = cas_min(count, warm_up->allowed);
+	return count < 1 ? 1 : (int32_t)cas_min(count, INT32_MAX);
 }
 
 int64_t warm_up_wait(const warm_up_t *warm_up, int64_t now_us, int32_t queued,
@@ -305,7 +296,7 @@
 double warm_up_cap(const warm_up_t *warm_up, double limit)
 {
 	return warm_up->in_force && warm_up->active
-		       ? min_of(limit, warm_up->allowed)
+		       ? cas_min(limit, warm_up->allowed)
 		       : limit;
 }
 
@@ -322,7 +313,7 @@
 	if (warm_up->allowed <= ALLOWED_INITIAL)
 		warm_up->base_samples = 0;
 	warm_up->allowed =
-		max_of(warm_up->allowed * FALL_BACK_FACTOR, ALLOWED_MIN);
+		cas_max(warm_up->allowed * FALL_BACK_FACTOR, ALLOWED_MIN);
 	warm_up->careful_above = warm_up->allowed;
 	warm_up->fell_back_us = now_us;
 	warm_up->slowness = 0;
@@ -340,7 +331,7 @@
 
 	if (kind->usual_us <= 0)
 		kind->usual_us = own;
-	ratio = min_of(own / kind->usual_us, RATIO_MAX);
+	ratio = cas_min(own / kind->usual_us, RATIO_MAX);
 	if (!kind->usual_known && kind->usual_samples < USUAL_SAMPLES) {
 		kind->usual_samples++;
 		kind->usual_us +=
@@ -403,8 +394,8 @@
 		check_told_warm(warm_up, now_us, response->kind);
 		return;
 	}
-	ratio = min_of(ratio / max_of(warm_up->base_ratio, 1), RATIO_MAX);
-	warm_up->slowness = max_of(warm_up->slowness + ratio - SLOW_RATIO, 0);
+	ratio = cas_min(ratio / cas_max(warm_up->base_ratio, 1), RATIO_MAX);
+	warm_up->slowness = cas_max(warm_up->slowness + ratio - SLOW_RATIO, 0);
 	if (warm_up->slowness >= SLOWNESS_MAX)
 		fall_back(warm_up, now_us, ADMISSION_FALL_BACK_SLOW);
 	else if (ratio <= SLOW_RATIO)
--- a/packages/retry/plan.c
+++ b/packages/retry/plan.c
@@ -3,6 +3,8 @@
 
 #include <string.h>
 
+#include "cassia/draw.h"
+
 /* Counts are kept for 20 s: the window of the limit and the one before it. */
 #define SLOT_US (500 * CAS_USEC_PER_MSEC)
 #define WINDOW_SLOTS 20
@@ -310,7 +312,7 @@
 {
 	double share = retry_plan_share(plan, call->service, call->importance);
 
-	return (double)call->draw < share * 4294967296.0;
+	return cas_draw_below(call->draw, share);
 }
 
 bool retry_plan_has_room(retry_plan_t *plan, cas_id_t service_id)
--- a/packages/retry/tree_shares.c
+++ b/packages/retry/tree_shares.c
@@ -3,6 +3,7 @@
 
 #include <glib.h>
 
+#include "cassia/draw.h"
 #include "cassia/retry_plan.h"
 
 /* Weight of a new share in the smoothed one, which covers the plans of several
@@ -128,6 +129,5 @@
 bool tree_shares_include(const tree_shares_t *shares, cas_id_t kind,
 			 int32_t importance, uint32_t draw)
 {
-	return (double)draw <
-	       tree_shares_get(shares, kind, importance) * 4294967296.0;
+	return cas_draw_below(draw, tree_shares_get(shares, kind, importance));
 }
--- a/packages/routing/estimate.c
+++ b/packages/routing/estimate.c
@@ -3,6 +3,8 @@
 
 #include <string.h>
 
+#include "cassia/number.h"
+
 #include "links.h"
 
 /* A report has lost its weight at this age. Slow intervals of machines last
@@ -69,13 +71,6 @@
 /* Spread of a tie: a refusal also costs a second choice and its messages. */
 #define REFUSAL_EXTRA_US 5000.0
 
-static double clamp(double value, double low, double high)
-{
-	if (value < low)
-		return low;
-	return value > high ? high : value;
-}
-
 static void smooth(double *average, double sample, double weight)
 {
 	*average += weight * (sample - *average);
@@ -138,9 +133,9 @@
 	double speed = upstream->speed > 0 ? upstream->speed : 1;
 
 	if (!(upstream->slowdown > 0))
-		return clamp(speed, SLOWDOWN_MIN, SLOWDOWN_MAX);
-	return clamp(upstream->slowdown, speed / SLOWDOWN_TRUST_RATIO,
-		     speed * SLOWDOWN_TRUST_RATIO);
+		return cas_clamp(speed, SLOWDOWN_MIN, SLOWDOWN_MAX);
+	return cas_clamp(upstream->slowdown, speed / SLOWDOWN_TRUST_RATIO,
+			 speed * SLOWDOWN_TRUST_RATIO);
 }
 
 double estimate_turned_away(const estimate_service_t *service, int64_t now_us)
@@ -191,8 +186,8 @@
 	double limit = upstream->limit >= 1 ? upstream->limit
 					    : DEFAULT_CONCURRENCY_LIMIT;
 	double turn_us = estimate->own_us / limit;
-	double use = clamp(upstream->report.processor_permille / 1000.0, 0,
-			   PROCESSOR_USE_MAX);
+	double use = cas_clamp(upstream->report.processor_permille / 1000.0, 0,
+			       PROCESSOR_USE_MAX);
 	double reported_us = PROCESSOR_CALL_US * use / (1 - use);
 	double usual_us = input->service->wait_us;
 
@@ -215,7 +210,7 @@
 	double usual = estimate_turned_away(input->service, input->now_us);
 	double refused =
 		estimate->weight * reported + (1 - estimate->weight) * usual;
-	double lost = clamp(refused + input->failure_rate, 0, REFUSAL_MAX);
+	double lost = cas_clamp(refused + input->failure_rate, 0, REFUSAL_MAX);
 
 	estimate->refusal_us = lost / (1 - lost) *
 			       (estimate->network_us + input->service->wait_us +
@@ -233,9 +228,9 @@
 	estimate->weight = estimate_report_weight(upstream, input->now_us);
 	estimate->age_us = input->now_us - upstream->report_at_us;
 	if (upstream->report.slowdown > 0 && upstream->slowdown > 0)
-		now = usual * clamp(upstream->report.slowdown / 100.0 /
-					    upstream->slowdown,
-				    SLOWDOWN_MIN, SLOWDOWN_MAX);
+		now = usual * cas_clamp(upstream->report.slowdown / 100.0 /
+						upstream->slowdown,
+					SLOWDOWN_MIN, SLOWDOWN_MAX);
 	else if (upstream->last_speed > 0)
 		now = usual + OWN_TIME_TRUST * (upstream->last_speed - usual);
 	estimate->base_us = base_us;
@@ -308,13 +303,14 @@
 			   estimate_service_t *service, estimate_kind_t *kind,
 			   const routing_load_t *load, int64_t now_us)
 {
-	double own_us = clamp((double)load->own_us, 0, REPORTED_TIME_MAX_US);
+	double own_us =
+		cas_clamp((double)load->own_us, 0, REPORTED_TIME_MAX_US);
 	double weight = speed_sample_weight(upstream, now_us);
 	double sample;
 
 	if (load->slowdown > 0) {
-		sample = clamp(load->slowdown / 100.0, SLOWDOWN_MIN,
-			       SLOWDOWN_MAX);
+		sample = cas_clamp(load->slowdown / 100.0, SLOWDOWN_MIN,
+				   SLOWDOWN_MAX);
 		if (!(upstream->slowdown > 0))
 			upstream->slowdown = sample;
 		smooth(&upstream->slowdown, sample, weight);
@@ -324,13 +320,13 @@
 	sample = upstream->slowdown > 0 ? own_us / upstream->slowdown : own_us;
 	if (!(kind->own_us > 0))
 		kind->own_us = sample;
-	sample = clamp(sample, kind->own_us / OWN_SAMPLE_RATIO_MAX,
-		       kind->own_us * OWN_SAMPLE_RATIO_MAX);
+	sample = cas_clamp(sample, kind->own_us / OWN_SAMPLE_RATIO_MAX,
+			   kind->own_us * OWN_SAMPLE_RATIO_MAX);
 	smooth(&kind->own_us, sample, SMOOTHING);
 	if (!(service->own_us > 0))
 		service->own_us = own_us;
 	smooth(&service->own_us, own_us, SMOOTHING);
-	sample = clamp(own_us / kind->own_us, SLOWDOWN_MIN, SLOWDOWN_MAX);
+	sample = cas_clamp(own_us / kind->own_us, SLOWDOWN_MIN, SLOWDOWN_MAX);
 	upstream->last_speed = sample;
 	if (!(upstream->speed > 0))
 		upstream->speed = sample;
@@ -346,11 +342,11 @@
 	double usual_us = default_network_us[tier];
 	double step_us = usual_us * NETWORK_STEP;
 	double own_us = result->load.own_us > 0
-				? clamp((double)result->load.own_us, 0,
-					REPORTED_TIME_MAX_US)
+				? cas_clamp((double)result->load.own_us, 0,
+					    REPORTED_TIME_MAX_US)
 				: kind->own_us * estimate_usual_speed(upstream);
-	double wait_us =
-		clamp((double)result->load.wait_us, 0, REPORTED_TIME_MAX_US);
+	double wait_us = cas_clamp((double)result->load.wait_us, 0,
+				   REPORTED_TIME_MAX_US);
 	double rest_us = (double)result->latency_us - own_us - wait_us;
 	double sample_us;
 
@@ -360,18 +356,18 @@
 			(kind->children_us + own_us) * CHILDREN_STEP_RATIO;
 
 		kind->children_us +=
-			SMOOTHING * clamp(children_us - kind->children_us,
-					  -most_us, most_us);
+			SMOOTHING * cas_clamp(children_us - kind->children_us,
+					      -most_us, most_us);
 		if (kind->children_us < 0)
 			kind->children_us = 0;
 	}
 	rest_us -= kind->children_us;
 	sample_us = rest_us - network_of(upstream, tier);
 	upstream->network_us =
-		clamp(network_of(upstream, tier) +
-			      clamp(sample_us, -step_us, step_us),
-		      usual_us * NETWORK_MIN_RATIO,
-		      usual_us + (double)LATE_REPORT_US);
+		cas_clamp(network_of(upstream, tier) +
+				  cas_clamp(sample_us, -step_us, step_us),
+			  usual_us * NETWORK_MIN_RATIO,
+			  usual_us + (double)LATE_REPORT_US);
 	sample_us -= OWN_SPREAD * (own_us + kind->children_us);
 	smooth(&upstream->unexplained_us, sample_us > 0 ? sample_us : 0,
 	       UNEXPLAINED_SMOOTHING);
@@ -393,15 +389,16 @@
 	if (!(service->limit > 0))
 		service->limit = upstream->limit;
 	smooth(&service->limit,
-	       clamp(upstream->limit, service->limit / LIMIT_SAMPLE_RATIO_MAX,
-		     service->limit * LIMIT_SAMPLE_RATIO_MAX),
+	       cas_clamp(upstream->limit,
+			 service->limit / LIMIT_SAMPLE_RATIO_MAX,
+			 service->limit * LIMIT_SAMPLE_RATIO_MAX),
 	       SMOOTHING);
 }
 
 static void learn_limit(estimate_upstream_t *upstream,
 			const routing_result_t *result)
 {
-	double limit = clamp(result->limit_hint, 1, LIMIT_MAX);
+	double limit = cas_clamp(result->limit_hint, 1, LIMIT_MAX);
 
 	if (result->limit_hint <= 0)
 		return;
@@ -418,11 +415,11 @@
 {
 	upstream->reported = true;
 	upstream->report = *load;
-	upstream->report.wait_us =
-		(int64_t)clamp((double)load->wait_us, 0, REPORTED_TIME_MAX_US);
+	upstream->report.wait_us = (int64_t)cas_clamp((double)load->wait_us, 0,
+						      REPORTED_TIME_MAX_US);
 	upstream->report.room = load->room > 0 ? load->room : 0;
 	upstream->report.turned_away_permille =
-		(int32_t)clamp(load->turned_away_permille, 0, 1000);
+		(int32_t)cas_clamp(load->turned_away_permille, 0, 1000);
 	upstream->report_at_us = now_us - late_us;
 	upstream->sent_since = 0;
 }
@@ -445,8 +442,8 @@
 	learn_limit(upstream, result);
 	if (result->outcome == ROUTING_OK) {
 		double rest_us = learn_latency(upstream, kind, tier, result);
-		double own_us = clamp((double)result->load.own_us, 0,
-				      REPORTED_TIME_MAX_US);
+		double own_us = cas_clamp((double)result->load.own_us, 0,
+					  REPORTED_TIME_MAX_US);
 
 		*spread_us =
 			(int64_t)(OWN_SPREAD * (kind->children_us + own_us));
@@ -465,7 +462,7 @@
 			  const estimate_service_t *service,
 			  const routing_result_t *result, int64_t now_us)
 {
-	double busy = clamp(result->busy_permille / 1000.0, 0, LIMIT_MAX);
+	double busy = cas_clamp(result->busy_permille / 1000.0, 0, LIMIT_MAX);
 	double own_us = service->own_us > 0 ? service->own_us : DEFAULT_OWN_US;
 	routing_load_t load = { .known = false };
 
