--- a/packages/base/include/cassia/metrics.h
+++ b/packages/base/include/cassia/metrics.h
@@ -31,6 +31,12 @@
 cas_counter_t *cas_metrics_counter(cas_metrics_t *metrics, const char *name,
 				   const char *labels);
 
+/* Sets a counter, or adds one to it. Does nothing when out of memory. */
+void cas_metrics_set(cas_metrics_t *metrics, const char *name,
+		     const char *labels, int64_t value);
+void cas_metrics_increment(cas_metrics_t *metrics, const char *name,
+			   const char *labels);
+
 /* The same for a histogram of durations in microseconds. A name and labels
  * belong either to a counter or to a histogram. */
 cas_hist_t *cas_metrics_hist(cas_metrics_t *metrics, const char *name,
--- a/packages/base/metrics.c
+++ b/packages/base/metrics.c
@@ -72,6 +72,24 @@
 	return metric ? &metric->counter : NULL;
 }
 
+void cas_metrics_set(cas_metrics_t *metrics, const char *name,
+		     const char *labels, int64_t value)
+{
+	cas_counter_t *counter = cas_metrics_counter(metrics, name, labels);
+
+	if (counter)
+		counter->value = value;
+}
+
+void cas_metrics_increment(cas_metrics_t *metrics, const char *name,
+			   const char *labels)
+{
+	cas_counter_t *counter = cas_metrics_counter(metrics, name, labels);
+
+	if (counter)
+		counter->value++;
+}
+
 cas_hist_t *cas_metrics_hist(cas_metrics_t *metrics, const char *name,
 			     const char *labels)
 {
--- a/packages/base/tests/test_base.c
+++ b/packages/base/tests/test_base.c
@@ -75,6 +75,25 @@
 	talloc_free(metrics);
 }
 
+/* Guards against a set value that is added, and against counters that are made
+ * anew for each change. */
+static void test_metrics_set_and_increment(void **state)
+{
+	cas_metrics_t *metrics = cas_metrics_create(NULL);
+
+	(void)state;
+	cas_metrics_set(metrics, "queued", "", 5);
+	cas_metrics_set(metrics, "queued", "", 2);
+	cas_metrics_increment(metrics, "refused", "reason=\"shed\"");
+	cas_metrics_increment(metrics, "refused", "reason=\"shed\"");
+	assert_int_equal(cas_metrics_counter(metrics, "queued", "")->value, 2);
+	assert_int_equal(
+		cas_metrics_counter(metrics, "refused", "reason=\"shed\"")
+			->value,
+		2);
+	talloc_free(metrics);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -83,6 +102,7 @@
 		cmocka_unit_test(test_str_order),
 		cmocka_unit_test(test_rendezvous_is_stable),
 		cmocka_unit_test(test_metrics_text),
+		cmocka_unit_test(test_metrics_set_and_increment),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/programs/cassiad/control.c
+++ b/programs/cassiad/control.c
@@ -427,10 +427,7 @@
 /* Sets a metric without labels. */
 static void set_gauge(cassiad_t *daemon, const char *name, int64_t value)
 {
-	cas_counter_t *gauge = cas_metrics_counter(daemon->metrics, name, "");
-
-	if (gauge)
-		gauge->value = value;
+	cas_metrics_set(daemon->metrics, name, "", value);
 }
 
 void control_set_metrics(cassiad_t *daemon)
--- a/programs/cassiad/entry.c
+++ b/programs/cassiad/entry.c
@@ -253,12 +253,8 @@
  * read and before a token is spent. */
 static void refuse_without_upstream(entry_request_t *request)
 {
-	cas_counter_t *counter =
-		cas_metrics_counter(request->daemon->metrics,
-				    "cassia_no_allowed_upstream_total", "");
-
-	if (counter)
-		counter->value++;
+	cas_metrics_increment(request->daemon->metrics,
+			      "cassia_no_allowed_upstream_total", "");
 	entry_refuse(request, REASON_NO_UPSTREAM, ENTRY_NO_UPSTREAM_RETRY_US);
 }
 
--- a/programs/cassiad/evacuation.c
+++ b/programs/cassiad/evacuation.c
@@ -10,12 +10,9 @@
 {
 	char *labels = talloc_asprintf(daemon, "data_centre=\"%.*s\"",
 				       CAS_STR_ARG(data_centre));
-	cas_counter_t *counter =
-		labels ? cas_metrics_counter(daemon->metrics, metric, labels)
-		       : NULL;
 
-	if (counter)
-		counter->value++;
+	if (labels)
+		cas_metrics_increment(daemon->metrics, metric, labels);
 	talloc_free(labels);
 	cas_log(CAS_LOG_INFO, event, CAS_LOG_STR("data_centre", data_centre),
 		CAS_LOG_INT("hosts_revision", daemon->roster->revision),
--- a/programs/cassiad/operator_server.c
+++ b/programs/cassiad/operator_server.c
@@ -56,10 +56,7 @@
 /* Sets a metric without labels. */
 static void set_gauge(cassiad_t *daemon, const char *name, int64_t value)
 {
-	cas_counter_t *gauge = cas_metrics_counter(daemon->metrics, name, "");
-
-	if (gauge)
-		gauge->value = value;
+	cas_metrics_set(daemon->metrics, name, "", value);
 }
 
 static void set_link_bytes(cassiad_t *daemon, const char *region,
@@ -67,13 +64,10 @@
 {
 	char *labels = talloc_asprintf(daemon, "region=\"%s\",direction=\"%s\"",
 				       region, direction);
-	cas_counter_t *counter =
-		labels ? cas_metrics_counter(daemon->metrics,
-					     "cassia_link_bytes_total", labels)
-		       : NULL;
 
-	if (counter)
-		counter->value = (int64_t)bytes;
+	if (labels)
+		cas_metrics_set(daemon->metrics, "cassia_link_bytes_total",
+				labels, (int64_t)bytes);
 	talloc_free(labels);
 }
 
@@ -95,16 +89,6 @@
 	}
 }
 
-static void set_labelled(cassiad_t *daemon, const char *name,
-			 const char *labels, int64_t value)
-{
-	cas_counter_t *counter =
-		cas_metrics_counter(daemon->metrics, name, labels);
-
-	if (counter)
-		counter->value = value;
-}
-
 /* Sets the counts of choices by expected completion. */
 static void set_placement_metrics(cassiad_t *daemon)
 {
@@ -123,11 +107,13 @@
 	const routing_counts_t *counts = routing_counts(daemon->routing);
 
 	for (int i = 0; i < ROUTING_TIERS; i++)
-		set_labelled(daemon, "cassia_placement_chosen_total", tiers[i],
-			     counts->chosen[i]);
+		cas_metrics_set(daemon->metrics,
+				"cassia_placement_chosen_total", tiers[i],
+				counts->chosen[i]);
 	for (int i = 0; i < ROUTING_SPILLS; i++)
-		set_labelled(daemon, "cassia_placement_spilled_total",
-			     causes[i], counts->spilled[i]);
+		cas_metrics_set(daemon->metrics,
+				"cassia_placement_spilled_total", causes[i],
+				counts->spilled[i]);
 	set_gauge(daemon, "cassia_placement_link_refused_total",
 		  counts->link_refused);
 	set_gauge(daemon, "cassia_placement_stale_reports_total",
--- a/programs/cassiad/peer_server.c
+++ b/programs/cassiad/peer_server.c
@@ -100,11 +100,9 @@
 	const http_problem_t problem = { .status = 403,
 					 .outcome = "not-run",
 					 .reason = "not-signed" };
-	cas_counter_t *counter = cas_metrics_counter(
-		request->daemon->metrics, "cassia_peer_not_signed_total", "");
 
-	if (counter)
-		counter->value++;
+	cas_metrics_increment(request->daemon->metrics,
+			      "cassia_peer_not_signed_total", "");
 	http_problem_reply(request->exchange, &problem);
 }
 
--- a/programs/cassiad/processor_use.c
+++ b/programs/cassiad/processor_use.c
@@ -244,14 +244,10 @@
 			(u_int)permille;
 }
 
-static void set_gauge(cassiad_t *daemon, const char *name, const char *labels,
-		      int64_t value)
+/* Sets a metric without labels. */
+static void set_gauge(cassiad_t *daemon, const char *name, int64_t value)
 {
-	cas_counter_t *gauge =
-		cas_metrics_counter(daemon->metrics, name, labels);
-
-	if (gauge)
-		gauge->value = value;
+	cas_metrics_set(daemon->metrics, name, "", value);
 }
 
 void processor_use_set_metrics(cassiad_t *daemon)
@@ -267,23 +263,23 @@
 	if (!daemon->processor->in_force)
 		return;
 	processor_get_state(daemon->processor->limit, &state);
-	set_gauge(daemon, "cassia_processor_limiting", "", state.limiting);
-	set_gauge(daemon, "cassia_processor_capacity_permille", "",
+	set_gauge(daemon, "cassia_processor_limiting", state.limiting);
+	set_gauge(daemon, "cassia_processor_capacity_permille",
 		  state.capacity_permille);
-	set_gauge(daemon, "cassia_processor_used_permille", "",
+	set_gauge(daemon, "cassia_processor_used_permille",
 		  state.used_permille);
-	set_gauge(daemon, "cassia_processor_speed_permille", "",
+	set_gauge(daemon, "cassia_processor_speed_permille",
 		  state.speed_permille);
-	set_gauge(daemon, "cassia_processor_offered_permille", "",
+	set_gauge(daemon, "cassia_processor_offered_permille",
 		  state.offered_permille);
-	set_gauge(daemon, "cassia_processor_wait_us", "", state.wait_us);
-	set_gauge(daemon, "cassia_processor_admitted_total", "",
+	set_gauge(daemon, "cassia_processor_wait_us", state.wait_us);
+	set_gauge(daemon, "cassia_processor_admitted_total",
 		  (int64_t)state.admitted);
-	set_gauge(daemon, "cassia_processor_refused_total", "",
+	set_gauge(daemon, "cassia_processor_refused_total",
 		  (int64_t)state.refused);
-	set_gauge(daemon, "cassia_processor_discarded_total", "",
+	set_gauge(daemon, "cassia_processor_discarded_total",
 		  (int64_t)state.discarded);
 	for (int i = 0; i < PROCESSOR_WORK_COUNT; i++)
-		set_gauge(daemon, "cassia_processor_cost_us", labels[i],
-			  state.cost_us[i]);
+		cas_metrics_set(daemon->metrics, "cassia_processor_cost_us",
+				labels[i], state.cost_us[i]);
 }
--- a/programs/cassiad/stats.c
+++ b/programs/cassiad/stats.c
@@ -144,13 +144,9 @@
 static void count_reason(cassiad_t *daemon, reason_t reason)
 {
 	char labels[64];
-	cas_counter_t *counter;
 
 	snprintf(labels, sizeof(labels), "reason=\"%s\"", reason_name(reason));
-	counter = cas_metrics_counter(daemon->metrics, "cassia_refusals_total",
-				      labels);
-	if (counter)
-		counter->value++;
+	cas_metrics_increment(daemon->metrics, "cassia_refusals_total", labels);
 }
 
 void stats_record(cassiad_t *daemon, const stats_request_t *request)
--- a/programs/cassiad/upstream_request.c
+++ b/programs/cassiad/upstream_request.c
@@ -217,14 +217,9 @@
  * regions are limited. */
 static void count_region_refusal(const upstream_request_t *request)
 {
-	cas_counter_t *counter;
-
-	if (request->result.reason != REASON_REGION)
-		return;
-	counter = cas_metrics_counter(request->daemon->metrics,
+	if (request->result.reason == REASON_REGION)
+		cas_metrics_increment(request->daemon->metrics,
 				      "cassia_region_refused_total", "");
-	if (counter)
-		counter->value++;
 }
 
 /* Returns when a request that was refused for lack of capacity can be expected
--- a/programs/cassiad/warm_up_watch.c
+++ b/programs/cassiad/warm_up_watch.c
@@ -243,10 +243,7 @@
 
 static void set_metric(cassiad_t *daemon, const char *name, int64_t value)
 {
-	cas_counter_t *counter = cas_metrics_counter(daemon->metrics, name, "");
-
-	if (counter)
-		counter->value = value;
+	cas_metrics_set(daemon->metrics, name, "", value);
 }
 
 void warm_up_watch_set_metrics(cassiad_t *daemon)
