Look up the own data centre and the customers' regions in one place

Cause: the gate of the upstream and the evacuation each worked out the data centre of this host. The warm-up compared the one of the settings with the evacuated ones a second time, though drain already holds an evacuated upstream closed, by the host list. Whether a customer limits its regions was looked up among all customers for each child call without a parent.

Change: daemon_data_centre serves both, the second comparison of the warm-up is gone, and the flag is kept with the table in force. One difference: where the settings and the host list name different data centres, the warm-up now follows the host list, as the gate does.

--- a/packages/config/include/cassia/table.h
+++ b/packages/config/include/cassia/table.h
@@ -172,7 +172,8 @@
 bool table_allows_region(const table_t *table, cas_id_t route,
 			 cas_id_t customer, cas_id_t region);
 
-/* Returns whether any route or customer limits its regions. */
+/* Returns whether any customer, or any route or customer, limits its regions. */
+bool table_customers_limit_regions(const table_t *table);
 bool table_limits_regions(const table_t *table);
 
 /*
--- a/packages/config/table.c
+++ b/packages/config/table.c
@@ -197,17 +197,22 @@
 	       (!customer_row || allows_region(&customer_row->regions, region));
 }
 
-bool table_limits_regions(const table_t *table)
+bool table_customers_limit_regions(const table_t *table)
 {
-	for (size_t i = 0; i < table->route_count; i++)
-		if (table->routes[i].regions.count)
-			return true;
 	for (size_t i = 0; i < table->customer_count; i++)
 		if (table->customers[i].regions.count)
 			return true;
 	return false;
 }
 
+bool table_limits_regions(const table_t *table)
+{
+	for (size_t i = 0; i < table->route_count; i++)
+		if (table->routes[i].regions.count)
+			return true;
+	return table_customers_limit_regions(table);
+}
+
 /* Returns whether a '%' with two hexadecimal digits is at index. */
 static bool is_escape_at(cas_str_t path, size_t index)
 {
--- a/programs/cassiad/config.c
+++ b/programs/cassiad/config.c
@@ -229,6 +229,8 @@
 			CAS_LOG_INT("limited", limits_regions),
 			CAS_LOG_INT("revision", daemon->table->revision));
 	daemon->limits_regions = limits_regions;
+	daemon->customers_limit_regions =
+		table_customers_limit_regions(daemon->table);
 }
 
 static void on_table(void *private, const table_t *table)
--- a/programs/cassiad/daemon.c
+++ b/programs/cassiad/daemon.c
@@ -180,6 +180,16 @@
 		       SLOWDOWN_KEEP_US;
 }
 
+cas_id_t daemon_data_centre(const cassiad_t *daemon)
+{
+	const settings_t *settings = daemon->settings;
+	const roster_host_t *host =
+		daemon->roster ? roster_find(daemon->roster, settings->host_id)
+			       : NULL;
+
+	return host ? host->data_centre_id : settings->data_centre_id;
+}
+
 int daemon_start(cassiad_t *daemon)
 {
 	int error;
--- a/programs/cassiad/daemon.h
+++ b/programs/cassiad/daemon.h
@@ -83,6 +83,7 @@
 	source_t *source;
 	const table_t *table; /* borrowed from the store */
 	bool limits_regions; /* a route or customer of the table does */
+	bool customers_limit_regions; /* a customer of the table does */
 	const roster_t *roster; /* the host list, borrowed from the store */
 	keys_t *keys;
 	bool fetch_running[CONFIG_DOCUMENT_COUNT]; /* from another daemon */
@@ -141,6 +142,10 @@
  * reported load. */
 bool daemon_hosts_are_shared(const cassiad_t *daemon);
 
+/* Returns the data centre of this host in the host list, by which senders also
+ * choose, or that of the settings while the list does not name the host. */
+cas_id_t daemon_data_centre(const cassiad_t *daemon);
+
 /* config.c: creates the store of the table and the host list. Returns 0 or
  * CONFIG_ENOMEM. */
 int config_start(cassiad_t *daemon);
--- a/programs/cassiad/entry_regions.c
+++ b/programs/cassiad/entry_regions.c
@@ -1,15 +1,6 @@
 /* Regions that an entry request is limited to for its whole life. */
 #include "entry.h"
 
-/* Returns whether a customer of the table limits its regions. */
-static bool customers_limit_regions(const table_t *table)
-{
-	for (size_t i = 0; i < table->customer_count; i++)
-		if (table->customers[i].regions.count)
-			return true;
-	return false;
-}
-
 /* Returns whether a request may be run in the region. The parent of a child
  * call ran on this host, so its customer allowed the region of this host: the
  * only one that is certain when the customer is unknown. */
@@ -52,7 +43,7 @@
 
 	if (!daemon->limits_regions)
 		return 0;
-	if (is_orphan && customers_limit_regions(table))
+	if (is_orphan && daemon->customers_limit_regions)
 		only_region = routing_own_region(daemon->routing);
 	if (!only_region && !has_list(request))
 		return 0;
--- a/programs/cassiad/evacuation.c
+++ b/programs/cassiad/evacuation.c
@@ -40,13 +40,8 @@
 
 void evacuation_follow(cassiad_t *daemon, const roster_t *previous)
 {
-	const roster_t *roster = daemon->roster;
-	const roster_host_t *host =
-		roster_find(roster, daemon->settings->host_id);
-	cas_id_t data_centre =
-		host ? host->data_centre_id : daemon->settings->data_centre_id;
-
 	report_changes(daemon, previous);
 	drain_hold_upstream(daemon->drain,
-			    roster_is_evacuated(roster, data_centre));
+			    roster_is_evacuated(daemon->roster,
+						daemon_data_centre(daemon)));
 }
--- a/programs/cassiad/upstream_gate.c
+++ b/programs/cassiad/upstream_gate.c
@@ -1,17 +1,11 @@
 /* Conditions for sending a request to the upstream of this host. */
 #include "upstream_gate.h"
 
-/* Returns the region of this host in the table in force; 0: unknown. The host
- * list is preferred, as senders also choose by it. */
+/* Returns the region of this host in the table in force; 0: unknown. */
 static cas_id_t own_region(const cassiad_t *daemon)
 {
-	const settings_t *settings = daemon->settings;
-	const roster_host_t *host =
-		daemon->roster ? roster_find(daemon->roster, settings->host_id)
-			       : NULL;
 	const table_data_centre_t *data_centre = table_find_data_centre(
-		daemon->table,
-		host ? host->data_centre_id : settings->data_centre_id);
+		daemon->table, daemon_data_centre(daemon));
 
 	return data_centre ? data_centre->region_id : 0;
 }
--- a/programs/cassiad/warm_up_watch.c
+++ b/programs/cassiad/warm_up_watch.c
@@ -71,13 +71,12 @@
 			CAS_LOG_INT("error", ADMISSION_ENOMEM));
 }
 
-/* Returns whether requests may reach the upstream at all. */
+/* Returns whether requests may reach the upstream at all. While its data centre
+ * is evacuated, drain holds the upstream closed. */
 static bool is_open(const cassiad_t *daemon)
 {
 	return daemon->roster && daemon->own_listing == OWN_LISTING_SERVING &&
-	       drain_accepts_upstream_work(daemon->drain) &&
-	       !roster_is_evacuated(daemon->roster,
-				    daemon->settings->data_centre_id);
+	       drain_accepts_upstream_work(daemon->drain);
 }
 
 /* Asks the upstream how long it is cold, if that is in doubt. */
