Show with tests how revisions arrive too late or are undone

A daemon that learned of the drain of its own upstream from a peer closed it 3.2 s after the store had acknowledged it.

test_table_spreads_within_two_seconds called membership_announce_revisions, which no daemon calls; the call is gone from the test.

--- a/packages/config/tests/test_notices.c
+++ b/packages/config/tests/test_notices.c
@@ -138,9 +138,38 @@
 	assert_int_equal(f->fetches, 0);
 }
 
+/* Guards against a daemon whose source does not answer, as an open connection
+ * that has gone silent, and that gets a table too late to pass it on in time. */
+static void test_source_that_does_not_answer(void **state)
+{
+	fixture_t *f = *state;
+
+	config_notices_add(f->notices, CONFIG_TABLE, 6, 31);
+	for (int i = 0; i < 5; i++)
+		advance(f, 100 * CAS_USEC_PER_MSEC);
+	assert_int_equal(f->fetches, 1);
+	assert_int_equal(f->fetched_from, 31);
+}
+
+/* Guards against a fetch that each notice of a yet newer revision puts off. */
+static void test_series_of_notices(void **state)
+{
+	fixture_t *f = *state;
+
+	for (int64_t revision = 6; revision < 16; revision++) {
+		config_notices_add(f->notices, CONFIG_TABLE, revision, 31);
+		advance(f, 100 * CAS_USEC_PER_MSEC);
+	}
+	assert_in_range(f->fetches, 1, 10);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup_teardown(
+			test_source_that_does_not_answer, setup, teardown),
+		cmocka_unit_test_setup_teardown(test_series_of_notices, setup,
+						teardown),
 		cmocka_unit_test_setup_teardown(
 			test_table_that_the_source_lacks, setup, teardown),
 		cmocka_unit_test_setup_teardown(
--- a/packages/membership/tests/test_membership.c
+++ b/packages/membership/tests/test_membership.c
@@ -270,15 +270,36 @@
 
 		net_run(net, SEC);
 		net_set_table(&net->nodes[first], revision);
-		if (!membership_is_leader(net->nodes[first].m) &&
-		    !membership_is_watcher(net->nodes[first].m))
-			membership_announce_revisions(net->nodes[first].m);
 		net_run(net, 2 * SEC);
 		assert_int_equal(count_table(net, revision), 680);
 	}
 	net_destroy(net);
 }
 
+/* Guards against waits of several daemons in a row that add up to more than the
+ * 3 s in which a table has to be in force: any daemon may have got the revision
+ * first, up to 0.6 s late, and each daemon takes 0.5 s from hearing of a revision
+ * to using it. */
+static void test_waits_on_the_way_of_a_table(void **state)
+{
+	network_t *net = net_create(80, 4, 6);
+
+	(void)state;
+	net->fetch_time_us = SEC / 2;
+	net_publish(net, 2, NULL);
+	net_start_all(net);
+	net_run(net, 5 * SEC);
+	for (size_t first = 0; first < net->count; first++) {
+		int64_t revision = (int64_t)first + 1;
+
+		net_set_table(&net->nodes[first], revision);
+		net_run(net, 12 * SEC / 5);
+		assert_int_equal(count_table(net, revision), net->count);
+		net_run(net, SEC);
+	}
+	net_destroy(net);
+}
+
 /* Guards against a revision that is never learned by a daemon that was isolated
  * when it was announced, that has restarted without its state, or that is in
  * another data centre. */
@@ -342,6 +363,7 @@
 		cmocka_unit_test(test_silent_host_stays_draining),
 		cmocka_unit_test(test_lost_watchers_are_replaced),
 		cmocka_unit_test(test_alternating_host_list_keeps_fence),
+		cmocka_unit_test(test_waits_on_the_way_of_a_table),
 		cmocka_unit_test(test_table_spreads_within_two_seconds),
 		cmocka_unit_test(test_missed_revision_is_learned),
 		cmocka_unit_test(test_fence_survives_message_loss),
--- a/packages/peer/tests/test_peer.c
+++ b/packages/peer/tests/test_peer.c
@@ -379,6 +379,27 @@
 		PEER_EMALFORMED);
 }
 
+/* Guards against a daemon that gets no answers while it still serves its
+ * callers, because its host has been taken off the host list. */
+static void test_departed_host(void **state)
+{
+	fixture_t *f = *state;
+
+	set_roster(f, 1, 1);
+	call(f, 2, 1, 4);
+	deliver_captured(f, 1, f->count - 1);
+	assert_int_equal(f->hosts[1].calls, 1);
+	capture(f);
+	deliver_captured(f, 2, f->count - 1);
+	assert_int_equal(f->hosts[2].last_reply, 8);
+	cas_clock_advance(f->clock, 60 * CAS_USEC_PER_SEC);
+	set_roster(f, 1, 1);
+	call(f, 2, 1, 5);
+	deliver_captured(f, 1, f->count - 1);
+	assert_int_equal(f->hosts[1].calls, 1);
+	assert_int_equal(peer_counters(f->hosts[1].peer)->dropped_sender, 1);
+}
+
 /* Guards against accepting senders that are not in the host list, unknown
  * secrets, and replies that arrive after the limit of 10 s. */
 static void test_unknown(void **state)
@@ -467,6 +488,8 @@
 						teardown),
 		cmocka_unit_test_setup_teardown(test_redirected, setup,
 						teardown),
+		cmocka_unit_test_setup_teardown(test_departed_host, setup,
+						teardown),
 		cmocka_unit_test_setup_teardown(test_unknown, setup, teardown),
 		cmocka_unit_test_setup_teardown(test_secret_rotation, setup,
 						teardown),
