Log where a revision comes from and how long it was missing

The log could not tell whether a daemon had a table late because nobody told it, because its source did not answer, or because a fetch took long. Each accepted document now names its origin and the time since a peer first named a newer one, also as a histogram; the end of an upstream names the time since its drain was known, and a refused request the revision of the table that refused it.

--- a/programs/cassiad/config.c
+++ b/programs/cassiad/config.c
@@ -117,6 +117,7 @@
 						     DRAIN_SERVING);
 		return;
 	case OWN_LISTING_LEAVING:
+		daemon->leaving_since_us = cas_clock_now(daemon->clock);
 		daemon_drain(daemon, DRAIN_GOAL_UPSTREAM);
 		return;
 	case OWN_LISTING_GONE:
@@ -155,9 +156,69 @@
 	entry_recheck_keys(daemon);
 }
 
+static void record_missing(cassiad_t *daemon, config_document_t document,
+			   int64_t revision)
+{
+	missing_revision_t *missing = &daemon->missing[document];
+
+	if (!missing->since_us)
+		missing->since_us = cas_clock_now(daemon->clock);
+	if (revision > missing->revision)
+		missing->revision = revision;
+}
+
+/* Returns how long a revision that is accepted now was known to be missing, in
+ * microseconds. */
+static int64_t end_missing(cassiad_t *daemon, config_document_t document,
+			   int64_t revision)
+{
+	missing_revision_t *missing = &daemon->missing[document];
+	int64_t missing_us = missing->since_us ? cas_clock_now(daemon->clock) -
+							 missing->since_us
+					       : 0;
+
+	if (revision >= missing->revision)
+		missing->since_us = 0;
+	return missing_us;
+}
+
+/* Returns the name of the host that an accepted document comes from. */
+static cas_str_t origin_name(const cassiad_t *daemon)
+{
+	const roster_host_t *host =
+		daemon->roster
+			? roster_find(daemon->roster, daemon->offering_host)
+			: NULL;
+
+	if (!daemon->offering_host)
+		return CAS_STR("source");
+	return host ? host->name : CAS_STR("seed");
+}
+
+static void log_accepted(cassiad_t *daemon, config_document_t document,
+			 int64_t revision)
+{
+	int64_t missing_us = end_missing(daemon, document, revision);
+	bool is_table = document == CONFIG_TABLE;
+
+	cas_hist_add(cas_metrics_hist(daemon->metrics,
+				      "cassia_document_missing_us",
+				      is_table ? "document=\"table\""
+					       : "document=\"hosts\""),
+		     missing_us);
+	cas_log(CAS_LOG_INFO, is_table ? "table_accepted" : "hosts_accepted",
+		CAS_LOG_INT("revision", revision),
+		CAS_LOG_STR("from", origin_name(daemon)),
+		CAS_LOG_INT("missing_us", missing_us),
+		CAS_LOG_INT("hosts",
+			    daemon->roster ? (int64_t)daemon->roster->host_count
+					   : 0));
+}
+
 void config_on_newer_revision(cassiad_t *daemon, config_document_t document,
 			      int64_t revision, cas_id_t host)
 {
+	record_missing(daemon, document, revision);
 	if (!daemon->source || !source_is_reachable(daemon->source)) {
 		fetch_start(daemon, host, document);
 		return;
@@ -241,8 +302,7 @@
 	follow_region_limits(daemon);
 	warm_up_watch_tick(daemon);
 	config_apply(daemon);
-	cas_log(CAS_LOG_INFO, "table_accepted",
-		CAS_LOG_INT("revision", table->revision));
+	log_accepted(daemon, CONFIG_TABLE, table->revision);
 }
 
 static void on_hosts(void *private, const roster_t *roster)
@@ -256,9 +316,7 @@
 	evacuation_follow(daemon, previous);
 	apply_own_listing(daemon);
 	config_apply(daemon);
-	cas_log(CAS_LOG_INFO, "hosts_accepted",
-		CAS_LOG_INT("revision", roster->revision),
-		CAS_LOG_INT("hosts", (int64_t)roster->host_count));
+	log_accepted(daemon, CONFIG_HOSTS, roster->revision);
 }
 
 static void on_refused(void *private, config_document_t document, int error,
--- a/programs/cassiad/daemon.h
+++ b/programs/cassiad/daemon.h
@@ -57,6 +57,12 @@
 	OWN_LISTING_GONE, /* the present list lacks it, an earlier one had it */
 } own_listing_t;
 
+/* A revision that another daemon has named and this one lacks. */
+typedef struct missing_revision {
+	int64_t revision; /* the highest */
+	int64_t since_us; /* when the first one was named, 0: none is missing */
+} missing_revision_t;
+
 /* Members are owned by the daemon unless they are said to be borrowed. */
 typedef struct cassiad {
 	struct tevent_context *ev;
@@ -86,11 +92,15 @@
 	bool customers_limit_regions; /* a customer of the table does */
 	const roster_t *roster; /* the host list, borrowed from the store */
 	keys_t *keys;
+	missing_revision_t missing[CONFIG_DOCUMENT_COUNT];
 	bool fetch_running[CONFIG_DOCUMENT_COUNT]; /* from another daemon */
+	/* Whose document is offered to the store, 0: that of the source. */
+	cas_id_t offering_host;
 	config_notices_t *notices; /* of newer revisions on other daemons */
 	/* Made at the first fetch by another daemon. */
 	compressed_document_t *compressed_documents[CONFIG_DOCUMENT_COUNT];
 	int64_t next_seed_fetch_us;
+	int64_t leaving_since_us; /* own_listing is OWN_LISTING_LEAVING */
 	cas_timer_t *tick_timer;
 
 	http_server_t *front_server; /* for callers */
--- a/programs/cassiad/fetch.c
+++ b/programs/cassiad/fetch.c
@@ -19,6 +19,8 @@
 #define FETCH_TIMEOUT_US (5 * CAS_USEC_PER_SEC)
 #define SEED_PERIOD_US (200 * CAS_USEC_PER_MSEC) /* between two fetches */
 #define MAC_HEADER "Cassia-Document-Mac"
+/* Stands for a seed, whose id is unknown. No host list has this id. */
+#define FETCH_SEED UINT64_MAX
 /* Decimal id of the secret, a colon, the hexadecimal MAC and a terminator. */
 #define MAC_TEXT_BYTES (12 + 2 * FLEET_MAC_BYTES)
 
@@ -26,6 +28,7 @@
 typedef struct fetch {
 	cassiad_t *daemon;
 	config_document_t document;
+	cas_id_t host; /* that is asked, FETCH_SEED: a seed */
 	http_call_t *call;
 	http_body_t *body; /* of the response */
 	char *compressed; /* received text, NULL: none yet */
@@ -191,8 +194,10 @@
 		return;
 	}
 	text = compressed_document_expand(fetch, text);
+	daemon->offering_host = fetch->host;
 	if (text.len)
 		config_store_offer(daemon->store, fetch->document, text);
+	daemon->offering_host = 0;
 }
 
 static void on_done(void *private, const http_result_t *result)
@@ -244,6 +249,7 @@
 		goto error;
 	fetch->daemon = daemon;
 	fetch->document = document;
+	fetch->host = receiver ? receiver : FETCH_SEED;
 	if (add_context(daemon, headers, receiver, target))
 		goto error;
 	fetch->call =
--- a/programs/cassiad/stats.c
+++ b/programs/cassiad/stats.c
@@ -138,7 +138,9 @@
 		CAS_LOG_CSTR("outcome", stats_outcome_name(request->outcome)),
 		CAS_LOG_CSTR("reason", reason_name(request->reason)),
 		CAS_LOG_INT("status", request->status),
-		CAS_LOG_INT("latency_us", request->latency_us));
+		CAS_LOG_INT("latency_us", request->latency_us),
+		CAS_LOG_INT("table_revision",
+			    daemon->table ? daemon->table->revision : 0));
 }
 
 static void count_reason(cassiad_t *daemon, reason_t reason)
--- a/programs/cassiad/stop.c
+++ b/programs/cassiad/stop.c
@@ -87,6 +87,11 @@
 	cassiad_t *daemon = private;
 
 	cas_log(CAS_LOG_INFO, "upstream_closed",
+		CAS_LOG_INT("leaving_us",
+			    daemon->own_listing == OWN_LISTING_LEAVING
+				    ? cas_clock_now(daemon->clock) -
+					      daemon->leaving_since_us
+				    : 0),
 		CAS_LOG_INT("queued", admission_queued(daemon->admission)),
 		CAS_LOG_INT("running", daemon->upstream_running));
 	admission_stop_queue(daemon->admission);
