Pass a revision on from whichever daemon has got it

Callers were served by an older table on daemons that nobody had told of the newer one. Only watchers and leaders announced a revision, so one that a member had found by a check of the store waited for its next beat, and a leader told no other group of its data centre.

A member now reports a revision to the leaders of its group unless one has named it within 200 ms, and a leader tells all leaders of its data centre. No daemon ever called membership_announce_revisions.

--- a/packages/membership/include/cassia/membership.h
+++ b/packages/membership/include/cassia/membership.h
@@ -90,14 +90,14 @@
  * Adopts a newer host list and confirms its revision from now on. What is
  * needed of the list is copied. After a list that replaces a third or more of
  * the data centre's hosts, or that has a quorum without a host of some quorum
- * of the list in use, this daemon confirms nothing for two leases. A leader or
- * watcher announces the revision to other daemons. Returns 0,
- * MEMBERSHIP_EREVISION or MEMBERSHIP_ENOMEM.
+ * of the list in use, this daemon confirms nothing for two leases. The
+ * revision is announced to other daemons. Returns 0, MEMBERSHIP_EREVISION or
+ * MEMBERSHIP_ENOMEM.
  */
 int membership_set_roster(membership_t *m, const roster_t *roster);
 
-/* Records that this daemon uses a newer table revision. A leader or watcher
- * announces it to other daemons. Returns 0 or MEMBERSHIP_EREVISION. */
+/* Records that this daemon uses a newer table revision, and announces it to other
+ * daemons. Returns 0 or MEMBERSHIP_EREVISION. */
 int membership_set_table_revision(membership_t *m, int64_t revision);
 
 /* Sets whether this daemon reports itself as draining. A draining host leads
@@ -127,13 +127,6 @@
 				uint64_t incarnation,
 				const membership_notice_reply *reply);
 
-/*
- * Announces the revisions that this daemon holds. A leader sends notices to
- * its group and to the other data centres; a watcher, or a daemon that does
- * not lead, sends them to the leaders of the data centre.
- */
-void membership_announce_revisions(membership_t *m);
-
 /* Sends the beats and notices that are due. */
 void membership_tick(membership_t *m);
 
--- a/packages/membership/membership_internal.h
+++ b/packages/membership/membership_internal.h
@@ -157,6 +157,7 @@
 	notice_target_t *notice_targets;
 	size_t notice_target_count;
 	int notice_attempts; /* rounds of notices sent */
+	bool is_reporting; /* to the leaders of the own group, not flooding */
 	int64_t next_notice_us; /* INT64_MAX: none */
 };
 
@@ -250,7 +251,7 @@
 
 /* Sends the notices that are due. */
 void membership_notice_tick(membership_t *m, int64_t now);
-/* Announces newly adopted revisions if this daemon is a leader or watcher. */
+/* Announces newly adopted revisions by the role of this daemon. */
 void membership_notice_adopted(membership_t *m);
 
 #endif
--- a/packages/membership/notice.c
+++ b/packages/membership/notice.c
@@ -1,11 +1,14 @@
 /*
- * Notices, which flood newly adopted revisions: a watcher sends them to the
- * leaders of the data centre, and a leader to its group and to the other data
- * centres. A daemon announces a revision only once it holds it, so that the
- * receiver can fetch it from the sender.
+ * Notices, which flood newly adopted revisions: watchers and leaders send them to
+ * the leaders of the data centre, and a leader also to its group and to the other
+ * data centres. Any other daemon reports a revision to the leaders of its group
+ * unless one of them has named it first. A daemon announces a revision only once
+ * it holds it, so that the receiver can fetch it from the sender.
  */
 #include "membership_internal.h"
 
+/* How long a member waits for a leader to name a revision that it holds. */
+#define REPORT_DELAY_US (200 * CAS_USEC_PER_MSEC)
 /* Interval between rounds of notices, and the maximum number of rounds. */
 #define NOTICE_RETRY_US (200 * CAS_USEC_PER_MSEC)
 #define NOTICE_ATTEMPTS_MAX 8
@@ -25,22 +28,27 @@
 		(notice_target_t){ .to = to, .remote_dc = remote_dc };
 }
 
+/* Adds the leaders of a group. */
+static void add_leaders(membership_t *m, size_t group, int64_t now)
+{
+	leaders_t leaders;
+
+	membership_find_leaders(m, group, now, &leaders);
+	for (size_t i = 0; i < leaders.count; i++)
+		add_notice_target(m, m->view->ids[leaders.indexes[i]], NULL);
+}
+
 /* Adds the leaders of each group of the data centre. */
 static void add_all_leaders(membership_t *m, int64_t now)
 {
 	size_t groups = membership_group_count(m->view->count);
-	leaders_t leaders;
 
-	for (size_t group = 0; group < groups; group++) {
-		membership_find_leaders(m, group, now, &leaders);
-		for (size_t i = 0; i < leaders.count; i++)
-			add_notice_target(m, m->view->ids[leaders.indexes[i]],
-					  NULL);
-	}
+	for (size_t group = 0; group < groups; group++)
+		add_leaders(m, group, now);
 }
 
-/* Adds the other leader of the own group and this leader's share of the live
- * members. Two leaders divide the members by the parity of the index. */
+/* Adds this leader's share of the live members of its group. Two leaders divide
+ * the members by the parity of the index. */
 static void add_own_group(membership_t *m, int64_t now, size_t rank)
 {
 	size_t group = membership_own_group(m);
@@ -48,8 +56,6 @@
 	leaders_t leaders;
 
 	membership_find_leaders(m, group, now, &leaders);
-	for (size_t i = 0; i < leaders.count; i++)
-		add_notice_target(m, m->view->ids[leaders.indexes[i]], NULL);
 	for (size_t i = membership_group_start(m->view->count, group); i < end;
 	     i++) {
 		bool own_share = leaders.count == 1 || i % LEADER_COUNT == rank;
@@ -83,32 +89,42 @@
 static void start_flood(membership_t *m, int64_t now, int rank)
 {
 	m->notice_target_count = 0;
+	m->is_reporting = false;
 	if (rank >= 0) {
 		add_own_group(m, now, (size_t)rank);
 		add_remote_hosts(m, (size_t)rank);
 	}
-	if (rank < 0 || membership_is_watcher(m))
-		add_all_leaders(m, now);
+	add_all_leaders(m, now);
 	m->notice_attempts = 0;
 	m->next_notice_us = now;
 }
 
-void membership_announce_revisions(membership_t *m)
+/* Schedules a report to the leaders of the own group. Further revisions do not
+ * put off a report that is due. */
+static void start_report(membership_t *m, int64_t now)
 {
-	int64_t now = cas_clock_now(m->clock);
+	bool is_due = m->is_reporting && m->next_notice_us != INT64_MAX;
 
-	if (m->view && m->view->count)
-		start_flood(m, now, membership_leader_rank(m, now));
+	m->notice_target_count = 0;
+	add_leaders(m, membership_own_group(m), now);
+	m->is_reporting = true;
+	m->notice_attempts = 0;
+	if (!is_due)
+		m->next_notice_us = now + REPORT_DELAY_US;
 }
 
 void membership_notice_adopted(membership_t *m)
 {
 	int64_t now = cas_clock_now(m->clock);
-	int rank = membership_leader_rank(m, now);
+	int rank;
 
-	if (m->view && m->view->count &&
-	    (rank >= 0 || membership_is_watcher(m)))
+	if (!m->view || !m->view->count)
+		return;
+	rank = membership_leader_rank(m, now);
+	if (rank >= 0 || membership_is_watcher(m))
 		start_flood(m, now, rank);
+	else
+		start_report(m, now);
 }
 
 /* Returns true when the target holds, or has acknowledged, the revisions that
@@ -124,12 +140,26 @@
 	       m->host_states[index].roster_revision >= m->view->revision;
 }
 
+/* Returns true when a leader of the group passes the revisions on. */
+static bool is_reported(const membership_t *m)
+{
+	for (size_t i = 0; i < m->notice_target_count; i++) {
+		if (is_up_to_date(m, &m->notice_targets[i]))
+			return true;
+	}
+	return false;
+}
+
 void membership_notice_tick(membership_t *m, int64_t now)
 {
 	membership_notice notice;
 
 	if (now < m->next_notice_us || !m->view)
 		return;
+	if (m->is_reporting && is_reported(m)) {
+		m->next_notice_us = INT64_MAX;
+		return;
+	}
 	notice.roster_revision = m->view->revision;
 	notice.table_revision = m->table_revision;
 	m->next_notice_us = ++m->notice_attempts < NOTICE_ATTEMPTS_MAX
