Bound the wait for a source that does not answer

Callers were served by an older table, and upstreams got work after their drain, on daemons whose connection to the store had gone silent.

A revision that a peer names is now awaited for 0.1 s and the pause of the watch, then the store is asked, and 0.3 s later the document is fetched, a host list too. Later notices put nothing off. A host list that shows no later state of the store than this daemon has read is not missing and causes no call at all.

--- a/packages/config/include/cassia/config_notices.h
+++ b/packages/config/include/cassia/config_notices.h
@@ -3,10 +3,9 @@
  * the host list than it has, while its own source of documents is reachable.
  *
  * The source usually delivers such a revision by itself. If it does not, it is
- * checked. A table that is still missing then is fetched from a daemon that has
- * it: the source may hold an older table, for instance a replica, or a platform
- * that was restored from a copy. Host lists are not fetched, because the source
- * itself numbers them by what it has read.
+ * checked. A document that is still missing then is fetched from a daemon that
+ * has it: the source may have gone silent without an error, or hold an older
+ * table, for instance after the platform was restored from a copy.
  */
 #ifndef CASSIA_CONFIG_NOTICES_H
 #define CASSIA_CONFIG_NOTICES_H
@@ -15,26 +14,33 @@
 #include "cassia/config_store.h"
 
 /* Time in which the source usually delivers a revision that another daemon has
- * named. */
-#define CONFIG_NOTICES_CHECK_US (400 * CAS_USEC_PER_MSEC)
-/* The same with a check of the source. */
-#define CONFIG_NOTICES_FETCH_US (800 * CAS_USEC_PER_MSEC)
+ * named, in addition to its own delay (see delivery_delay). */
+#define CONFIG_NOTICES_CHECK_US (100 * CAS_USEC_PER_MSEC)
+/* Time for a check of the source. Together with CONFIG_NOTICES_CHECK_US, it is
+ * what a daemon adds to the way of a revision from daemon to daemon. */
+#define CONFIG_NOTICES_ANSWER_US (300 * CAS_USEC_PER_MSEC)
 
 typedef struct config_notices config_notices_t;
 
 /* Callbacks; private is the pointer passed to config_notices_create. */
 typedef struct config_notices_ops {
+	/* Returns whether neither this daemon nor its source has a revision of
+	 * a document. */
+	bool (*lacks)(void *private, config_document_t document,
+		      int64_t revision);
+	/* Returns for how long the source puts off its next read, in
+	 * microseconds. */
+	int64_t (*delivery_delay)(void *private);
 	/* Reads the documents from the source now. */
 	void (*check_source)(void *private);
-	/* Fetches the table from a host and offers it to the store. */
-	void (*fetch_table)(void *private, cas_id_t host);
+	/* Fetches a document from a host and offers it to the store. */
+	void (*fetch)(void *private, config_document_t document, cas_id_t host);
 } config_notices_ops_t;
 
-/* Returns a new object (owned by ctx), or NULL when out of memory. clock, store
- * and ops are borrowed and must outlive it; store is only read. */
+/* Returns a new object (owned by ctx), or NULL when out of memory. clock and ops
+ * are borrowed and must outlive it. */
 config_notices_t *config_notices_create(TALLOC_CTX *ctx,
 					const cas_clock_t *clock,
-					const config_store_t *store,
 					const config_notices_ops_t *ops,
 					void *private);
 
@@ -42,7 +48,7 @@
 void config_notices_add(config_notices_t *notices, config_document_t document,
 			int64_t revision, cas_id_t host);
 
-/* Checks the source and fetches the table when they are due; call it about
+/* Checks the source and fetches documents when they are due; call it about
  * every 100 ms. A fetch that brings nothing is repeated with a later notice. */
 void config_notices_tick(config_notices_t *notices);
 
--- a/packages/config/include/cassia/source.h
+++ b/packages/config/include/cassia/source.h
@@ -50,6 +50,9 @@
 	/* NULL: always false, as no source but the platform's names instances. */
 	bool (*has_left)(source_t *source, cas_str_t instance);
 	uint64_t (*change_count)(source_t *source); /* NULL: always 0 */
+	/* NULL: never, and at once. */
+	bool (*has_read_hosts)(source_t *source, int64_t revision);
+	int64_t (*delivery_delay)(source_t *source);
 } source_ops_t;
 
 /* First member of the structure of every kind of source. */
@@ -107,6 +110,15 @@
  * changed, also if the source offers no other host list then. */
 uint64_t source_change_count(source_t *source);
 
+/* Returns whether the source has read as much of the platform as a host list of a
+ * revision shows. If its own list has a lower revision, the lists differ only in
+ * what follows from the time. */
+bool source_has_read_hosts(source_t *source, int64_t revision);
+
+/* Returns for how long the source puts off its next read of the platform, in
+ * microseconds. */
+int64_t source_delivery_delay(source_t *source);
+
 /* Makes this daemon a watcher (true) or a reader (false). */
 void source_set_watching(source_t *source, bool watching);
 
--- a/packages/config/notices.c
+++ b/packages/config/notices.c
@@ -1,23 +1,26 @@
 /* Handling of notices of newer documents; see cassia/config_notices.h. */
 #include "cassia/config_notices.h"
 
+/* What was named of a document. */
+typedef struct named {
+	int64_t highest; /* revision for which the source was checked, 0: none */
+	int64_t fetch_due_us; /* 0: no fetch is due */
+	/* Valid while a fetch is due: the highest revision that was named since
+	 * the last fetch, and a host that has it. */
+	int64_t revision;
+	cas_id_t host;
+} named_t;
+
 struct config_notices {
 	const cas_clock_t *clock;
-	const config_store_t *store;
 	const config_notices_ops_t *ops;
 	void *private;
-	int64_t revisions[CONFIG_DOCUMENT_COUNT]; /* highest named, 0: none */
+	named_t named[CONFIG_DOCUMENT_COUNT];
 	int64_t check_due_us; /* 0: no check is due */
-	int64_t fetch_due_us; /* 0: no fetch is due */
-	/* Valid while a fetch is due: the highest revision of the table that
-	 * was named since the last fetch, and a host that has it. */
-	int64_t table_revision;
-	cas_id_t table_host;
 };
 
 config_notices_t *config_notices_create(TALLOC_CTX *ctx,
 					const cas_clock_t *clock,
-					const config_store_t *store,
 					const config_notices_ops_t *ops,
 					void *private)
 {
@@ -26,48 +29,60 @@
 	if (!notices)
 		return NULL;
 	notices->clock = clock;
-	notices->store = store;
 	notices->ops = ops;
 	notices->private = private;
 	return notices;
 }
 
-/* Returns whether the store lacks the highest revision that was named. */
-static bool is_behind(const config_notices_t *notices,
-		      config_document_t document)
+/* Notes who has the highest revision. A host whose document was not fetched does
+ * not keep those of others from being fetched later. */
+static void note_host(named_t *named, int64_t revision, cas_id_t host)
 {
-	return config_store_revision(notices->store, document) <
-	       notices->revisions[document];
+	if (named->fetch_due_us && revision <= named->revision)
+		return;
+	named->revision = revision;
+	named->host = host;
 }
 
-/* Schedules a fetch of the table. A host whose table was not fetched does not
- * keep those of others from being fetched later. */
-static void add_table(config_notices_t *notices, int64_t revision,
-		      cas_id_t host)
+void config_notices_add(config_notices_t *notices, config_document_t document,
+			int64_t revision, cas_id_t host)
 {
-	bool is_due = notices->fetch_due_us != 0;
+	named_t *named = &notices->named[document];
+	int64_t check_us;
 
-	if (revision <= config_store_revision(notices->store, CONFIG_TABLE) ||
-	    (is_due && revision < notices->table_revision))
+	if (!notices->ops->lacks(notices->private, document, revision))
 		return;
-	if (!is_due || revision > notices->table_revision)
-		notices->fetch_due_us =
-			cas_clock_now(notices->clock) + CONFIG_NOTICES_FETCH_US;
-	notices->table_revision = revision;
-	notices->table_host = host;
+	check_us = cas_clock_now(notices->clock) + CONFIG_NOTICES_CHECK_US +
+		   notices->ops->delivery_delay(notices->private);
+	note_host(named, revision, host);
+	/* Later notices must not put off what is due. */
+	if (!named->fetch_due_us)
+		named->fetch_due_us = check_us + CONFIG_NOTICES_ANSWER_US;
+	if (revision <= named->highest)
+		return;
+	named->highest = revision;
+	if (!notices->check_due_us)
+		notices->check_due_us = check_us;
 }
 
-void config_notices_add(config_notices_t *notices, config_document_t document,
-			int64_t revision, cas_id_t host)
+/* Returns whether the highest revision that was named is still missing. */
+static bool is_behind(const config_notices_t *notices,
+		      config_document_t document)
+{
+	return notices->ops->lacks(notices->private, document,
+				   notices->named[document].highest);
+}
+
+static void fetch_if_due(config_notices_t *notices, config_document_t document,
+			 int64_t now)
 {
-	if (document == CONFIG_TABLE)
-		add_table(notices, revision, host);
-	if (revision <= notices->revisions[document])
+	named_t *named = &notices->named[document];
+
+	if (!named->fetch_due_us || now < named->fetch_due_us)
 		return;
-	notices->revisions[document] = revision;
-	if (!notices->check_due_us)
-		notices->check_due_us =
-			cas_clock_now(notices->clock) + CONFIG_NOTICES_CHECK_US;
+	named->fetch_due_us = 0;
+	if (notices->ops->lacks(notices->private, document, named->revision))
+		notices->ops->fetch(notices->private, document, named->host);
 }
 
 void config_notices_tick(config_notices_t *notices)
@@ -80,11 +95,6 @@
 		    is_behind(notices, CONFIG_HOSTS))
 			notices->ops->check_source(notices->private);
 	}
-	if (notices->fetch_due_us && now >= notices->fetch_due_us) {
-		notices->fetch_due_us = 0;
-		if (config_store_revision(notices->store, CONFIG_TABLE) <
-		    notices->table_revision)
-			notices->ops->fetch_table(notices->private,
-						  notices->table_host);
-	}
+	fetch_if_due(notices, CONFIG_TABLE, now);
+	fetch_if_due(notices, CONFIG_HOSTS, now);
 }
--- a/packages/config/source.c
+++ b/packages/config/source.c
@@ -75,6 +75,18 @@
 					 : 0;
 }
 
+bool source_has_read_hosts(source_t *source, int64_t revision)
+{
+	return source->ops->has_read_hosts &&
+	       source->ops->has_read_hosts(source, revision);
+}
+
+int64_t source_delivery_delay(source_t *source)
+{
+	return source->ops->delivery_delay ? source->ops->delivery_delay(source)
+					   : 0;
+}
+
 void source_set_watching(source_t *source, bool watching)
 {
 	source->ops->set_watching(source, watching);
--- a/programs/cassiad/config.c
+++ b/programs/cassiad/config.c
@@ -233,19 +233,42 @@
 	source_check_now(daemon->source);
 }
 
-static void fetch_table(void *private, cas_id_t host)
+/* A host list that shows no later state of the platform than the source has read
+ * is not missing: the source numbers its own lists. */
+static bool lacks(void *private, config_document_t document, int64_t revision)
+{
+	const cassiad_t *daemon = private;
+
+	if (config_store_revision(daemon->store, document) >= revision)
+		return false;
+	return document == CONFIG_TABLE ||
+	       !source_has_read_hosts(daemon->source, revision);
+}
+
+static int64_t delivery_delay(void *private)
+{
+	const cassiad_t *daemon = private;
+
+	return source_delivery_delay(daemon->source);
+}
+
+static void fetch_document(void *private, config_document_t document,
+			   cas_id_t host)
 {
 	cassiad_t *daemon = private;
 
-	cas_log(CAS_LOG_INFO, "table_behind",
-		CAS_LOG_INT("revision", config_store_revision(daemon->store,
-							      CONFIG_TABLE)));
-	fetch_start(daemon, host, CONFIG_TABLE);
+	cas_log(CAS_LOG_INFO,
+		document == CONFIG_TABLE ? "table_behind" : "hosts_behind",
+		CAS_LOG_INT("revision",
+			    config_store_revision(daemon->store, document)));
+	fetch_start(daemon, host, document);
 }
 
 static const config_notices_ops_t notices_ops = {
+	.lacks = lacks,
+	.delivery_delay = delivery_delay,
 	.check_source = check_source,
-	.fetch_table = fetch_table,
+	.fetch = fetch_document,
 };
 
 void config_tick(cassiad_t *daemon)
@@ -337,8 +360,8 @@
 int config_start(cassiad_t *daemon)
 {
 	daemon->store = config_store_create(daemon, &store_ops, daemon);
-	daemon->notices = config_notices_create(
-		daemon, daemon->clock, daemon->store, &notices_ops, daemon);
+	daemon->notices = config_notices_create(daemon, daemon->clock,
+						&notices_ops, daemon);
 	return daemon->store && daemon->notices ? 0 : CONFIG_ENOMEM;
 }
 
