--- a/packages/config/include/cassia/source.h
+++ b/packages/config/include/cassia/source.h
@@ -32,9 +32,6 @@
 	/* Returns whether the stored document has this text. */
 	bool (*holds)(void *private, config_document_t document,
 		      cas_str_t text);
-	/* Returns the stored host list (borrowed), or NULL if there is none.
-	 * May be NULL if the sink stores none. */
-	const roster_t *(*hosts)(void *private);
 } source_sink_t;
 
 /* Implementation of a kind of source; see the functions source_check_now to
--- a/packages/config/source.c
+++ b/packages/config/source.c
@@ -36,17 +36,11 @@
 	return roster && cas_str_equal(roster->source, text);
 }
 
-static const roster_t *store_hosts(void *private)
-{
-	return config_store_roster(private);
-}
-
 const source_sink_t source_store_sink = {
 	.revision = store_revision,
 	.offer = store_offer,
 	.failed = store_failed,
 	.holds = store_holds,
-	.hosts = store_hosts,
 };
 
 void source_check_now(source_t *source)
