Answer the heartbeats of hosts that have left the host list

The entry of an upstream is removed while its daemon still serves callers.

Peers keep a host that was taken off the list for a minute and answer its heartbeats, which name their revisions. All other calls, such as those for quota, stay closed to it. test_departed_host failed before.

--- a/packages/peer/include/cassia/peer.h
+++ b/packages/peer/include/cassia/peer.h
@@ -24,6 +24,10 @@
 /* Procedure numbers are 0 to PEER_PROC_COUNT - 1. */
 #define PEER_PROC_COUNT 16
 
+/* How long the daemon of a host that was taken off the host list may still make
+ * the calls that are open to it: longer than it takes a host to leave. */
+#define PEER_DEPARTED_KEEP_US (60 * CAS_USEC_PER_SEC)
+
 /* The endpoint of the own daemon, which talks to all other daemons. */
 typedef struct peer peer_t;
 
@@ -52,6 +56,8 @@
 	void (*on_reply)(cas_id_t from, uint64_t incarnation, void *reply,
 			 void *private_data);
 	void *private_data;
+	/* Hosts that have been taken off the host list may call it. */
+	bool is_open_to_departed;
 } peer_proc_t;
 
 /* Datagrams and bytes (UDP payload) since peer_create. A received datagram is
--- a/packages/peer/peer.c
+++ b/packages/peer/peer.c
@@ -32,10 +32,11 @@
 	int64_t sent_us;
 } pending_call_t;
 
-/* A host of the host list and its replay window. */
+/* A host that is or was in the host list, and its replay window. */
 typedef struct remote {
 	cas_id_t id;
 	struct sockaddr_in address;
+	int64_t departed_us; /* when it was taken off the list, 0: listed */
 	peer_window_t window;
 } remote_t;
 
@@ -71,7 +72,7 @@
 	return (id > other) - (id < other);
 }
 
-/* Returns a borrowed pointer, or NULL when the host is not in the list. */
+/* Returns a borrowed pointer, or NULL when the host is unknown. */
 static remote_t *find_remote(const peer_t *peer, cas_id_t id)
 {
 	if (!peer->remote_count)
@@ -80,6 +81,17 @@
 		       sizeof(*peer->remotes), compare_id_to_remote);
 }
 
+/* Comparison function of qsort. */
+static int compare_remotes(const void *a, const void *b)
+{
+	return compare_id_to_remote(&((const remote_t *)a)->id, b);
+}
+
+static bool has_departed(const remote_t *remote)
+{
+	return remote->departed_us != 0;
+}
+
 /* Counts a datagram that was dropped for the given error. */
 static void count_dropped(peer_t *peer, int error)
 {
@@ -136,7 +148,7 @@
 	uint8_t data[PEER_MAX_BYTES];
 	int len;
 
-	if (!remote)
+	if (!remote || has_departed(remote))
 		return PEER_EHOST;
 	if (proc >= PEER_PROC_COUNT || !peer->procs[proc].args_xdr)
 		return PEER_EINVAL;
@@ -178,6 +190,12 @@
 	send_datagram(peer, source, data, (size_t)len);
 }
 
+static bool is_open_to_departed(const peer_t *peer, const peer_call_t *call)
+{
+	return call->proc < PEER_PROC_COUNT &&
+	       peer->procs[call->proc].is_open_to_departed;
+}
+
 /* Returns 0, or the error for which the datagram is dropped. */
 static int handle_call(peer_t *peer, const uint8_t *data, size_t len,
 		       const struct sockaddr_in *source)
@@ -194,7 +212,8 @@
 	if (offset < 0)
 		return offset;
 	remote = find_remote(peer, call.from);
-	if (!remote)
+	if (!remote ||
+	    (has_departed(remote) && !is_open_to_departed(peer, &call)))
 		return PEER_EHOST;
 	error = peer_window_accept(&remote->window, call.incarnation,
 				   call.sequence);
@@ -367,10 +386,35 @@
 	return ntohs(address.sin_port);
 }
 
+/* Appends the earlier remotes that are not among the listed ones and have not been
+ * away for too long. Returns the new count. */
+static size_t add_departed(const peer_t *peer, remote_t *remotes,
+			   size_t listed_count)
+{
+	int64_t now = cas_clock_now(peer->clock);
+	size_t count = listed_count;
+
+	for (size_t i = 0; i < peer->remote_count; i++) {
+		const remote_t *previous = &peer->remotes[i];
+
+		if (bsearch(&previous->id, remotes, listed_count,
+			    sizeof(*remotes), compare_id_to_remote) ||
+		    (has_departed(previous) &&
+		     now - previous->departed_us >= PEER_DEPARTED_KEEP_US))
+			continue;
+		remotes[count] = *previous;
+		if (!has_departed(previous))
+			remotes[count].departed_us = now;
+		count++;
+	}
+	return count;
+}
+
 int peer_set_roster(peer_t *peer, const roster_t *roster)
 {
-	remote_t *remotes =
-		talloc_zero_array(peer, remote_t, roster->host_count);
+	remote_t *remotes = talloc_zero_array(
+		peer, remote_t, roster->host_count + peer->remote_count);
+	size_t count;
 
 	if (!remotes)
 		return PEER_ENOMEM;
@@ -381,15 +425,18 @@
 		if (previous)
 			remotes[i] = *previous;
 		remotes[i].id = host->id;
+		remotes[i].departed_us = 0;
 		remotes[i].address = (struct sockaddr_in){
 			.sin_family = AF_INET,
 			.sin_port = htons(host->control_port),
 			.sin_addr = host->address,
 		};
 	}
+	count = add_departed(peer, remotes, roster->host_count);
+	qsort(remotes, count, sizeof(*remotes), compare_remotes);
 	talloc_free(peer->remotes);
 	peer->remotes = remotes;
-	peer->remote_count = roster->host_count;
+	peer->remote_count = count;
 	return 0;
 }
 
--- a/packages/peer/tests/test_peer.c
+++ b/packages/peer/tests/test_peer.c
@@ -15,6 +15,7 @@
 #define HOSTS 3
 #define CAPTURE_MAX 256 /* datagrams */
 #define PROC 2 /* returns twice its argument */
+#define DEPARTED_PROC 3 /* the same, open to departed hosts */
 
 /* A datagram that was captured at the tap. */
 typedef struct datagram {
@@ -109,6 +110,7 @@
 				   .on_call = on_call,
 				   .on_reply = on_reply,
 				   .private_data = &f->hosts[index] };
+	peer_proc_t departed_proc = proc;
 	const peer_settings_t settings = {
 		.self = index + 1,
 		.incarnation = incarnation,
@@ -122,6 +124,10 @@
 		peer_create(f->ev, f->ev, f->clock, &settings, &error);
 	assert_non_null(f->hosts[index].peer);
 	assert_int_equal(peer_register(f->hosts[index].peer, PROC, &proc), 0);
+	departed_proc.is_open_to_departed = true;
+	assert_int_equal(peer_register(f->hosts[index].peer, DEPARTED_PROC,
+				       &departed_proc),
+			 0);
 	set_roster(f, index, HOSTS);
 }
 
@@ -191,14 +197,20 @@
 		f->captured[captured].len);
 }
 
-/* Sends a call and captures it. */
-static void call(fixture_t *f, size_t from, size_t to, uint64_t value)
+/* Sends a call of a procedure and captures it. */
+static void call_proc(fixture_t *f, size_t from, size_t to, uint32_t proc,
+		      uint64_t value)
 {
-	assert_int_equal(peer_send(f->hosts[from].peer, to + 1, PROC, &value),
+	assert_int_equal(peer_send(f->hosts[from].peer, to + 1, proc, &value),
 			 0);
 	capture(f);
 }
 
+static void call(fixture_t *f, size_t from, size_t to, uint64_t value)
+{
+	call_proc(f, from, to, PROC, value);
+}
+
 /* Captures a call of host 0 to host 1 and the reply to it, which is not
  * delivered. */
 static void exchange(fixture_t *f, uint64_t value)
@@ -380,24 +392,32 @@
 }
 
 /* Guards against a daemon that gets no answers while it still serves its
- * callers, because its host has been taken off the host list. */
+ * callers, because its host has been taken off the host list; and against one
+ * that stays known for ever or may make all calls. */
 static void test_departed_host(void **state)
 {
 	fixture_t *f = *state;
+	const peer_counters_t *counters = peer_counters(f->hosts[1].peer);
+	uint64_t value = 0;
 
 	set_roster(f, 1, 1);
-	call(f, 2, 1, 4);
+	call_proc(f, 2, 1, DEPARTED_PROC, 4);
 	deliver_captured(f, 1, f->count - 1);
 	assert_int_equal(f->hosts[1].calls, 1);
 	capture(f);
 	deliver_captured(f, 2, f->count - 1);
 	assert_int_equal(f->hosts[2].last_reply, 8);
-	cas_clock_advance(f->clock, 60 * CAS_USEC_PER_SEC);
-	set_roster(f, 1, 1);
 	call(f, 2, 1, 5);
 	deliver_captured(f, 1, f->count - 1);
+	assert_int_equal(counters->dropped_sender, 1);
+	assert_int_equal(peer_send(f->hosts[1].peer, 3, PROC, &value),
+			 PEER_EHOST);
+	cas_clock_advance(f->clock, PEER_DEPARTED_KEEP_US);
+	set_roster(f, 1, 1);
+	call_proc(f, 2, 1, DEPARTED_PROC, 6);
+	deliver_captured(f, 1, f->count - 1);
+	assert_int_equal(counters->dropped_sender, 2);
 	assert_int_equal(f->hosts[1].calls, 1);
-	assert_int_equal(peer_counters(f->hosts[1].peer)->dropped_sender, 1);
 }
 
 /* Guards against accepting senders that are not in the host list, unknown
--- a/programs/cassiad/control.c
+++ b/programs/cassiad/control.c
@@ -180,6 +180,7 @@
 		.on_call = on_beat,
 		.on_reply = on_beat_reply,
 		.private_data = control,
+		.is_open_to_departed = true,
 	};
 	const peer_proc_t notice = {
 		.args_xdr = (xdrproc_t)xdr_membership_notice,
