Ask another daemon while a fetch of a document hangs

Callers were refused, or served by an older table, while a daemon waited for a document from another one that had been killed, paused or cut off: one fetch of a document ran at a time, for up to 5 s. After 0.4 s another one may now start, of up to eight, and seeds are asked in turn.

--- a/programs/cassiad/daemon.h
+++ b/programs/cassiad/daemon.h
@@ -57,6 +57,12 @@
 	OWN_LISTING_GONE, /* the present list lacks it, an earlier one had it */
 } own_listing_t;
 
+/* Fetches of a document from other daemons. */
+typedef struct fetch_state {
+	int running;
+	int64_t started_us; /* the last one */
+} fetch_state_t;
+
 /* A revision that another daemon has named and this one lacks. */
 typedef struct missing_revision {
 	int64_t revision; /* the highest */
@@ -93,13 +99,14 @@
 	const roster_t *roster; /* the host list, borrowed from the store */
 	keys_t *keys;
 	missing_revision_t missing[CONFIG_DOCUMENT_COUNT];
-	bool fetch_running[CONFIG_DOCUMENT_COUNT]; /* from another daemon */
+	fetch_state_t fetches[CONFIG_DOCUMENT_COUNT];
 	/* Whose document is offered to the store, 0: that of the source. */
 	cas_id_t offering_host;
 	config_notices_t *notices; /* of newer revisions on other daemons */
 	/* Made at the first fetch by another daemon. */
 	compressed_document_t *compressed_documents[CONFIG_DOCUMENT_COUNT];
 	int64_t next_seed_fetch_us;
+	uint32_t next_seed; /* index in the settings */
 	int64_t leaving_since_us; /* own_listing is OWN_LISTING_LEAVING */
 	cas_timer_t *tick_timer;
 
--- a/programs/cassiad/fetch.c
+++ b/programs/cassiad/fetch.c
@@ -17,6 +17,10 @@
  * bytes, and a configuration of 1 MiB can have 45,000 keys. */
 #define DOCUMENT_MAX_BYTES ((size_t)4 * 1024 * 1024)
 #define FETCH_TIMEOUT_US (5 * CAS_USEC_PER_SEC)
+/* A daemon that was killed, paused or cut off does not end a fetch. So another one
+ * may start when the last one has run for this long; most take a few ms. */
+#define FETCH_PATIENCE_US (400 * CAS_USEC_PER_MSEC)
+#define FETCHES_MAX 8 /* of one document at a time */
 #define SEED_PERIOD_US (200 * CAS_USEC_PER_MSEC) /* between two fetches */
 #define MAC_HEADER "Cassia-Document-Mac"
 /* Stands for a seed, whose id is unknown. No host list has this id. */
@@ -204,7 +208,7 @@
 {
 	fetch_t *fetch = private;
 
-	fetch->daemon->fetch_running[fetch->document] = false;
+	fetch->daemon->fetches[fetch->document].running--;
 	if (!result->error && fetch->status == 200 && fetch->compressed)
 		verify_and_offer(fetch);
 	talloc_free(fetch);
@@ -228,13 +232,25 @@
 	return http_headers_add(headers, CAS_STR("Cassia-Context"), text);
 }
 
-/* Starts a fetch from an endpoint. receiver is 0 for a seed. */
-static void fetch_from(cassiad_t *daemon, config_document_t document,
+static bool may_start(const cassiad_t *daemon, config_document_t document)
+{
+	const fetch_state_t *state = &daemon->fetches[document];
+
+	return !state->running ||
+	       (state->running < FETCHES_MAX &&
+		cas_clock_now(daemon->clock) - state->started_us >=
+			FETCH_PATIENCE_US);
+}
+
+/* Starts a fetch from an endpoint, if one may start. receiver is 0 for a seed.
+ * Returns whether it was started. */
+static bool fetch_from(cassiad_t *daemon, config_document_t document,
 		       cas_id_t receiver, const settings_endpoint_t *endpoint)
 {
 	cas_str_t target = document_target(document);
 	fetch_t *fetch = talloc_zero(daemon, fetch_t);
 	http_headers_t *headers = fetch ? http_headers_create(fetch) : NULL;
+	fetch_state_t *state = &daemon->fetches[document];
 	const http_call_spec_t spec = {
 		.address = endpoint->address,
 		.port = endpoint->port,
@@ -245,7 +261,7 @@
 		.connect_timeout_us = CAS_USEC_PER_SEC,
 	};
 
-	if (!headers)
+	if (!headers || !may_start(daemon, document))
 		goto error;
 	fetch->daemon = daemon;
 	fetch->document = document;
@@ -256,11 +272,13 @@
 		http_call_start(daemon->peer_client, &spec, &fetch_ops, fetch);
 	if (!fetch->call)
 		goto error;
-	daemon->fetch_running[document] = true;
-	return;
+	state->running++;
+	state->started_us = cas_clock_now(daemon->clock);
+	return true;
 
 error:
 	talloc_free(fetch);
+	return false;
 }
 
 void fetch_start(cassiad_t *daemon, cas_id_t host, config_document_t document)
@@ -268,7 +286,7 @@
 	const roster_host_t *entry =
 		daemon->roster ? roster_find(daemon->roster, host) : NULL;
 
-	if (entry && !daemon->fetch_running[document])
+	if (entry)
 		fetch_from(daemon, document, host,
 			   &(settings_endpoint_t){ entry->address,
 						   entry->peer_port });
@@ -278,14 +296,20 @@
 {
 	const settings_t *settings = daemon->settings;
 	int64_t now = cas_clock_now(daemon->clock);
-	uint32_t index;
+	const settings_endpoint_t *seed;
+	bool started = false;
 
 	if (!settings->seed_count || now < daemon->next_seed_fetch_us)
 		return;
+	/* Daemons that start together begin with different seeds. */
+	if (!daemon->next_seed_fetch_us)
+		daemon->next_seed = cas_rng_below(
+			daemon->rng, (uint32_t)settings->seed_count);
 	daemon->next_seed_fetch_us = now + SEED_PERIOD_US;
-	index = cas_rng_below(daemon->rng, (uint32_t)settings->seed_count);
-	if (!daemon->roster && !daemon->fetch_running[CONFIG_HOSTS])
-		fetch_from(daemon, CONFIG_HOSTS, 0, &settings->seeds[index]);
-	if (!daemon->table && !daemon->fetch_running[CONFIG_TABLE])
-		fetch_from(daemon, CONFIG_TABLE, 0, &settings->seeds[index]);
+	seed = &settings->seeds[daemon->next_seed % settings->seed_count];
+	if (!daemon->roster)
+		started |= fetch_from(daemon, CONFIG_HOSTS, 0, seed);
+	if (!daemon->table)
+		started |= fetch_from(daemon, CONFIG_TABLE, 0, seed);
+	daemon->next_seed += started;
 }
