End the announcement of a drain that is learned late from a peer

A daemon that learned from a peer that its own upstream leaves took work for it for another second, so that others could learn of it; but they had known it before.

--- a/programs/cassiad/config.c
+++ b/programs/cassiad/config.c
@@ -106,6 +106,26 @@
 						       : OWN_LISTING_SERVING;
 }
 
+/* Returns for how long a newer revision of a document has been known to be
+ * missing, in microseconds. */
+static int64_t missing_us(const cassiad_t *daemon, config_document_t document)
+{
+	int64_t since_us = daemon->missing[document].since_us;
+
+	return since_us ? cas_clock_now(daemon->clock) - since_us : 0;
+}
+
+/* An announcement gives other daemons the time to learn that the upstream leaves.
+ * If this one learned it from them, and late, they have known it for as long. */
+static void begin_upstream_drain(cassiad_t *daemon)
+{
+	daemon->leaving_since_us = cas_clock_now(daemon->clock);
+	daemon_drain(daemon, DRAIN_GOAL_UPSTREAM);
+	if (daemon->offering_host &&
+	    missing_us(daemon, CONFIG_HOSTS) >= CONFIG_NOTICES_ANSWER_US)
+		drain_close_upstream(daemon->drain);
+}
+
 static void follow_own_listing(cassiad_t *daemon, own_listing_t previous)
 {
 	switch (daemon->own_listing) {
@@ -117,8 +137,7 @@
 						     DRAIN_SERVING);
 		return;
 	case OWN_LISTING_LEAVING:
-		daemon->leaving_since_us = cas_clock_now(daemon->clock);
-		daemon_drain(daemon, DRAIN_GOAL_UPSTREAM);
+		begin_upstream_drain(daemon);
 		return;
 	case OWN_LISTING_GONE:
 		drain_close_upstream(daemon->drain);
@@ -167,21 +186,6 @@
 		missing->revision = revision;
 }
 
-/* Returns how long a revision that is accepted now was known to be missing, in
- * microseconds. */
-static int64_t end_missing(cassiad_t *daemon, config_document_t document,
-			   int64_t revision)
-{
-	missing_revision_t *missing = &daemon->missing[document];
-	int64_t missing_us = missing->since_us ? cas_clock_now(daemon->clock) -
-							 missing->since_us
-					       : 0;
-
-	if (revision >= missing->revision)
-		missing->since_us = 0;
-	return missing_us;
-}
-
 /* Returns the name of the host that an accepted document comes from. */
 static cas_str_t origin_name(const cassiad_t *daemon)
 {
@@ -198,21 +202,23 @@
 static void log_accepted(cassiad_t *daemon, config_document_t document,
 			 int64_t revision)
 {
-	int64_t missing_us = end_missing(daemon, document, revision);
+	int64_t late_us = missing_us(daemon, document);
 	bool is_table = document == CONFIG_TABLE;
 
 	cas_hist_add(cas_metrics_hist(daemon->metrics,
 				      "cassia_document_missing_us",
 				      is_table ? "document=\"table\""
 					       : "document=\"hosts\""),
-		     missing_us);
+		     late_us);
 	cas_log(CAS_LOG_INFO, is_table ? "table_accepted" : "hosts_accepted",
 		CAS_LOG_INT("revision", revision),
 		CAS_LOG_STR("from", origin_name(daemon)),
-		CAS_LOG_INT("missing_us", missing_us),
+		CAS_LOG_INT("missing_us", late_us),
 		CAS_LOG_INT("hosts",
 			    daemon->roster ? (int64_t)daemon->roster->host_count
 					   : 0));
+	if (revision >= daemon->missing[document].revision)
+		daemon->missing[document].since_us = 0;
 }
 
 void config_on_newer_revision(cassiad_t *daemon, config_document_t document,
