Believe a peer's list while entries may only have lapsed

A daemon that the store answers again keeps removed entries for 2.2 s, because they may only have lapsed, and numbered its list above that of its peers. Daemons without the store copied it: upstreams that had left were listed again and got requests, without a mark if they had not announced it.

While it has such entries, a daemon now keeps a peer's list of the same state of the store. A daemon without the store no longer copies a list that shows no more of the store than it has read. test_doubt_after_an_outage failed before.

--- a/programs/cassiad/config.c
+++ b/programs/cassiad/config.c
@@ -221,9 +221,23 @@
 		daemon->missing[document].since_us = 0;
 }
 
+/* A host list that shows no later state of the platform than the source has read
+ * is not missing: the source numbers its own lists. */
+static bool lacks(void *private, config_document_t document, int64_t revision)
+{
+	const cassiad_t *daemon = private;
+
+	if (config_store_revision(daemon->store, document) >= revision)
+		return false;
+	return document == CONFIG_TABLE || !daemon->source ||
+	       !source_has_read_hosts(daemon->source, revision);
+}
+
 void config_on_newer_revision(cassiad_t *daemon, config_document_t document,
 			      int64_t revision, cas_id_t host)
 {
+	if (!lacks(daemon, document, revision))
+		return;
 	record_missing(daemon, document, revision);
 	if (!daemon->source || !source_is_reachable(daemon->source)) {
 		fetch_start(daemon, host, document);
@@ -239,18 +253,6 @@
 	source_check_now(daemon->source);
 }
 
-/* A host list that shows no later state of the platform than the source has read
- * is not missing: the source numbers its own lists. */
-static bool lacks(void *private, config_document_t document, int64_t revision)
-{
-	const cassiad_t *daemon = private;
-
-	if (config_store_revision(daemon->store, document) >= revision)
-		return false;
-	return document == CONFIG_TABLE ||
-	       !source_has_read_hosts(daemon->source, revision);
-}
-
 static int64_t delivery_delay(void *private)
 {
 	const cassiad_t *daemon = private;
