--- a/tests/test_path_stops.sh
+++ b/tests/test_path_stops.sh
@@ -130,4 +130,7 @@
 expect_equal "no call is cut by the stop of the entry" "0 0" "$CUT $LOST"
 expect_equal "every call is served during the stop of the entry" \
 	"$SENT" "$SERVED"
+[ "$SENT" = "$SERVED" ] ||
+	grep -H "event=request.*outcome=" "$SITE/e1.log" "$SITE/b1.log" |
+	grep -v "outcome=served" | tail -n 20
 [ "$FAILURES" -eq 0 ]
