--- a/packages/config/include/cassia/source.h
+++ b/packages/config/include/cassia/source.h
@@ -47,9 +47,9 @@
 	/* NULL: always false, as no source but the platform's names instances. */
 	bool (*has_left)(source_t *source, cas_str_t instance);
 	uint64_t (*change_count)(source_t *source); /* NULL: always 0 */
-	/* NULL: never, and at once. */
+	/* NULL: always false, so that a newer host list is always missing. */
 	bool (*has_read_hosts)(source_t *source, int64_t revision);
-	int64_t (*delivery_delay)(source_t *source);
+	int64_t (*delivery_delay)(source_t *source); /* NULL: always 0 */
 } source_ops_t;
 
 /* First member of the structure of every kind of source. */
--- a/packages/peer/peer.c
+++ b/packages/peer/peer.c
@@ -190,10 +190,15 @@
 	send_datagram(peer, source, data, (size_t)len);
 }
 
-static bool is_open_to_departed(const peer_t *peer, const peer_call_t *call)
+static bool may_call(const peer_t *peer, const remote_t *remote,
+		     const peer_call_t *call)
 {
+	if (!has_departed(remote))
+		return true;
 	return call->proc < PEER_PROC_COUNT &&
-	       peer->procs[call->proc].is_open_to_departed;
+	       peer->procs[call->proc].is_open_to_departed &&
+	       cas_clock_now(peer->clock) - remote->departed_us <
+		       PEER_DEPARTED_KEEP_US;
 }
 
 /* Returns 0, or the error for which the datagram is dropped. */
@@ -212,8 +217,7 @@
 	if (offset < 0)
 		return offset;
 	remote = find_remote(peer, call.from);
-	if (!remote ||
-	    (has_departed(remote) && !is_open_to_departed(peer, &call)))
+	if (!remote || !may_call(peer, remote, &call))
 		return PEER_EHOST;
 	error = peer_window_accept(&remote->window, call.incarnation,
 				   call.sequence);
--- a/packages/peer/tests/test_peer.c
+++ b/packages/peer/tests/test_peer.c
@@ -413,10 +413,13 @@
 	assert_int_equal(peer_send(f->hosts[1].peer, 3, PROC, &value),
 			 PEER_EHOST);
 	cas_clock_advance(f->clock, PEER_DEPARTED_KEEP_US);
-	set_roster(f, 1, 1);
 	call_proc(f, 2, 1, DEPARTED_PROC, 6);
 	deliver_captured(f, 1, f->count - 1);
 	assert_int_equal(counters->dropped_sender, 2);
+	set_roster(f, 1, 1);
+	call_proc(f, 2, 1, DEPARTED_PROC, 7);
+	deliver_captured(f, 1, f->count - 1);
+	assert_int_equal(counters->dropped_sender, 3);
 	assert_int_equal(f->hosts[1].calls, 1);
 }
 
--- a/programs/cassiad/config.c
+++ b/programs/cassiad/config.c
@@ -272,6 +272,16 @@
 	fetch_start(daemon, host, document);
 }
 
+/* Forgets what is no longer missing although no document was accepted: the source
+ * has read as far without a change of its own list. */
+static void update_missing(cassiad_t *daemon, config_document_t document)
+{
+	missing_revision_t *missing = &daemon->missing[document];
+
+	if (missing->since_us && !lacks(daemon, document, missing->revision))
+		missing->since_us = 0;
+}
+
 static const config_notices_ops_t notices_ops = {
 	.lacks = lacks,
 	.delivery_delay = delivery_delay,
@@ -289,6 +299,8 @@
 		source_set_watching(daemon->source, watching);
 	}
 	config_notices_tick(daemon->notices);
+	update_missing(daemon, CONFIG_TABLE);
+	update_missing(daemon, CONFIG_HOSTS);
 	if (!daemon->roster || !daemon->table) {
 		fetch_from_seed(daemon);
 		return;
--- a/programs/cassiad/fetch.c
+++ b/programs/cassiad/fetch.c
@@ -242,8 +242,8 @@
 			FETCH_PATIENCE_US);
 }
 
-/* Starts a fetch from an endpoint, if one may start. receiver is 0 for a seed.
- * Returns whether it was started. */
+/* Starts a fetch from an endpoint. receiver is 0 for a seed. Returns whether it was
+ * started. */
 static bool fetch_from(cassiad_t *daemon, config_document_t document,
 		       cas_id_t receiver, const settings_endpoint_t *endpoint)
 {
@@ -261,7 +261,7 @@
 		.connect_timeout_us = CAS_USEC_PER_SEC,
 	};
 
-	if (!headers || !may_start(daemon, document))
+	if (!headers)
 		goto error;
 	fetch->daemon = daemon;
 	fetch->document = document;
@@ -286,7 +286,7 @@
 	const roster_host_t *entry =
 		daemon->roster ? roster_find(daemon->roster, host) : NULL;
 
-	if (entry)
+	if (entry && may_start(daemon, document))
 		fetch_from(daemon, document, host,
 			   &(settings_endpoint_t){ entry->address,
 						   entry->peer_port });
@@ -307,9 +307,9 @@
 			daemon->rng, (uint32_t)settings->seed_count);
 	daemon->next_seed_fetch_us = now + SEED_PERIOD_US;
 	seed = &settings->seeds[daemon->next_seed % settings->seed_count];
-	if (!daemon->roster)
+	if (!daemon->roster && may_start(daemon, CONFIG_HOSTS))
 		started |= fetch_from(daemon, CONFIG_HOSTS, 0, seed);
-	if (!daemon->table)
+	if (!daemon->table && may_start(daemon, CONFIG_TABLE))
 		started |= fetch_from(daemon, CONFIG_TABLE, 0, seed);
 	daemon->next_seed += started;
 }
