--- a/tests/test_silent_seed.sh
+++ b/tests/test_silent_seed.sh
@@ -23,10 +23,7 @@
 	dc=${row#*:}
 	write_settings "$name" booking "${dc%:*}" "${row##*:}"
 	use_platform "$name"
-	for seed in 12 12 12 12 12 12 12 13; do
-		printf '[[seed]]\naddress = "%s"\nport = %s\n' \
-			"$NET.$seed" "$PEER_PORT" >> "$SITE/$name.toml"
-	done
+	add_seeds "$name" 12 12 12 12 12 12 12 13
 	start_daemon "$name"
 	eval "PID_${row##*:}=$PID"
 done
--- a/tools/site.sh
+++ b/tools/site.sh
@@ -370,6 +370,17 @@
 		"$SITE/$1.toml"
 }
 
+# add_seeds NAME NUMBER...: adds the daemons of hosts to the settings of a host as
+# its seeds.
+add_seeds() {
+	seeds_host=$1
+	shift
+	for seed in "$@"; do
+		printf '[[seed]]\naddress = "%s"\nport = %s\n' \
+			"$NET.$seed" "$PEER_PORT" >> "$SITE/$seeds_host.toml"
+	done
+}
+
 # start_load FILE ADDRESSES OPTIONS...: starts loadcall, which sends POST /book
 # on kept connections to the addresses and writes a line for each request to
 # $SITE/FILE. Sets PID.
