--- a/programs/cassiad/config.c
+++ b/programs/cassiad/config.c
@@ -8,6 +8,9 @@
 #include "fetch.h"
 #include "warm_up_watch.h"
 
+/* A host list that is copied from another daemon after it was missing for this
+ * long has reached the others before. */
+#define LATE_LIST_US (300 * CAS_USEC_PER_MSEC)
 /* Multiplier of the 64-bit FNV hash, for the digest of host ids. */
 #define FNV_PRIME UINT64_C(0x100000001b3)
 
@@ -122,7 +125,7 @@
 	daemon->leaving_since_us = cas_clock_now(daemon->clock);
 	daemon_drain(daemon, DRAIN_GOAL_UPSTREAM);
 	if (daemon->offering_host &&
-	    missing_us(daemon, CONFIG_HOSTS) >= CONFIG_NOTICES_ANSWER_US)
+	    missing_us(daemon, CONFIG_HOSTS) >= LATE_LIST_US)
 		drain_close_upstream(daemon->drain);
 }
 
