--- a/packages/config/include/cassia/source.h
+++ b/packages/config/include/cassia/source.h
@@ -34,6 +34,15 @@
 		      cas_str_t text);
 } source_sink_t;
 
+/* Calls of the platform since the start. */
+typedef struct source_counters {
+	int64_t calls; /* that have ended */
+	int64_t failed_calls;
+	int64_t dropped_calls; /* ended by this daemon before their reply */
+	int64_t received_bytes; /* of bodies */
+	int64_t wasted_bytes; /* received by failed and dropped calls */
+} source_counters_t;
+
 /* Implementation of a kind of source; see the functions source_check_now to
  * source_set_watching below. */
 typedef struct source_ops {
@@ -50,6 +59,8 @@
 	/* NULL: always false, so that a newer host list is always missing. */
 	bool (*has_read_hosts)(source_t *source, int64_t revision);
 	int64_t (*delivery_delay)(source_t *source); /* NULL: always 0 */
+	/* NULL: calls are not counted. */
+	const source_counters_t *(*counters)(source_t *source);
 } source_ops_t;
 
 /* First member of the structure of every kind of source. */
@@ -116,6 +127,10 @@
  * microseconds. */
 int64_t source_delivery_delay(source_t *source);
 
+/* Returns the calls of the platform (borrowed from the source), or NULL if the
+ * source does not count them. */
+const source_counters_t *source_counters(source_t *source);
+
 /* Makes this daemon a watcher (true) or a reader (false). */
 void source_set_watching(source_t *source, bool watching);
 
--- a/packages/config/source.c
+++ b/packages/config/source.c
@@ -81,6 +81,11 @@
 					   : 0;
 }
 
+const source_counters_t *source_counters(source_t *source)
+{
+	return source->ops->counters ? source->ops->counters(source) : NULL;
+}
+
 void source_set_watching(source_t *source, bool watching)
 {
 	source->ops->set_watching(source, watching);
--- a/programs/cassiad/config.c
+++ b/programs/cassiad/config.c
@@ -432,3 +432,21 @@
 	}
 	source_check_now(daemon->source);
 }
+
+void config_set_metrics(cassiad_t *daemon)
+{
+	const source_counters_t *counters = source_counters(daemon->source);
+
+	if (!counters)
+		return;
+	cas_metrics_set(daemon->metrics, "cassia_source_calls_total", "",
+			counters->calls);
+	cas_metrics_set(daemon->metrics, "cassia_source_failed_calls_total", "",
+			counters->failed_calls);
+	cas_metrics_set(daemon->metrics, "cassia_source_dropped_calls_total",
+			"", counters->dropped_calls);
+	cas_metrics_set(daemon->metrics, "cassia_source_received_bytes_total",
+			"", counters->received_bytes);
+	cas_metrics_set(daemon->metrics, "cassia_source_wasted_bytes_total", "",
+			counters->wasted_bytes);
+}
--- a/programs/cassiad/daemon.h
+++ b/programs/cassiad/daemon.h
@@ -193,6 +193,9 @@
  * notices; called every 100 ms. */
 void config_tick(cassiad_t *daemon);
 
+/* Sets the metrics of the calls of the platform. */
+void config_set_metrics(cassiad_t *daemon);
+
 /* Reads the settings file. Returns the settings (owned by ctx), or NULL after
  * logging the errors. */
 settings_t *config_read_settings(TALLOC_CTX *ctx, const char *path);
--- a/programs/cassiad/operator_server.c
+++ b/programs/cassiad/operator_server.c
@@ -137,6 +137,7 @@
 	set_link_metrics(daemon);
 	set_placement_metrics(daemon);
 	control_set_metrics(daemon);
+	config_set_metrics(daemon);
 	processor_use_set_metrics(daemon);
 	if (headers)
 		http_headers_add(headers, CAS_STR("Content-Type"),
