Read the platform's store in one data centre of a region

Callers were handled by a version although a newer one had been acknowledged for over 3 s. Every daemon read every version from the store by itself, over the one link between the regions: 15 daemons with 342 kB each at 10 Mbit/s are 4.1 s, and the last one had the version 4.2 s after the first one near the store. Class of fault: what every daemon does for itself on a resource that does not grow with the fleet.

Membership has always elected watchers; the platform's source ignored them. Now only they follow the store, and those of one data centre do so for its region. The others take documents from their peers, compressed, and check the store's revision. Each change of the store gives the host list a new revision, so the list in force tells how far the readers have come. A follower that finds a revision which it does not hear of becomes a stand-in for 30 s; one that gets a message of a host that its list lacks reads the hosts again. A full read is made in stages, the hosts first, the configuration last, so that a daemon knows its peers before anybody reads a wide configuration.

Ruled out: a limit of the bytes per daemon (the sum still grows with the fleet), and a watch of the entries alone beside one of the configuration (two waiting calls per daemon).

--- a/packages/config/boot.c
+++ b/packages/config/boot.c
@@ -6,6 +6,9 @@
  * the process. No answer could be read during it, so it does not count towards
  * CONFIG_BOOT_WAIT_US. */
 #define PAUSE_MIN_US (2 * CONFIG_BOOT_RESEND_US)
+/* Answers of peers with a table that confirm the own one. Most daemons have the
+ * newest table; waiting for every peer would wait for those that are down. */
+#define TABLE_ANSWERS 3
 
 /* A peer that is asked, and its answer. */
 typedef struct boot_peer {
@@ -175,6 +178,19 @@
 	return boot->ready;
 }
 
+bool config_boot_has_fleet_table(const config_boot_t *boot)
+{
+	size_t wanted = boot->peer_count < TABLE_ANSWERS ? boot->peer_count
+							 : TABLE_ANSWERS;
+	size_t count = 0;
+
+	if (!has_both_documents(boot) || is_behind(boot, CONFIG_TABLE))
+		return false;
+	for (size_t i = 0; i < boot->peer_count; i++)
+		count += boot->peers[i].revisions[CONFIG_TABLE] > 0;
+	return count >= wanted;
+}
+
 /* Fetches a document if a peer has a newer one. A fetch that brought no
  * document is repeated, from another peer if one has the same revision. */
 static void send_fetch(config_boot_t *boot, config_document_t document,
--- a/packages/config/include/cassia/config_boot.h
+++ b/packages/config/include/cassia/config_boot.h
@@ -73,4 +73,12 @@
  */
 bool config_boot_ready(config_boot_t *boot);
 
+/*
+ * Returns whether the table is that of the fleet: some peers, or all of the
+ * selected ones if these are fewer, have answered that they have a table, and
+ * none of them has a newer one. It does not say whether the host list is the
+ * newest one.
+ */
+bool config_boot_has_fleet_table(const config_boot_t *boot);
+
 #endif
--- a/packages/config/include/cassia/source.h
+++ b/packages/config/include/cassia/source.h
@@ -46,19 +46,26 @@
 /* Implementation of a kind of source; see the functions source_check_now to
  * source_set_watching below. */
 typedef struct source_ops {
+	/* Daemons that do not watch find out when the watchers miss a change, so
+	 * that those of one data centre may watch for its region. */
+	bool watches_by_region;
 	void (*check_now)(source_t *source);
 	void (*set_watching)(source_t *source, bool watching);
 	/* NULL: always false, so that documents are also fetched from peers. */
 	bool (*is_reachable)(source_t *source);
 	/* NULL: always false, so that peers are asked when the daemon
 	 * starts. */
-	bool (*is_current)(source_t *source);
+	bool (*is_current)(source_t *source, config_document_t document);
 	/* NULL: always false, as no source but the platform's names instances. */
 	bool (*has_left)(source_t *source, cas_str_t instance);
 	uint64_t (*change_count)(source_t *source); /* NULL: always 0 */
 	/* NULL: always false, so that a newer host list is always missing. */
 	bool (*has_read_hosts)(source_t *source, int64_t revision);
 	int64_t (*delivery_delay)(source_t *source); /* NULL: always 0 */
+	/* NULL: the source does not need it. */
+	void (*hear_of_hosts)(source_t *source, int64_t revision);
+	void (*set_host_count)(source_t *source, size_t count); /* as above */
+	void (*refresh_hosts)(source_t *source); /* as above */
 	/* NULL: calls are not counted. */
 	const source_counters_t *(*counters)(source_t *source);
 } source_ops_t;
@@ -104,10 +111,10 @@
  * source instead of fetching the document from that daemon. */
 bool source_is_reachable(source_t *source);
 
-/* Returns true once the source has got every document that the platform had at
+/* Returns true once the source has got what the platform had of a document at
  * some time after the start of this process, so that peers need not be asked
  * for newer ones. */
-bool source_is_current(source_t *source);
+bool source_is_current(source_t *source, config_document_t document);
 
 /* Returns true when the source has read that an instance of an upstream leaves
  * or has left after an announcement, and no later message of it. A host list of
@@ -127,6 +134,20 @@
  * microseconds. */
 int64_t source_delivery_delay(source_t *source);
 
+bool source_watches_by_region(const source_t *source);
+
+/* Tells the source that another daemon has a host list of a revision, in force
+ * here or not. */
+void source_hear_of_hosts(source_t *source, int64_t revision);
+
+/* Tells the source that the host list in force may lack hosts, so that others may
+ * have a newer one that does not reach this daemon. */
+void source_refresh_hosts(source_t *source);
+
+/* Tells the source how many hosts the list in force has. What all daemons read
+ * together is limited. */
+void source_set_host_count(source_t *source, size_t count);
+
 /* Returns the calls of the platform (borrowed from the source), or NULL if the
  * source does not count them. */
 const source_counters_t *source_counters(source_t *source);
--- a/packages/config/source.c
+++ b/packages/config/source.c
@@ -48,9 +48,10 @@
 	source->ops->check_now(source);
 }
 
-bool source_is_current(source_t *source)
+bool source_is_current(source_t *source, config_document_t document)
 {
-	return source->ops->is_current && source->ops->is_current(source);
+	return source->ops->is_current &&
+	       source->ops->is_current(source, document);
 }
 
 bool source_is_reachable(source_t *source)
@@ -81,6 +82,29 @@
 					   : 0;
 }
 
+bool source_watches_by_region(const source_t *source)
+{
+	return source->ops->watches_by_region;
+}
+
+void source_hear_of_hosts(source_t *source, int64_t revision)
+{
+	if (source->ops->hear_of_hosts)
+		source->ops->hear_of_hosts(source, revision);
+}
+
+void source_refresh_hosts(source_t *source)
+{
+	if (source->ops->refresh_hosts)
+		source->ops->refresh_hosts(source);
+}
+
+void source_set_host_count(source_t *source, size_t count)
+{
+	if (source->ops->set_host_count)
+		source->ops->set_host_count(source, count);
+}
+
 const source_counters_t *source_counters(source_t *source)
 {
 	return source->ops->counters ? source->ops->counters(source) : NULL;
--- a/packages/peer/include/cassia/peer.h
+++ b/packages/peer/include/cassia/peer.h
@@ -60,6 +60,10 @@
 	bool is_open_to_departed;
 } peer_proc_t;
 
+/* Called for a signed call of a host that is not in the host list, which may be
+ * outdated then. The call itself is dropped; it may be a replayed one. */
+typedef void (*peer_stranger_t)(cas_id_t from, void *private_data);
+
 /* Datagrams and bytes (UDP payload) since peer_create. A received datagram is
  * also counted when it is dropped. */
 typedef struct peer_counters {
@@ -109,6 +113,10 @@
  * procedure number or a size is too large or an XDR filter is missing. */
 int peer_register(peer_t *peer, uint32_t proc, const peer_proc_t *handlers);
 
+/* Sets the handler of calls of unlisted hosts; NULL: none. */
+void peer_on_stranger(peer_t *peer, peer_stranger_t handler,
+		      void *private_data);
+
 /*
  * Sends one call. Returns 0, PEER_EHOST, PEER_EINVAL for a procedure without
  * handlers, PEER_EOVERSIZED, or PEER_ESOCKET when the kernel did not accept the
--- a/packages/peer/peer.c
+++ b/packages/peer/peer.c
@@ -51,6 +51,8 @@
 	pending_call_t pending[PENDING_CALL_COUNT]; /* slot: xid modulo count */
 	peer_proc_t procs[PEER_PROC_COUNT]; /* by procedure number */
 	peer_counters_t counters;
+	peer_stranger_t stranger; /* may be NULL */
+	void *stranger_private; /* argument of stranger */
 };
 
 uint64_t peer_incarnation_new(void)
@@ -217,6 +219,8 @@
 	if (offset < 0)
 		return offset;
 	remote = find_remote(peer, call.from);
+	if (!remote && peer->stranger)
+		peer->stranger(call.from, peer->stranger_private);
 	if (!remote || !may_call(peer, remote, &call))
 		return PEER_EHOST;
 	error = peer_window_accept(&remote->window, call.incarnation,
@@ -462,6 +466,12 @@
 	return 0;
 }
 
+void peer_on_stranger(peer_t *peer, peer_stranger_t handler, void *private_data)
+{
+	peer->stranger = handler;
+	peer->stranger_private = private_data;
+}
+
 const peer_counters_t *peer_counters(const peer_t *peer)
 {
 	return &peer->counters;
--- a/programs/cassiad/config.c
+++ b/programs/cassiad/config.c
@@ -2,6 +2,7 @@
  * them to the other components. */
 #include "cassia/log.h"
 #include "cassia/platform.h"
+#include "cassia/watching.h"
 #include "control.h"
 #include "stop.h"
 #include "daemon.h"
@@ -239,6 +240,8 @@
 void config_on_newer_revision(cassiad_t *daemon, config_document_t document,
 			      int64_t revision, cas_id_t host)
 {
+	if (document == CONFIG_HOSTS && daemon->source)
+		source_hear_of_hosts(daemon->source, revision);
 	if (!lacks(daemon, document, revision))
 		return;
 	record_missing(daemon, document, revision);
@@ -292,15 +295,36 @@
 	.fetch = fetch_document,
 };
 
+/* Returns whether the watchers of the own data centre watch the platform. */
+static bool watches_for_region(const cassiad_t *daemon)
+{
+	cas_id_t own = daemon_data_centre(daemon);
+
+	return !daemon->table || !daemon->roster ||
+	       !source_watches_by_region(daemon->source) ||
+	       watching_data_centre(daemon->table, daemon->roster, own) == own;
+}
+
+/* Tells the source whether this daemon watches the platform. */
+static void update_watching(cassiad_t *daemon)
+{
+	bool watching;
+
+	if (!daemon->source)
+		return;
+	watching = control_is_watcher(daemon) && watches_for_region(daemon);
+	if (watching == daemon->watches_platform)
+		return;
+	daemon->watches_platform = watching;
+	cas_log(CAS_LOG_INFO, "watching", CAS_LOG_INT("watching", watching));
+	source_set_watching(daemon->source, watching);
+}
+
 void config_tick(cassiad_t *daemon)
 {
 	uint64_t digest = 0;
-	bool watching = control_is_watcher(daemon);
 
-	if (watching != daemon->watches_platform && daemon->source) {
-		daemon->watches_platform = watching;
-		source_set_watching(daemon->source, watching);
-	}
+	update_watching(daemon);
 	config_notices_tick(daemon->notices);
 	update_missing(daemon, CONFIG_TABLE);
 	update_missing(daemon, CONFIG_HOSTS);
@@ -362,6 +386,10 @@
 	evacuation_follow(daemon, previous);
 	apply_own_listing(daemon);
 	config_apply(daemon);
+	if (daemon->source)
+		source_set_host_count(daemon->source, roster->host_count);
+	/* Before the source decides whether it goes on reading. */
+	update_watching(daemon);
 	log_accepted(daemon, CONFIG_HOSTS, roster->revision);
 }
 
--- a/programs/cassiad/control.c
+++ b/programs/cassiad/control.c
@@ -233,6 +233,17 @@
 	.fetch = fetch_boot_document,
 };
 
+/* A daemon with an outdated host list does not accept the messages that would
+ * tell it of a newer one. */
+static void on_stranger(cas_id_t from, void *private_data)
+{
+	const control_t *control = private_data;
+
+	(void)from;
+	if (control->daemon->source)
+		source_refresh_hosts(control->daemon->source);
+}
+
 void control_derive_fleet_secrets(const settings_t *settings,
 				  fleet_secrets_t *secrets)
 {
@@ -310,6 +321,7 @@
 		return PEER_ENOMEM;
 	set_quota_tolerance(control);
 	register_procedures(control);
+	peer_on_stranger(control->peer, on_stranger, control);
 	return 0;
 }
 
@@ -340,6 +352,18 @@
 	return membership_due < quota_due ? membership_due : quota_due;
 }
 
+/* Returns whether the documents are as new as the source, which spares the
+ * answers of all peers. */
+static bool documents_are_current(const control_t *control)
+{
+	const cassiad_t *daemon = control->daemon;
+
+	return daemon->table && daemon->roster &&
+	       source_is_current(daemon->source, CONFIG_HOSTS) &&
+	       (source_is_current(daemon->source, CONFIG_TABLE) ||
+		config_boot_has_fleet_table(control->boot));
+}
+
 void control_tick(cassiad_t *daemon)
 {
 	control_t *control = daemon->control;
@@ -353,8 +377,7 @@
 		return;
 	config_boot_tick(control->boot);
 	daemon->ready = config_boot_ready(control->boot) ||
-			(daemon->table && daemon->roster &&
-			 source_is_current(daemon->source));
+			documents_are_current(control);
 	if (daemon->ready)
 		cas_log(CAS_LOG_INFO, "ready",
 			CAS_LOG_INT("table_revision", daemon->table->revision),
