--- a/packages/config/tests/test_store.c
+++ b/packages/config/tests/test_store.c
@@ -211,6 +211,25 @@
 	assert_int_equal(config_boot_next_due(f->boot), INT64_MAX);
 }
 
+/* Guards against a table of the fleet that a daemon takes from a peer and does not
+ * use until all peers have answered, and against one that only peers without a
+ * table, or none, have confirmed. */
+static void test_boot_fleet_table(void **state)
+{
+	fixture_t *f = *state;
+	cas_id_t peer = start_boot(f);
+
+	assert_false(config_boot_has_fleet_table(f->boot));
+	offer_table(f, 4);
+	assert_false(config_boot_has_fleet_table(f->boot));
+	config_boot_answer(f->boot, peer, 0, 0);
+	assert_false(config_boot_has_fleet_table(f->boot));
+	config_boot_answer(f->boot, peer, 6, 0);
+	assert_false(config_boot_has_fleet_table(f->boot));
+	config_boot_answer(f->boot, peer, 4, 9);
+	assert_true(config_boot_has_fleet_table(f->boot));
+}
+
 /* Guards against a daemon that waits forever for peers that do not answer, or
  * serves without a table. */
 static void test_boot_wait_ends_after_two_seconds(void **state)
@@ -349,6 +368,7 @@
 		TEST(test_invalid_table_is_refused),
 		TEST(test_embedded_hosts_have_their_own_revision),
 		TEST(test_boot_waits_for_newest_revision),
+		TEST(test_boot_fleet_table),
 		TEST(test_boot_wait_ends_after_two_seconds),
 		TEST(test_boot_wait_excludes_a_pause),
 		TEST(test_boot_repeats_a_fetch),
--- a/packages/peer/tests/test_peer.c
+++ b/packages/peer/tests/test_peer.c
@@ -445,6 +445,35 @@
 	assert_int_equal(f->hosts[1].calls, 1);
 }
 
+static void on_stranger(cas_id_t from, void *private_data)
+{
+	*(cas_id_t *)private_data = from;
+}
+
+/* Guards against a daemon that does not notice that its host list is outdated, and
+ * against one that takes a forged call for a sign of it. */
+static void test_stranger(void **state)
+{
+	fixture_t *f = *state;
+	cas_id_t stranger = 0;
+
+	peer_on_stranger(f->hosts[1].peer, on_stranger, &stranger);
+	set_roster(f, 1, 2);
+	call(f, 0, 1, 1);
+	deliver_captured(f, 1, f->count - 1);
+	assert_int_equal(stranger, 0);
+	cas_clock_advance(f->clock, PEER_DEPARTED_KEEP_US);
+	set_roster(f, 1, 2);
+	call(f, 2, 1, 2);
+	f->captured[f->count - 1].data[f->captured[f->count - 1].len - 1] ^= 1;
+	deliver_captured(f, 1, f->count - 1);
+	assert_int_equal(stranger, 0);
+	call(f, 2, 1, 3);
+	deliver_captured(f, 1, f->count - 1);
+	assert_int_equal(stranger, 3);
+	assert_int_equal(f->hosts[1].calls, 1);
+}
+
 /* Guards against lost messages while a secret is replaced: at each step,
  * daemons that already use the new settings and daemons that do not yet use
  * them must accept each other's messages. */
@@ -514,6 +543,7 @@
 		cmocka_unit_test_setup_teardown(test_departed_host, setup,
 						teardown),
 		cmocka_unit_test_setup_teardown(test_unknown, setup, teardown),
+		cmocka_unit_test_setup_teardown(test_stranger, setup, teardown),
 		cmocka_unit_test_setup_teardown(test_secret_rotation, setup,
 						teardown),
 		cmocka_unit_test(test_fleet_sign),
