Let a document of another daemon arrive before it is fetched again

A fetch that had run for 0.4 s did not keep another one of the same document from starting, whether bytes arrived or not. Over a slow link up to eight of them shared it until each ended at its limit of 5 s. Same class as the reads of the store: a time limit that puts the same bytes on a full link again.

Another fetch now starts when none has brought bytes for 0.4 s. A fetch ends after 5 s without progress, and after 20 s in all.

--- a/programs/cassiad/daemon.h
+++ b/programs/cassiad/daemon.h
@@ -60,7 +60,7 @@
 /* Fetches of a document from other daemons. */
 typedef struct fetch_state {
 	int running;
-	int64_t started_us; /* the last one */
+	int64_t progress_us; /* when the last one began or brought bytes */
 } fetch_state_t;
 
 /* A revision that another daemon has named and this one lacks. */
--- a/programs/cassiad/fetch.c
+++ b/programs/cassiad/fetch.c
@@ -16,9 +16,11 @@
 /* Of a compressed document. The hash of a key hardly compresses: it keeps 32
  * bytes, and a configuration of 1 MiB can have 45,000 keys. */
 #define DOCUMENT_MAX_BYTES ((size_t)4 * 1024 * 1024)
-#define FETCH_TIMEOUT_US (5 * CAS_USEC_PER_SEC)
+#define FETCH_TIMEOUT_US (20 * CAS_USEC_PER_SEC)
+/* Limit of the time without progress. */
+#define FETCH_STALL_US (5 * CAS_USEC_PER_SEC)
 /* A daemon that was killed, paused or cut off does not end a fetch. So another one
- * may start when the last one has run for this long; most take a few ms. */
+ * may start when none has brought bytes for this long; most take a few ms. */
 #define FETCH_PATIENCE_US (400 * CAS_USEC_PER_MSEC)
 #define FETCHES_MAX 8 /* of one document at a time */
 #define SEED_PERIOD_US (200 * CAS_USEC_PER_MSEC) /* between two fetches */
@@ -34,6 +36,7 @@
 	config_document_t document;
 	cas_id_t host; /* that is asked, FETCH_SEED: a seed */
 	http_call_t *call;
+	cas_timer_t *stall_timer; /* ends a fetch without progress */
 	http_body_t *body; /* of the response */
 	char *compressed; /* received text, NULL: none yet */
 	size_t compressed_len;
@@ -161,11 +164,21 @@
 	fetch->compressed_len += available.len;
 }
 
+static void note_progress(fetch_t *fetch)
+{
+	cassiad_t *daemon = fetch->daemon;
+
+	daemon->fetches[fetch->document].progress_us =
+		cas_clock_now(daemon->clock);
+	cas_timer_arm(fetch->stall_timer, FETCH_STALL_US);
+}
+
 static void on_data(void *private)
 {
 	fetch_t *fetch = private;
 	char unused;
 
+	note_progress(fetch);
 	read_available(fetch);
 	/* After a read that returns 0, the data callback is called again. */
 	http_body_read(fetch->body, &unused, 0);
@@ -214,6 +227,15 @@
 	talloc_free(fetch);
 }
 
+static void on_stall(void *private)
+{
+	fetch_t *fetch = private;
+
+	http_call_cancel(fetch->call);
+	fetch->daemon->fetches[fetch->document].running--;
+	talloc_free(fetch);
+}
+
 static const http_call_ops_t fetch_ops = { .head = on_head, .done = on_done };
 
 static int add_context(cassiad_t *daemon, http_headers_t *headers,
@@ -238,7 +260,7 @@
 
 	return !state->running ||
 	       (state->running < FETCHES_MAX &&
-		cas_clock_now(daemon->clock) - state->started_us >=
+		cas_clock_now(daemon->clock) - state->progress_us >=
 			FETCH_PATIENCE_US);
 }
 
@@ -266,14 +288,17 @@
 	fetch->daemon = daemon;
 	fetch->document = document;
 	fetch->host = receiver ? receiver : FETCH_SEED;
-	if (add_context(daemon, headers, receiver, target))
+	fetch->stall_timer =
+		cas_timer_create(fetch, daemon->ev, on_stall, fetch);
+	if (!fetch->stall_timer ||
+	    add_context(daemon, headers, receiver, target))
 		goto error;
 	fetch->call =
 		http_call_start(daemon->peer_client, &spec, &fetch_ops, fetch);
 	if (!fetch->call)
 		goto error;
 	state->running++;
-	state->started_us = cas_clock_now(daemon->clock);
+	note_progress(fetch);
 	return true;
 
 error:
--- a/standins/relay.c
+++ b/standins/relay.c
@@ -3,7 +3,8 @@
  * on --address and --port and connects to --to-port of the same address.
  * SIGUSR1 makes it discard everything that arrives on the open connections from
  * then on without closing them; SIGUSR2 closes them with a reset to the side
- * that connected. Connections opened later work.
+ * that connected. Connections opened later work. With --rate, all connections
+ * together carry at most that many bytes a second, in both directions.
  */
 #include <arpa/inet.h>
 #include <glib.h>
@@ -16,6 +17,8 @@
 #include <unistd.h>
 
 #define READ_BYTES 65536
+/* What a connection carries at a time when there is a rate. */
+#define RATED_READ_BYTES 4096
 
 typedef struct conn {
 	int fds[2];
@@ -27,12 +30,15 @@
 static gchar *address = "127.0.0.1";
 static int port;
 static int to_port;
+static int rate; /* bytes a second, 0: no limit */
+static struct timeval free_at; /* when the relay has carried what it has read */
 static conn_t *conns;
 
 static const GOptionEntry options[] = {
 	{ "address", 0, 0, G_OPTION_ARG_STRING, &address, "", NULL },
 	{ "port", 0, 0, G_OPTION_ARG_INT, &port, "", NULL },
 	{ "to-port", 0, 0, G_OPTION_ARG_INT, &to_port, "", NULL },
+	{ "rate", 0, 0, G_OPTION_ARG_INT, &rate, "", NULL },
 	{ NULL, 0, 0, 0, NULL, NULL, NULL },
 };
 
@@ -50,21 +56,46 @@
 	talloc_free(conn);
 }
 
+static void on_carried(struct tevent_context *ev, struct tevent_timer *timer,
+		       struct timeval now, void *private)
+{
+	(void)ev;
+	(void)timer;
+	(void)now;
+	tevent_fd_set_flags(private, TEVENT_FD_READ);
+}
+
+/* Reads no more from a connection until the relay has carried len bytes. */
+static void pause_reading(struct tevent_context *ev, struct tevent_fd *event,
+			  size_t len)
+{
+	struct timeval now = tevent_timeval_current();
+
+	if (tevent_timeval_compare(&free_at, &now) < 0)
+		free_at = now;
+	free_at = tevent_timeval_add(&free_at, 0,
+				     (uint32_t)(len * 1000000 / (size_t)rate));
+	tevent_fd_set_flags(event, 0);
+	tevent_add_timer(ev, event, free_at, on_carried, event);
+}
+
 static void on_readable(struct tevent_context *ev, struct tevent_fd *event,
 			uint16_t flags, void *private)
 {
 	static char buffer[READ_BYTES];
 	conn_t *conn = private;
 	int source = event == conn->events[0] ? 0 : 1;
-	ssize_t len = recv(conn->fds[source], buffer, READ_BYTES, 0);
+	ssize_t len = recv(conn->fds[source], buffer,
+			   rate ? RATED_READ_BYTES : READ_BYTES, 0);
 
-	(void)ev;
 	(void)flags;
 	if (conn->silent && len > 0)
 		return;
 	if (len <= 0 || send(conn->fds[1 - source], buffer, (size_t)len,
 			     MSG_NOSIGNAL) != len)
 		conn_close(conn);
+	else if (rate)
+		pause_reading(ev, event, (size_t)len);
 }
 
 static struct sockaddr_in address_of(int tcp_port)
