Let an unlisted host read the platform, and others not because of it

Nobody tells an unlisted host of changes, and membership makes it a watcher; but the watchers of another data centre read for its region, so it did not. It kept its list from 13.6 to 27.4 s.

An unlisted host now reads by itself, except in its first 1.5 s if it has a table. A daemon that does not read no longer takes a list of its peers for one that its own reads cover.

--- a/packages/config/include/cassia/source.h
+++ b/packages/config/include/cassia/source.h
@@ -65,7 +65,7 @@
 	/* NULL: the source does not need it. */
 	void (*hear_of_hosts)(source_t *source, int64_t revision);
 	void (*set_host_count)(source_t *source, size_t count); /* as above */
-	void (*refresh_hosts)(source_t *source); /* as above */
+	bool (*refresh_hosts)(source_t *source); /* NULL: never */
 	/* NULL: calls are not counted. */
 	const source_counters_t *(*counters)(source_t *source);
 } source_ops_t;
@@ -141,8 +141,9 @@
 void source_hear_of_hosts(source_t *source, int64_t revision);
 
 /* Tells the source that the host list in force may lack hosts, so that others may
- * have a newer one that does not reach this daemon. */
-void source_refresh_hosts(source_t *source);
+ * have a newer one that does not reach this daemon. Returns whether the source
+ * reads the list because of this. */
+bool source_refresh_hosts(source_t *source);
 
 /* Tells the source how many hosts the list in force has. What all daemons read
  * together is limited. */
--- a/packages/config/source.c
+++ b/packages/config/source.c
@@ -93,10 +93,9 @@
 		source->ops->hear_of_hosts(source, revision);
 }
 
-void source_refresh_hosts(source_t *source)
+bool source_refresh_hosts(source_t *source)
 {
-	if (source->ops->refresh_hosts)
-		source->ops->refresh_hosts(source);
+	return source->ops->refresh_hosts && source->ops->refresh_hosts(source);
 }
 
 void source_set_host_count(source_t *source, size_t count)
--- a/packages/config/tests/test_watching.c
+++ b/packages/config/tests/test_watching.c
@@ -87,12 +87,52 @@
 	assert_int_equal(watching_data_centre(&site.table, &site.roster, 9), 9);
 }
 
+/* Guards against a daemon that nobody tells of changes, because the upstream of its
+ * host has ended, and that does not read the platform either; and against one that
+ * starts and reads a wide table that it has from a seed. */
+static void test_unlisted_host(void **state)
+{
+	site_t site;
+	watching_t watching;
+
+	(void)state;
+	make_site(&site);
+	watching = (watching_t){ &site.table, &site.roster, 99, 1, 0 };
+	assert_false(watching_reads(&watching));
+	watching.running_us = WATCHING_LISTING_WAIT_US;
+	assert_true(watching_reads(&watching));
+	watching.running_us = 0;
+	watching.table = NULL;
+	assert_true(watching_reads(&watching));
+	watching.roster = NULL;
+	assert_true(watching_reads(&watching));
+}
+
+/* Guards against listed hosts of which two data centres of a region read. */
+static void test_listed_hosts(void **state)
+{
+	size_t readers = 0;
+	site_t site;
+
+	(void)state;
+	make_site(&site);
+	for (cas_id_t id = 1; id <= DATA_CENTRES; id++) {
+		const watching_t watching = { &site.table, &site.roster,
+					      10 * id, id, 0 };
+
+		readers += watching_reads(&watching);
+	}
+	assert_int_equal(readers, 2);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_one_for_each_region),
 		cmocka_unit_test(test_hosts_that_leave),
 		cmocka_unit_test(test_unknown_data_centre),
+		cmocka_unit_test(test_unlisted_host),
+		cmocka_unit_test(test_listed_hosts),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/packages/config/watching.c
+++ b/packages/config/watching.c
@@ -1,4 +1,4 @@
-/* Choice of the data centre that reads for its region; see cassia/watching.h. */
+/* Choice of the watchers that read the platform; see cassia/watching.h. */
 #include "cassia/watching.h"
 
 #include "cassia/hash.h"
@@ -35,3 +35,16 @@
 	}
 	return chosen;
 }
+
+bool watching_reads(const watching_t *watching)
+{
+	if (!watching->roster)
+		return true;
+	if (!roster_find(watching->roster, watching->host))
+		return !watching->table ||
+		       watching->running_us >= WATCHING_LISTING_WAIT_US;
+	return !watching->table ||
+	       watching_data_centre(watching->table, watching->roster,
+				    watching->data_centre) ==
+		       watching->data_centre;
+}
--- a/programs/cassiad/config.c
+++ b/programs/cassiad/config.c
@@ -295,14 +295,20 @@
 	.fetch = fetch_document,
 };
 
-/* Returns whether the watchers of the own data centre watch the platform. */
-static bool watches_for_region(const cassiad_t *daemon)
+/* Returns whether this daemon watches the platform if it is one of the watchers of
+ * its data centre. */
+static bool watches_as_watcher(const cassiad_t *daemon)
 {
-	cas_id_t own = daemon_data_centre(daemon);
+	const watching_t watching = {
+		.table = daemon->table,
+		.roster = daemon->roster,
+		.host = daemon->settings->host_id,
+		.data_centre = daemon_data_centre(daemon),
+		.running_us = cas_clock_now(daemon->clock) - daemon->started_us,
+	};
 
-	return !daemon->table || !daemon->roster ||
-	       !source_watches_by_region(daemon->source) ||
-	       watching_data_centre(daemon->table, daemon->roster, own) == own;
+	return !source_watches_by_region(daemon->source) ||
+	       watching_reads(&watching);
 }
 
 /* Tells the source whether this daemon watches the platform. */
@@ -312,7 +318,7 @@
 
 	if (!daemon->source)
 		return;
-	watching = control_is_watcher(daemon) && watches_for_region(daemon);
+	watching = control_is_watcher(daemon) && watches_as_watcher(daemon);
 	if (watching == daemon->watches_platform)
 		return;
 	daemon->watches_platform = watching;
