Count unanswered notices of leaders over all revisions

Class of fault: a series of events that puts off what each of them alone would bring.

A daemon now keeps, for each host and for each other data centre, since when a notice is unanswered, and passes over leaders that have left one unanswered for 0.4 s, whatever has changed meanwhile.

--- a/packages/membership/beat.c
+++ b/packages/membership/beat.c
@@ -132,6 +132,7 @@
 	host = &m->host_states[index];
 	host->known = true;
 	host->last_direct_us = now;
+	host->notified_us = 0;
 	host->liveness_expire_us = now + MEMBERSHIP_LEASE_US;
 }
 
--- a/packages/membership/membership.c
+++ b/packages/membership/membership.c
@@ -113,6 +113,13 @@
 			remote_dc->hosts[remote_dc->count++] =
 				roster->hosts[i].id;
 	}
+	for (size_t i = 0; i < count; i++) {
+		const remote_dc_t *previous = find_remote_dc(
+			m->remote_dcs, m->remote_dc_count, remote_dcs[i].id);
+
+		if (previous)
+			remote_dcs[i].notified_us = previous->notified_us;
+	}
 	talloc_free(m->remote_dcs);
 	m->remote_dcs = remote_dcs;
 	m->remote_dc_count = count;
--- a/packages/membership/membership_internal.h
+++ b/packages/membership/membership_internal.h
@@ -59,6 +59,9 @@
 	int64_t reported_until_us;
 	/* When its last beat or reply to this daemon was received. */
 	int64_t last_direct_us;
+	/* When the first notice since it was last heard from was sent to it, 0:
+	 * none. */
+	int64_t notified_us;
 	/* The stamp in its last reply, by its own clock, and when that reply
 	 * was received (0: never). */
 	int64_t stamp_received_us;
@@ -77,6 +80,8 @@
 	size_t count; /* hosts */
 	cas_id_t *hosts; /* ids, ascending */
 	cas_id_t contact; /* gets the beats until one is unanswered; 0: none */
+	/* When the first notice since the last answer was sent there, 0: none. */
+	int64_t notified_us;
 } remote_dc_t;
 
 /* A host that gets a beat in the current period. */
--- a/packages/membership/notice.c
+++ b/packages/membership/notice.c
@@ -13,8 +13,9 @@
 /* Interval between rounds of notices, and the maximum number of rounds. */
 #define NOTICE_RETRY_US (200 * CAS_USEC_PER_MSEC)
 #define NOTICE_ATTEMPTS_MAX 8
-/* Rounds that leaders may leave unacknowledged. */
-#define LEADER_ATTEMPTS 2
+/* How long a leader may leave notices unanswered. Counted over all notices, as new
+ * revisions may come faster. */
+#define LEADER_ANSWER_US (400 * CAS_USEC_PER_MSEC)
 
 /* Adds a host to the targets, unless it is this host or already there. */
 static void add_notice_target(membership_t *m, cas_id_t to,
@@ -143,28 +144,36 @@
 	       m->host_states[index].roster_revision >= m->view->revision;
 }
 
-/* Returns true when a leader of a group, other than this daemon, has the
- * revisions. */
-static bool has_informed_leader(const membership_t *m, size_t group,
-				int64_t now)
+/* Returns false when a notice that was sent at notified_us, 0: none, should have
+ * been answered. */
+static bool is_answering(int64_t notified_us, int64_t now)
+{
+	return !notified_us || now - notified_us < LEADER_ANSWER_US;
+}
+
+/* Returns true when a leader of a group passes revisions on to all of it: this
+ * daemon if it is the only one, else one that answers. */
+static bool has_answering_leader(const membership_t *m, size_t group,
+				 int64_t now)
 {
 	leaders_t leaders;
 
 	membership_find_leaders(m, group, now, &leaders);
 	for (size_t i = 0; i < leaders.count; i++) {
-		const notice_target_t leader = {
-			.to = m->view->ids[leaders.indexes[i]]
-		};
+		size_t index = leaders.indexes[i];
+		bool is_self = (int)index == m->view->self_index;
 
-		if (leader.to != m->self_id && is_up_to_date(m, &leader))
+		if (is_self ? leaders.count == 1
+			    : is_answering(m->host_states[index].notified_us,
+					   now))
 			return true;
 	}
 	return false;
 }
 
-/* Adds the hosts of the groups whose leaders have not acknowledged the revisions,
- * or only the own group if this daemon reports to it. */
-static void add_uninformed_groups(membership_t *m, int64_t now)
+/* Adds the hosts of the groups whose leaders do not answer, or only the own group
+ * if this daemon reports to its leaders. */
+static void add_groups_without_leader(membership_t *m, int64_t now)
 {
 	size_t groups = membership_group_count(m->view->count);
 	bool is_reporting = m->is_reporting;
@@ -173,7 +182,7 @@
 		size_t end = membership_group_start(m->view->count, group + 1);
 
 		if ((is_reporting && group != membership_own_group(m)) ||
-		    has_informed_leader(m, group, now))
+		    has_answering_leader(m, group, now))
 			continue;
 		for (size_t i = membership_group_start(m->view->count, group);
 		     i < end; i++)
@@ -192,6 +201,19 @@
 	return false;
 }
 
+static void note_sent(membership_t *m, const notice_target_t *target,
+		      int64_t now)
+{
+	int index = membership_view_find(m->view, target->to);
+	int64_t *notified_us = target->remote_dc
+				       ? &target->remote_dc->notified_us
+			       : index >= 0 ? &m->host_states[index].notified_us
+					    : NULL;
+
+	if (notified_us && !*notified_us)
+		*notified_us = now;
+}
+
 void membership_notice_tick(membership_t *m, int64_t now)
 {
 	membership_notice notice;
@@ -202,8 +224,7 @@
 		m->next_notice_us = INT64_MAX;
 		return;
 	}
-	if (m->notice_attempts == LEADER_ATTEMPTS)
-		add_uninformed_groups(m, now);
+	add_groups_without_leader(m, now);
 	notice.roster_revision = m->view->revision;
 	notice.table_revision = m->table_revision;
 	m->next_notice_us = ++m->notice_attempts < NOTICE_ATTEMPTS_MAX
@@ -212,15 +233,16 @@
 	/* A send may call back into this module and replace the targets. */
 	for (size_t i = 0; i < m->notice_target_count; i++) {
 		notice_target_t *target = &m->notice_targets[i];
-		const remote_dc_t *remote_dc = target->remote_dc;
+		remote_dc_t *remote_dc = target->remote_dc;
 
 		if (is_up_to_date(m, target))
 			continue;
-		/* The leaders of other data centres are not known, so after two
-		 * attempts any host there is tried. */
-		if (remote_dc && m->notice_attempts > 2)
+		/* The leaders of other data centres are not known, so any host
+		 * there is tried if they do not answer. */
+		if (remote_dc && !is_answering(remote_dc->notified_us, now))
 			target->to = remote_dc->hosts[cas_rng_below(
 				m->rng, (uint32_t)remote_dc->count)];
+		note_sent(m, target, now);
 		m->ops->send_notice(target->to, &notice, m->private_data);
 	}
 }
@@ -241,12 +263,22 @@
 				uint64_t incarnation,
 				const membership_notice_reply *reply)
 {
+	int index = membership_view_find(m->view, from);
+	bool knows_all = m->view &&
+			 reply->table_revision >= m->table_revision &&
+			 reply->roster_revision >= m->view->revision;
+
 	(void)incarnation;
-	if (!m->view || reply->table_revision < m->table_revision ||
-	    reply->roster_revision < m->view->revision)
-		return;
+	if (index >= 0)
+		m->host_states[index].notified_us = 0;
 	for (size_t i = 0; i < m->notice_target_count; i++) {
-		if (m->notice_targets[i].to == from)
-			m->notice_targets[i].acknowledged = true;
+		notice_target_t *target = &m->notice_targets[i];
+
+		if (target->to != from)
+			continue;
+		if (target->remote_dc)
+			target->remote_dc->notified_us = 0;
+		if (knows_all)
+			target->acknowledged = true;
 	}
 }
--- a/packages/membership/tests/test_membership.c
+++ b/packages/membership/tests/test_membership.c
@@ -313,11 +313,14 @@
 
 /* Runs a network of which the first hosts of every group in the second data centre
  * end when the last host gets a table, and checks that all others have it after
- * limit_us. Groups have group_hosts hosts. */
+ * limit_us. Groups have group_hosts hosts. Further tables follow every period_us,
+ * 0: none. */
 static void run_without_leaders(size_t count, size_t dcs, size_t group_hosts,
-				int64_t limit_us, uint32_t seed)
+				int64_t limit_us, int64_t period_us,
+				uint32_t seed)
 {
 	network_t *net = net_create(count, dcs, seed);
+	int64_t revision = 1;
 
 	net->fetch_time_us = SEC / 5;
 	net_start_all(net);
@@ -325,7 +328,13 @@
 	for (size_t i = count / dcs; i < 2 * count / dcs; i++)
 		if (i % group_hosts < 2)
 			net_stop(&net->nodes[i]);
-	net_set_table(&net->nodes[count - 1], 1);
+	net_set_table(&net->nodes[count - 1], revision);
+	for (int64_t left_us = limit_us; period_us && left_us > period_us;
+	     left_us -= period_us) {
+		net_run(net, period_us);
+		limit_us -= period_us;
+		net_set_table(&net->nodes[count - 1], ++revision);
+	}
 	net_run(net, limit_us);
 	assert_int_equal(count_lacking(net, 1), 0);
 	net_destroy(net);
@@ -339,8 +348,10 @@
 {
 	(void)state;
 	for (uint32_t seed = 1; seed <= 20; seed++) {
-		run_without_leaders(80, 4, 5, 12 * SEC / 5, seed);
-		run_without_leaders(24, 6, 4, 7 * SEC / 5, seed);
+		run_without_leaders(80, 4, 5, 12 * SEC / 5, 0, seed);
+		run_without_leaders(80, 4, 5, 12 * SEC / 5, SEC / 10, seed);
+		run_without_leaders(24, 6, 4, 7 * SEC / 5, 0, seed);
+		run_without_leaders(24, 6, 4, 7 * SEC / 5, SEC / 10, seed);
 	}
 }
 
