Fetch a document from the own region where it is there soon

Walking the way of a table with its size, the fleet and the link as parameters showed that the copies between daemons have the fault of the reads too: every daemon that hears of a version from another region fetched it from there. In the simulated site of 680 daemons 55 copies of a document of 1 MiB crossed a link of 60 Mbit/s that is half in use, and it was not in force after 6 s.

A daemon whose source does not deliver now fetches at once only from its own region. For a document of another region it waits 0.2 to 0.8 s and 1 us for each byte of the one in force, in which the readers of its region get it over the same link. The random time keeps those apart that fetch it after all.

--- a/packages/config/include/cassia/config_notices.h
+++ b/packages/config/include/cassia/config_notices.h
@@ -1,17 +1,23 @@
 /*
  * What a daemon does when other daemons name newer revisions of the table or
- * the host list than it has, while its own source of documents is reachable.
+ * the host list than it has.
  *
- * The source usually delivers such a revision by itself. If it does not, it is
- * checked. A document that is still missing then is fetched from a daemon that
- * has it: the source may have gone silent without an error, or hold an older
+ * A source that delivers usually brings such a revision by itself. If it does not,
+ * it is checked. A document that is still missing then is fetched from a daemon
+ * that has it: the source may have gone silent without an error, or hold an older
  * table, for instance after the platform was restored from a copy.
+ *
+ * Without such a source, the document is fetched at once from a daemon that is near.
+ * One that is far is left out for a random time, in which the document usually
+ * comes near: otherwise the link between the regions would carry a copy for each
+ * daemon that hears of it from there.
  */
 #ifndef CASSIA_CONFIG_NOTICES_H
 #define CASSIA_CONFIG_NOTICES_H
 
 #include "cassia/clock.h"
 #include "cassia/config_store.h"
+#include "cassia/rng.h"
 
 /* Time in which the source usually delivers a revision that another daemon has
  * named, in addition to its own delay (see delivery_delay). */
@@ -20,6 +26,13 @@
  * what a daemon adds to the way of a revision from daemon to daemon. */
 #define CONFIG_NOTICES_ANSWER_US (300 * CAS_USEC_PER_MSEC)
 
+/* Shortest and longest time for which a small document is not fetched from afar,
+ * and what each byte adds: the readers of the region need the time to get it over
+ * the same link. */
+#define CONFIG_NOTICES_FAR_MIN_US (200 * CAS_USEC_PER_MSEC)
+#define CONFIG_NOTICES_FAR_MAX_US (800 * CAS_USEC_PER_MSEC)
+#define CONFIG_NOTICES_FAR_US_PER_BYTE 1
+
 typedef struct config_notices config_notices_t;
 
 /* Callbacks; private is the pointer passed to config_notices_create. */
@@ -28,6 +41,13 @@
 	 * a document. */
 	bool (*lacks)(void *private, config_document_t document,
 		      int64_t revision);
+	/* Returns whether the source gets each revision by itself. */
+	bool (*source_delivers)(void *private);
+	/* Returns whether a host is in the own region. */
+	bool (*is_near)(void *private, cas_id_t host);
+	/* Returns the size of the document in force, in bytes, 0: none. The next
+	 * one is mostly of about that size. */
+	int64_t (*size)(void *private, config_document_t document);
 	/* Returns for how long the source puts off its next read, in
 	 * microseconds. */
 	int64_t (*delivery_delay)(void *private);
@@ -37,12 +57,11 @@
 	void (*fetch)(void *private, config_document_t document, cas_id_t host);
 } config_notices_ops_t;
 
-/* Returns a new object (owned by ctx), or NULL when out of memory. clock and ops
- * are borrowed and must outlive it. */
-config_notices_t *config_notices_create(TALLOC_CTX *ctx,
-					const cas_clock_t *clock,
-					const config_notices_ops_t *ops,
-					void *private);
+/* Returns a new object (owned by ctx), or NULL when out of memory. clock, rng and
+ * ops are borrowed and must outlive it. */
+config_notices_t *
+config_notices_create(TALLOC_CTX *ctx, const cas_clock_t *clock, cas_rng_t *rng,
+		      const config_notices_ops_t *ops, void *private);
 
 /* Handles a notice that a host has a revision of a document. */
 void config_notices_add(config_notices_t *notices, config_document_t document,
--- a/packages/config/include/cassia/table.h
+++ b/packages/config/include/cassia/table.h
@@ -144,6 +144,11 @@
 /* Return the row with this id (borrowed from the table), or NULL. */
 const table_data_centre_t *table_find_data_centre(const table_t *table,
 						  cas_id_t id);
+
+/* Returns whether two data centres may be in one region: they are, or the table
+ * lacks one of them. */
+bool table_may_share_region(const table_t *table, cas_id_t first,
+			    cas_id_t second);
 const table_service_t *table_find_service(const table_t *table, cas_id_t id);
 const table_customer_t *table_find_customer(const table_t *table, cas_id_t id);
 const table_route_t *table_find_route(const table_t *table, cas_id_t id);
--- a/packages/config/notices.c
+++ b/packages/config/notices.c
@@ -13,22 +13,23 @@
 
 struct config_notices {
 	const cas_clock_t *clock;
+	cas_rng_t *rng;
 	const config_notices_ops_t *ops;
 	void *private;
 	named_t named[CONFIG_DOCUMENT_COUNT];
 	int64_t check_due_us; /* 0: no check is due */
 };
 
-config_notices_t *config_notices_create(TALLOC_CTX *ctx,
-					const cas_clock_t *clock,
-					const config_notices_ops_t *ops,
-					void *private)
+config_notices_t *
+config_notices_create(TALLOC_CTX *ctx, const cas_clock_t *clock, cas_rng_t *rng,
+		      const config_notices_ops_t *ops, void *private)
 {
 	config_notices_t *notices = talloc_zero(ctx, config_notices_t);
 
 	if (!notices)
 		return NULL;
 	notices->clock = clock;
+	notices->rng = rng;
 	notices->ops = ops;
 	notices->private = private;
 	return notices;
@@ -44,25 +45,59 @@
 	named->host = host;
 }
 
+/* Sets when a document is fetched. Later notices must not put off what is due. */
+static void set_fetch_due(named_t *named, int64_t due_us)
+{
+	if (!named->fetch_due_us)
+		named->fetch_due_us = due_us;
+}
+
+/* Waits for a source that delivers, and checks it. */
+static void wait_for_source(config_notices_t *notices, named_t *named,
+			    int64_t revision)
+{
+	int64_t check_us = cas_clock_now(notices->clock) +
+			   CONFIG_NOTICES_CHECK_US +
+			   notices->ops->delivery_delay(notices->private);
+
+	set_fetch_due(named, check_us + CONFIG_NOTICES_ANSWER_US);
+	if (revision <= named->highest)
+		return;
+	named->highest = revision;
+	if (!notices->check_due_us)
+		notices->check_due_us = check_us;
+}
+
+/* Waits for a daemon that is near to get a document from afar. */
+static void wait_for_near_host(config_notices_t *notices, named_t *named,
+			       config_document_t document)
+{
+	int64_t size = notices->ops->size(notices->private, document);
+	double range_us = CONFIG_NOTICES_FAR_MAX_US - CONFIG_NOTICES_FAR_MIN_US;
+	int64_t wait_us = CONFIG_NOTICES_FAR_MIN_US +
+			  size * CONFIG_NOTICES_FAR_US_PER_BYTE +
+			  (int64_t)(cas_rng_double(notices->rng) * range_us);
+
+	set_fetch_due(named, cas_clock_now(notices->clock) + wait_us);
+}
+
 void config_notices_add(config_notices_t *notices, config_document_t document,
 			int64_t revision, cas_id_t host)
 {
 	named_t *named = &notices->named[document];
-	int64_t check_us;
+	bool delivers = notices->ops->source_delivers(notices->private);
 
 	if (!notices->ops->lacks(notices->private, document, revision))
 		return;
-	check_us = cas_clock_now(notices->clock) + CONFIG_NOTICES_CHECK_US +
-		   notices->ops->delivery_delay(notices->private);
-	note_host(named, revision, host);
-	/* Later notices must not put off what is due. */
-	if (!named->fetch_due_us)
-		named->fetch_due_us = check_us + CONFIG_NOTICES_ANSWER_US;
-	if (revision <= named->highest)
+	if (!delivers && notices->ops->is_near(notices->private, host)) {
+		notices->ops->fetch(notices->private, document, host);
 		return;
-	named->highest = revision;
-	if (!notices->check_due_us)
-		notices->check_due_us = check_us;
+	}
+	note_host(named, revision, host);
+	if (delivers)
+		wait_for_source(notices, named, revision);
+	else
+		wait_for_near_host(notices, named, document);
 }
 
 /* Returns whether the highest revision that was named is still missing. */
--- a/packages/config/table.c
+++ b/packages/config/table.c
@@ -33,6 +33,15 @@
 			sizeof(*table->data_centres), id);
 }
 
+bool table_may_share_region(const table_t *table, cas_id_t first,
+			    cas_id_t second)
+{
+	const table_data_centre_t *a = table_find_data_centre(table, first);
+	const table_data_centre_t *b = table_find_data_centre(table, second);
+
+	return !a || !b || a->region_id == b->region_id;
+}
+
 const table_service_t *table_find_service(const table_t *table, cas_id_t id)
 {
 	return find_row(table->services, table->service_count,
--- a/packages/config/tests/test_notices.c
+++ b/packages/config/tests/test_notices.c
@@ -8,8 +8,10 @@
 	config_store_t *store;
 	cas_clock_t *clock; /* advanced by the tests */
 	config_notices_t *notices;
+	bool source_silent; /* the source delivers nothing */
 	bool hosts_read; /* the source has read all that the lists show */
 	int64_t delay_us; /* of the source */
+	int64_t size; /* of the documents in force, in bytes */
 	int checks; /* calls of check_source */
 	int fetches[CONFIG_DOCUMENT_COUNT];
 	cas_id_t fetched_from;
@@ -25,6 +27,24 @@
 	return config_store_revision(f->store, document) < revision;
 }
 
+static bool on_source_delivers(void *private)
+{
+	return !((fixture_t *)private)->source_silent;
+}
+
+/* Hosts below 100 are near. */
+static bool on_is_near(void *private, cas_id_t host)
+{
+	(void)private;
+	return host < 100;
+}
+
+static int64_t on_size(void *private, config_document_t document)
+{
+	(void)document;
+	return ((fixture_t *)private)->size;
+}
+
 static int64_t on_delivery_delay(void *private)
 {
 	return ((fixture_t *)private)->delay_us;
@@ -44,8 +64,15 @@
 }
 
 static const config_store_ops_t store_ops = { 0 };
-static const config_notices_ops_t notices_ops = { on_lacks, on_delivery_delay,
-						  on_check_source, on_fetch };
+static const config_notices_ops_t notices_ops = {
+	.lacks = on_lacks,
+	.source_delivers = on_source_delivers,
+	.is_near = on_is_near,
+	.size = on_size,
+	.delivery_delay = on_delivery_delay,
+	.check_source = on_check_source,
+	.fetch = on_fetch,
+};
 
 /* Offers the sample table with another revision. */
 static int offer_table(fixture_t *f, int revision)
@@ -63,7 +90,8 @@
 
 	f->store = config_store_create(f, &store_ops, f);
 	f->clock = cas_clock_create_manual(f, 1000);
-	f->notices = config_notices_create(f, f->clock, &notices_ops, f);
+	f->notices = config_notices_create(f, f->clock, cas_rng_create(f, 1),
+					   &notices_ops, f);
 	*state = f;
 	return offer_table(f, 5);
 }
@@ -210,6 +238,37 @@
 	assert_in_range(f->fetches[CONFIG_TABLE], 1, 10);
 }
 
+/* Guards against a daemon without a source of its own that fetches a document over
+ * the link between regions although one that is near has it, or that does not
+ * fetch it from there if none has. */
+static void test_document_from_afar(void **state)
+{
+	fixture_t *f = *state;
+
+	f->source_silent = true;
+	config_notices_add(f->notices, CONFIG_TABLE, 7, 131);
+	advance(f, CONFIG_NOTICES_FAR_MIN_US - 1);
+	assert_int_equal(f->fetches[CONFIG_TABLE], 0);
+	config_notices_add(f->notices, CONFIG_TABLE, 7, 31);
+	assert_int_equal(f->fetches[CONFIG_TABLE], 1);
+	assert_int_equal(f->fetched_from, 31);
+	offer_table(f, 7);
+	advance(f, CONFIG_NOTICES_FAR_MAX_US);
+	assert_int_equal(f->fetches[CONFIG_TABLE], 1);
+	config_notices_add(f->notices, CONFIG_TABLE, 8, 131);
+	advance(f, CONFIG_NOTICES_FAR_MAX_US);
+	assert_int_equal(f->fetches[CONFIG_TABLE], 2);
+	assert_int_equal(f->fetched_from, 131);
+	f->size = 1000000;
+	config_notices_add(f->notices, CONFIG_TABLE, 9, 131);
+	advance(f, CONFIG_NOTICES_FAR_MIN_US +
+			   f->size * CONFIG_NOTICES_FAR_US_PER_BYTE - 1);
+	assert_int_equal(f->fetches[CONFIG_TABLE], 2);
+	advance(f, CONFIG_NOTICES_FAR_MAX_US);
+	assert_int_equal(f->fetches[CONFIG_TABLE], 3);
+	assert_int_equal(f->checks, 0);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -229,6 +288,8 @@
 		cmocka_unit_test_setup_teardown(
 			test_host_list_that_the_source_has_read, setup,
 			teardown),
+		cmocka_unit_test_setup_teardown(test_document_from_afar, setup,
+						teardown),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/packages/membership/tests/network.h
+++ b/packages/membership/tests/network.h
@@ -86,6 +86,9 @@
 	uint32_t loss_permille; /* of messages */
 	uint32_t next_xid;
 	int64_t fetch_time_us; /* duration of a fetch */
+	/* Handles newer revisions instead of a fetch from the host; may be
+	 * NULL. */
+	void (*on_newer)(node_t *node, int64_t revision, cas_id_t host);
 };
 
 /* The default codec: plain XDR. */
@@ -181,7 +184,10 @@
 {
 	node_t *node = private_data;
 
-	(void)revision;
+	if (node->net->on_newer) {
+		node->net->on_newer(node, revision, host);
+		return;
+	}
 	if (node->fetch_end_us)
 		return;
 	node->fetch_from = host - 1;
--- a/programs/cassiad/config.c
+++ b/programs/cassiad/config.c
@@ -245,13 +245,37 @@
 	if (!lacks(daemon, document, revision))
 		return;
 	record_missing(daemon, document, revision);
-	if (!daemon->source || !source_is_reachable(daemon->source)) {
-		fetch_start(daemon, host, document);
-		return;
-	}
 	config_notices_add(daemon->notices, document, revision, host);
 }
 
+static bool source_delivers(void *private)
+{
+	const cassiad_t *daemon = private;
+
+	return daemon->source && source_is_reachable(daemon->source);
+}
+
+/* A host in a region that is not known may be reached over any link. */
+static bool is_near(void *private, cas_id_t host)
+{
+	const cassiad_t *daemon = private;
+	const roster_host_t *entry =
+		daemon->roster ? roster_find(daemon->roster, host) : NULL;
+
+	return !entry || !daemon->table ||
+	       table_may_share_region(daemon->table, entry->data_centre_id,
+				      daemon_data_centre(daemon));
+}
+
+static int64_t document_size(void *private, config_document_t document)
+{
+	const cassiad_t *daemon = private;
+
+	if (document == CONFIG_TABLE)
+		return daemon->table ? (int64_t)daemon->table->source.len : 0;
+	return daemon->roster ? (int64_t)daemon->roster->source.len : 0;
+}
+
 static void check_source(void *private)
 {
 	const cassiad_t *daemon = private;
@@ -271,10 +295,13 @@
 {
 	cassiad_t *daemon = private;
 
-	cas_log(CAS_LOG_INFO,
-		document == CONFIG_TABLE ? "table_behind" : "hosts_behind",
-		CAS_LOG_INT("revision",
-			    config_store_revision(daemon->store, document)));
+	if (source_delivers(daemon))
+		cas_log(CAS_LOG_INFO,
+			document == CONFIG_TABLE ? "table_behind"
+						 : "hosts_behind",
+			CAS_LOG_INT("revision",
+				    config_store_revision(daemon->store,
+							  document)));
 	fetch_start(daemon, host, document);
 }
 
@@ -290,6 +317,9 @@
 
 static const config_notices_ops_t notices_ops = {
 	.lacks = lacks,
+	.source_delivers = source_delivers,
+	.is_near = is_near,
+	.size = document_size,
 	.delivery_delay = delivery_delay,
 	.check_source = check_source,
 	.fetch = fetch_document,
@@ -417,8 +447,8 @@
 int config_start(cassiad_t *daemon)
 {
 	daemon->store = config_store_create(daemon, &store_ops, daemon);
-	daemon->notices = config_notices_create(daemon, daemon->clock,
-						&notices_ops, daemon);
+	daemon->notices = config_notices_create(
+		daemon, daemon->clock, daemon->rng, &notices_ops, daemon);
 	return daemon->store && daemon->notices ? 0 : CONFIG_ENOMEM;
 }
 
