Limit the calls of unlisted hosts in the peer module, and test it

The limit of once in 10 s for a host moves from the program to the module that sees the calls, where test_stranger_that_stays guards it. No decision changes.

--- a/packages/peer/include/cassia/peer.h
+++ b/packages/peer/include/cassia/peer.h
@@ -61,8 +61,11 @@
 } peer_proc_t;
 
 /* Called for a signed call of a host that is not in the host list, which may be
- * outdated then. The call itself is dropped; it may be a replayed one. */
-typedef void (*peer_stranger_t)(cas_id_t from, void *private_data);
+ * outdated then. The call itself is dropped; it may be a replayed one. Returns
+ * whether something was done about it. Further calls of the host are then ignored
+ * for PEER_STRANGER_PERIOD_US, as it may stay unlisted: its upstream has ended. */
+typedef bool (*peer_stranger_t)(cas_id_t from, void *private_data);
+#define PEER_STRANGER_PERIOD_US (10 * CAS_USEC_PER_SEC)
 
 /* Datagrams and bytes (UDP payload) since peer_create. A received datagram is
  * also counted when it is dropped. */
--- a/packages/peer/peer.c
+++ b/packages/peer/peer.c
@@ -40,6 +40,14 @@
 	peer_window_t window;
 } remote_t;
 
+/* An unlisted host whose calls are ignored for a while. */
+typedef struct stranger {
+	cas_id_t id;
+	int64_t ignored_until_us;
+} stranger_t;
+
+#define STRANGERS_MAX 8
+
 struct peer {
 	const cas_clock_t *clock;
 	peer_settings_t settings;
@@ -51,8 +59,10 @@
 	pending_call_t pending[PENDING_CALL_COUNT]; /* slot: xid modulo count */
 	peer_proc_t procs[PEER_PROC_COUNT]; /* by procedure number */
 	peer_counters_t counters;
-	peer_stranger_t stranger; /* may be NULL */
-	void *stranger_private; /* argument of stranger */
+	peer_stranger_t on_stranger; /* may be NULL */
+	void *stranger_private; /* argument of on_stranger */
+	stranger_t strangers[STRANGERS_MAX]; /* ring of those to be ignored */
+	size_t next_stranger;
 };
 
 uint64_t peer_incarnation_new(void)
@@ -203,6 +213,28 @@
 		       PEER_DEPARTED_KEEP_US;
 }
 
+static bool is_ignored(const peer_t *peer, cas_id_t stranger)
+{
+	int64_t now = cas_clock_now(peer->clock);
+
+	for (size_t i = 0; i < STRANGERS_MAX; i++)
+		if (peer->strangers[i].id == stranger &&
+		    now < peer->strangers[i].ignored_until_us)
+			return true;
+	return false;
+}
+
+static void report_stranger(peer_t *peer, cas_id_t id)
+{
+	if (!peer->on_stranger || is_ignored(peer, id) ||
+	    !peer->on_stranger(id, peer->stranger_private))
+		return;
+	peer->strangers[peer->next_stranger] =
+		(stranger_t){ id, cas_clock_now(peer->clock) +
+					  PEER_STRANGER_PERIOD_US };
+	peer->next_stranger = (peer->next_stranger + 1) % STRANGERS_MAX;
+}
+
 /* Returns 0, or the error for which the datagram is dropped. */
 static int handle_call(peer_t *peer, const uint8_t *data, size_t len,
 		       const struct sockaddr_in *source)
@@ -219,8 +251,8 @@
 	if (offset < 0)
 		return offset;
 	remote = find_remote(peer, call.from);
-	if (!remote && peer->stranger)
-		peer->stranger(call.from, peer->stranger_private);
+	if (!remote)
+		report_stranger(peer, call.from);
 	if (!remote || !may_call(peer, remote, &call))
 		return PEER_EHOST;
 	error = peer_window_accept(&remote->window, call.incarnation,
@@ -468,7 +500,7 @@
 
 void peer_on_stranger(peer_t *peer, peer_stranger_t handler, void *private_data)
 {
-	peer->stranger = handler;
+	peer->on_stranger = handler;
 	peer->stranger_private = private_data;
 }
 
--- a/packages/peer/tests/test_peer.c
+++ b/packages/peer/tests/test_peer.c
@@ -445,9 +445,35 @@
 	assert_int_equal(f->hosts[1].calls, 1);
 }
 
-static void on_stranger(cas_id_t from, void *private_data)
+/* What on_stranger is to return, and what it was called with. */
+typedef struct stranger {
+	bool is_handled;
+	int calls;
+	cas_id_t last;
+} stranger_t;
+
+static bool on_stranger(cas_id_t from, void *private_data)
+{
+	stranger_t *stranger = private_data;
+
+	stranger->calls++;
+	stranger->last = from;
+	return stranger->is_handled;
+}
+
+/* Makes host 2 unlisted at host 1, which has not listed it lately. */
+static void forget_host(fixture_t *f)
+{
+	set_roster(f, 1, 2);
+	cas_clock_advance(f->clock, PEER_DEPARTED_KEEP_US);
+	set_roster(f, 1, 2);
+}
+
+/* Sends a call of host 2 to host 1. */
+static void call_as_stranger(fixture_t *f)
 {
-	*(cas_id_t *)private_data = from;
+	call(f, 2, 1, 1);
+	deliver_captured(f, 1, f->count - 1);
 }
 
 /* Guards against a daemon that does not notice that its host list is outdated, and
@@ -455,25 +481,43 @@
 static void test_stranger(void **state)
 {
 	fixture_t *f = *state;
-	cas_id_t stranger = 0;
+	stranger_t stranger = { 0 };
+	datagram_t *forged;
 
 	peer_on_stranger(f->hosts[1].peer, on_stranger, &stranger);
-	set_roster(f, 1, 2);
+	forget_host(f);
 	call(f, 0, 1, 1);
 	deliver_captured(f, 1, f->count - 1);
-	assert_int_equal(stranger, 0);
-	cas_clock_advance(f->clock, PEER_DEPARTED_KEEP_US);
-	set_roster(f, 1, 2);
 	call(f, 2, 1, 2);
-	f->captured[f->count - 1].data[f->captured[f->count - 1].len - 1] ^= 1;
-	deliver_captured(f, 1, f->count - 1);
-	assert_int_equal(stranger, 0);
-	call(f, 2, 1, 3);
+	forged = &f->captured[f->count - 1];
+	forged->data[forged->len - 1] ^= 1;
 	deliver_captured(f, 1, f->count - 1);
-	assert_int_equal(stranger, 3);
+	assert_int_equal(stranger.calls, 0);
+	call_as_stranger(f);
+	assert_int_equal(stranger.calls, 1);
+	assert_int_equal(stranger.last, 3);
 	assert_int_equal(f->hosts[1].calls, 1);
 }
 
+/* Guards against a host that stays unlisted and whose heartbeats make all others
+ * read the host list again and again. */
+static void test_stranger_that_stays(void **state)
+{
+	fixture_t *f = *state;
+	stranger_t stranger = { 0 };
+
+	peer_on_stranger(f->hosts[1].peer, on_stranger, &stranger);
+	forget_host(f);
+	call_as_stranger(f);
+	stranger.is_handled = true;
+	for (int i = 0; i < 5; i++)
+		call_as_stranger(f);
+	assert_int_equal(stranger.calls, 2);
+	cas_clock_advance(f->clock, PEER_STRANGER_PERIOD_US);
+	call_as_stranger(f);
+	assert_int_equal(stranger.calls, 3);
+}
+
 /* Guards against lost messages while a secret is replaced: at each step,
  * daemons that already use the new settings and daemons that do not yet use
  * them must accept each other's messages. */
@@ -544,6 +588,8 @@
 						teardown),
 		cmocka_unit_test_setup_teardown(test_unknown, setup, teardown),
 		cmocka_unit_test_setup_teardown(test_stranger, setup, teardown),
+		cmocka_unit_test_setup_teardown(test_stranger_that_stays, setup,
+						teardown),
 		cmocka_unit_test_setup_teardown(test_secret_rotation, setup,
 						teardown),
 		cmocka_unit_test(test_fleet_sign),
--- a/programs/cassiad/control.c
+++ b/programs/cassiad/control.c
@@ -11,24 +11,12 @@
 #include "fetch.h"
 #include "tick.h"
 
-/* A host that is not listed, and from when on it is again a reason to read the
- * hosts: it may be that of an upstream that has ended, and stay unlisted. */
-typedef struct stranger {
-	cas_id_t id;
-	int64_t ignored_until_us;
-} stranger_t;
-
-#define STRANGERS_MAX 8
-#define STRANGER_PERIOD_US (10 * CAS_USEC_PER_SEC)
-
 struct control {
 	cassiad_t *daemon;
 	peer_t *peer; /* RPC over the control port */
 	membership_t *membership;
 	quota_t *quota;
 	config_boot_t *boot; /* check of revisions at the start */
-	stranger_t strangers[STRANGERS_MAX]; /* ring */
-	size_t next_stranger;
 };
 
 struct control_token_wait {
@@ -245,37 +233,15 @@
 	.fetch = fetch_boot_document,
 };
 
-static bool is_ignored_stranger(const control_t *control, cas_id_t id)
-{
-	int64_t now = cas_clock_now(control->daemon->clock);
-
-	for (size_t i = 0; i < STRANGERS_MAX; i++)
-		if (control->strangers[i].id == id &&
-		    now < control->strangers[i].ignored_until_us)
-			return true;
-	return false;
-}
-
-static void ignore_stranger(control_t *control, cas_id_t id)
-{
-	stranger_t *stranger = &control->strangers[control->next_stranger];
-
-	stranger->id = id;
-	stranger->ignored_until_us =
-		cas_clock_now(control->daemon->clock) + STRANGER_PERIOD_US;
-	control->next_stranger = (control->next_stranger + 1) % STRANGERS_MAX;
-}
-
 /* A daemon with an outdated host list does not accept the messages that would
  * tell it of a newer one. */
-static void on_stranger(cas_id_t from, void *private_data)
+static bool on_stranger(cas_id_t from, void *private_data)
 {
-	control_t *control = private_data;
+	const control_t *control = private_data;
 
-	if (!control->daemon->source || is_ignored_stranger(control, from))
-		return;
-	if (source_refresh_hosts(control->daemon->source))
-		ignore_stranger(control, from);
+	(void)from;
+	return control->daemon->source &&
+	       source_refresh_hosts(control->daemon->source);
 }
 
 void control_derive_fleet_secrets(const settings_t *settings,
