Use the field's terms for readers, regions and unlisted hosts

Renames only: fallback reader for stand-in, observe for hear of, unlisted host for stranger, own and other region for near and far. Unit tests of the modules pass as before.

--- a/packages/config/include/cassia/config_notices.h
+++ b/packages/config/include/cassia/config_notices.h
@@ -7,10 +7,10 @@
  * that has it: the source may have gone silent without an error, or hold an older
  * table, for instance after the platform was restored from a copy.
  *
- * Without such a source, the document is fetched at once from a daemon that is near.
- * One that is far is left out for a random time, in which the document usually
- * comes near: otherwise the link between the regions would carry a copy for each
- * daemon that hears of it from there.
+ * Without such a source, the document is fetched at once from a daemon of the own
+ * region. Daemons of other regions are asked after a random time, in which the
+ * document usually reaches the own region: otherwise the link between the regions
+ * would carry a copy for each daemon that learns of it from there.
  */
 #ifndef CASSIA_CONFIG_NOTICES_H
 #define CASSIA_CONFIG_NOTICES_H
@@ -26,12 +26,12 @@
  * what a daemon adds to the way of a revision from daemon to daemon. */
 #define CONFIG_NOTICES_ANSWER_US (300 * CAS_USEC_PER_MSEC)
 
-/* Shortest and longest time for which a small document is not fetched from afar,
+/* Shortest and longest time before a small document is fetched from another region,
  * and what each byte adds: the readers of the region need the time to get it over
  * the same link. */
-#define CONFIG_NOTICES_FAR_MIN_US (200 * CAS_USEC_PER_MSEC)
-#define CONFIG_NOTICES_FAR_MAX_US (800 * CAS_USEC_PER_MSEC)
-#define CONFIG_NOTICES_FAR_US_PER_BYTE 1
+#define CONFIG_NOTICES_REMOTE_MIN_US (200 * CAS_USEC_PER_MSEC)
+#define CONFIG_NOTICES_REMOTE_MAX_US (800 * CAS_USEC_PER_MSEC)
+#define CONFIG_NOTICES_REMOTE_US_PER_BYTE 1
 
 typedef struct config_notices config_notices_t;
 
@@ -44,7 +44,7 @@
 	/* Returns whether the source gets each revision by itself. */
 	bool (*source_delivers)(void *private);
 	/* Returns whether a host is in the own region. */
-	bool (*is_near)(void *private, cas_id_t host);
+	bool (*in_own_region)(void *private, cas_id_t host);
 	/* Returns the size of the document in force, in bytes, 0: none. The next
 	 * one is mostly of about that size. */
 	int64_t (*size)(void *private, config_document_t document);
--- a/packages/config/include/cassia/source.h
+++ b/packages/config/include/cassia/source.h
@@ -63,7 +63,7 @@
 	bool (*has_read_hosts)(source_t *source, int64_t revision);
 	int64_t (*delivery_delay)(source_t *source); /* NULL: always 0 */
 	/* NULL: the source does not need it. */
-	void (*hear_of_hosts)(source_t *source, int64_t revision);
+	void (*observe_hosts)(source_t *source, int64_t revision);
 	void (*set_host_count)(source_t *source, size_t count); /* as above */
 	bool (*refresh_hosts)(source_t *source); /* NULL: never */
 	/* NULL: calls are not counted. */
@@ -138,7 +138,7 @@
 
 /* Tells the source that another daemon has a host list of a revision, in force
  * here or not. */
-void source_hear_of_hosts(source_t *source, int64_t revision);
+void source_observe_hosts(source_t *source, int64_t revision);
 
 /* Tells the source that the host list in force may lack hosts, so that others may
  * have a newer one that does not reach this daemon. Returns whether the source
--- a/packages/config/notices.c
+++ b/packages/config/notices.c
@@ -68,14 +68,15 @@
 		notices->check_due_us = check_us;
 }
 
-/* Waits for a daemon that is near to get a document from afar. */
-static void wait_for_near_host(config_notices_t *notices, named_t *named,
-			       config_document_t document)
+/* Waits for a daemon of the own region to get a document from another one. */
+static void wait_for_own_region(config_notices_t *notices, named_t *named,
+				config_document_t document)
 {
 	int64_t size = notices->ops->size(notices->private, document);
-	double range_us = CONFIG_NOTICES_FAR_MAX_US - CONFIG_NOTICES_FAR_MIN_US;
-	int64_t wait_us = CONFIG_NOTICES_FAR_MIN_US +
-			  size * CONFIG_NOTICES_FAR_US_PER_BYTE +
+	double range_us =
+		CONFIG_NOTICES_REMOTE_MAX_US - CONFIG_NOTICES_REMOTE_MIN_US;
+	int64_t wait_us = CONFIG_NOTICES_REMOTE_MIN_US +
+			  size * CONFIG_NOTICES_REMOTE_US_PER_BYTE +
 			  (int64_t)(cas_rng_double(notices->rng) * range_us);
 
 	set_fetch_due(named, cas_clock_now(notices->clock) + wait_us);
@@ -89,7 +90,7 @@
 
 	if (!notices->ops->lacks(notices->private, document, revision))
 		return;
-	if (!delivers && notices->ops->is_near(notices->private, host)) {
+	if (!delivers && notices->ops->in_own_region(notices->private, host)) {
 		notices->ops->fetch(notices->private, document, host);
 		return;
 	}
@@ -97,7 +98,7 @@
 	if (delivers)
 		wait_for_source(notices, named, revision);
 	else
-		wait_for_near_host(notices, named, document);
+		wait_for_own_region(notices, named, document);
 }
 
 /* Returns whether the highest revision that was named is still missing. */
--- a/packages/config/source.c
+++ b/packages/config/source.c
@@ -87,10 +87,10 @@
 	return source->ops->watches_by_region;
 }
 
-void source_hear_of_hosts(source_t *source, int64_t revision)
+void source_observe_hosts(source_t *source, int64_t revision)
 {
-	if (source->ops->hear_of_hosts)
-		source->ops->hear_of_hosts(source, revision);
+	if (source->ops->observe_hosts)
+		source->ops->observe_hosts(source, revision);
 }
 
 bool source_refresh_hosts(source_t *source)
--- a/packages/config/tests/test_notices.c
+++ b/packages/config/tests/test_notices.c
@@ -32,8 +32,8 @@
 	return !((fixture_t *)private)->source_silent;
 }
 
-/* Hosts below 100 are near. */
-static bool on_is_near(void *private, cas_id_t host)
+/* Hosts below 100 are in the own region. */
+static bool on_in_own_region(void *private, cas_id_t host)
 {
 	(void)private;
 	return host < 100;
@@ -67,7 +67,7 @@
 static const config_notices_ops_t notices_ops = {
 	.lacks = on_lacks,
 	.source_delivers = on_source_delivers,
-	.is_near = on_is_near,
+	.in_own_region = on_in_own_region,
 	.size = on_size,
 	.delivery_delay = on_delivery_delay,
 	.check_source = on_check_source,
@@ -239,32 +239,32 @@
 }
 
 /* Guards against a daemon without a source of its own that fetches a document over
- * the link between regions although one that is near has it, or that does not
+ * the link between regions although one of its region has it, or that does not
  * fetch it from there if none has. */
-static void test_document_from_afar(void **state)
+static void test_document_of_another_region(void **state)
 {
 	fixture_t *f = *state;
 
 	f->source_silent = true;
 	config_notices_add(f->notices, CONFIG_TABLE, 7, 131);
-	advance(f, CONFIG_NOTICES_FAR_MIN_US - 1);
+	advance(f, CONFIG_NOTICES_REMOTE_MIN_US - 1);
 	assert_int_equal(f->fetches[CONFIG_TABLE], 0);
 	config_notices_add(f->notices, CONFIG_TABLE, 7, 31);
 	assert_int_equal(f->fetches[CONFIG_TABLE], 1);
 	assert_int_equal(f->fetched_from, 31);
 	offer_table(f, 7);
-	advance(f, CONFIG_NOTICES_FAR_MAX_US);
+	advance(f, CONFIG_NOTICES_REMOTE_MAX_US);
 	assert_int_equal(f->fetches[CONFIG_TABLE], 1);
 	config_notices_add(f->notices, CONFIG_TABLE, 8, 131);
-	advance(f, CONFIG_NOTICES_FAR_MAX_US);
+	advance(f, CONFIG_NOTICES_REMOTE_MAX_US);
 	assert_int_equal(f->fetches[CONFIG_TABLE], 2);
 	assert_int_equal(f->fetched_from, 131);
 	f->size = 1000000;
 	config_notices_add(f->notices, CONFIG_TABLE, 9, 131);
-	advance(f, CONFIG_NOTICES_FAR_MIN_US +
-			   f->size * CONFIG_NOTICES_FAR_US_PER_BYTE - 1);
+	advance(f, CONFIG_NOTICES_REMOTE_MIN_US +
+			   f->size * CONFIG_NOTICES_REMOTE_US_PER_BYTE - 1);
 	assert_int_equal(f->fetches[CONFIG_TABLE], 2);
-	advance(f, CONFIG_NOTICES_FAR_MAX_US);
+	advance(f, CONFIG_NOTICES_REMOTE_MAX_US);
 	assert_int_equal(f->fetches[CONFIG_TABLE], 3);
 	assert_int_equal(f->checks, 0);
 }
@@ -288,8 +288,8 @@
 		cmocka_unit_test_setup_teardown(
 			test_host_list_that_the_source_has_read, setup,
 			teardown),
-		cmocka_unit_test_setup_teardown(test_document_from_afar, setup,
-						teardown),
+		cmocka_unit_test_setup_teardown(test_document_of_another_region,
+						setup, teardown),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/packages/membership/tests/test_document_spread.c
+++ b/packages/membership/tests/test_document_spread.c
@@ -83,7 +83,7 @@
 	return is_watcher(((member_t *)private)->node);
 }
 
-static bool is_near(void *private, cas_id_t host)
+static bool in_own_region(void *private, cas_id_t host)
 {
 	const node_t *node = ((member_t *)private)->node;
 
@@ -122,7 +122,7 @@
 	node->fetch_from = host - 1;
 	node->fetch_end_us = FETCH_US + carry(&site->uplink_free_us[host - 1],
 					      now, bytes, HOST_LINK);
-	if (is_near(private, host))
+	if (in_own_region(private, host))
 		return;
 	site->link_copies++;
 	node->fetch_end_us +=
@@ -133,7 +133,7 @@
 static const config_notices_ops_t notices_ops = {
 	.lacks = lacks,
 	.source_delivers = source_delivers,
-	.is_near = is_near,
+	.in_own_region = in_own_region,
 	.size = size,
 	.delivery_delay = delivery_delay,
 	.check_source = check_source,
--- a/packages/peer/include/cassia/peer.h
+++ b/packages/peer/include/cassia/peer.h
@@ -63,9 +63,9 @@
 /* Called for a signed call of a host that is not in the host list, which may be
  * outdated then. The call itself is dropped; it may be a replayed one. Returns
  * whether something was done about it. Further calls of the host are then ignored
- * for PEER_STRANGER_PERIOD_US, as it may stay unlisted: its upstream has ended. */
-typedef bool (*peer_stranger_t)(cas_id_t from, void *private_data);
-#define PEER_STRANGER_PERIOD_US (10 * CAS_USEC_PER_SEC)
+ * for PEER_UNLISTED_PERIOD_US, as it may stay unlisted: its upstream has ended. */
+typedef bool (*peer_unlisted_t)(cas_id_t from, void *private_data);
+#define PEER_UNLISTED_PERIOD_US (10 * CAS_USEC_PER_SEC)
 
 /* Datagrams and bytes (UDP payload) since peer_create. A received datagram is
  * also counted when it is dropped. */
@@ -117,7 +117,7 @@
 int peer_register(peer_t *peer, uint32_t proc, const peer_proc_t *handlers);
 
 /* Sets the handler of calls of unlisted hosts; NULL: none. */
-void peer_on_stranger(peer_t *peer, peer_stranger_t handler,
+void peer_on_unlisted(peer_t *peer, peer_unlisted_t handler,
 		      void *private_data);
 
 /*
--- a/packages/peer/peer.c
+++ b/packages/peer/peer.c
@@ -41,12 +41,12 @@
 } remote_t;
 
 /* An unlisted host whose calls are ignored for a while. */
-typedef struct stranger {
+typedef struct unlisted_host {
 	cas_id_t id;
 	int64_t ignored_until_us;
-} stranger_t;
+} unlisted_host_t;
 
-#define STRANGERS_MAX 8
+#define UNLISTED_MAX 8
 
 struct peer {
 	const cas_clock_t *clock;
@@ -59,10 +59,11 @@
 	pending_call_t pending[PENDING_CALL_COUNT]; /* slot: xid modulo count */
 	peer_proc_t procs[PEER_PROC_COUNT]; /* by procedure number */
 	peer_counters_t counters;
-	peer_stranger_t on_stranger; /* may be NULL */
-	void *stranger_private; /* argument of on_stranger */
-	stranger_t strangers[STRANGERS_MAX]; /* ring of those to be ignored */
-	size_t next_stranger;
+	peer_unlisted_t on_unlisted; /* may be NULL */
+	void *unlisted_private; /* argument of on_unlisted */
+	unlisted_host_t
+		unlisted[UNLISTED_MAX]; /* ring of those to be ignored */
+	size_t next_unlisted;
 };
 
 uint64_t peer_incarnation_new(void)
@@ -213,26 +214,26 @@
 		       PEER_DEPARTED_KEEP_US;
 }
 
-static bool is_ignored(const peer_t *peer, cas_id_t stranger)
+static bool is_ignored(const peer_t *peer, cas_id_t host)
 {
 	int64_t now = cas_clock_now(peer->clock);
 
-	for (size_t i = 0; i < STRANGERS_MAX; i++)
-		if (peer->strangers[i].id == stranger &&
-		    now < peer->strangers[i].ignored_until_us)
+	for (size_t i = 0; i < UNLISTED_MAX; i++)
+		if (peer->unlisted[i].id == host &&
+		    now < peer->unlisted[i].ignored_until_us)
 			return true;
 	return false;
 }
 
-static void report_stranger(peer_t *peer, cas_id_t id)
+static void report_unlisted(peer_t *peer, cas_id_t id)
 {
-	if (!peer->on_stranger || is_ignored(peer, id) ||
-	    !peer->on_stranger(id, peer->stranger_private))
+	if (!peer->on_unlisted || is_ignored(peer, id) ||
+	    !peer->on_unlisted(id, peer->unlisted_private))
 		return;
-	peer->strangers[peer->next_stranger] =
-		(stranger_t){ id, cas_clock_now(peer->clock) +
-					  PEER_STRANGER_PERIOD_US };
-	peer->next_stranger = (peer->next_stranger + 1) % STRANGERS_MAX;
+	peer->unlisted[peer->next_unlisted] =
+		(unlisted_host_t){ id, cas_clock_now(peer->clock) +
+					       PEER_UNLISTED_PERIOD_US };
+	peer->next_unlisted = (peer->next_unlisted + 1) % UNLISTED_MAX;
 }
 
 /* Returns 0, or the error for which the datagram is dropped. */
@@ -252,7 +253,7 @@
 		return offset;
 	remote = find_remote(peer, call.from);
 	if (!remote)
-		report_stranger(peer, call.from);
+		report_unlisted(peer, call.from);
 	if (!remote || !may_call(peer, remote, &call))
 		return PEER_EHOST;
 	error = peer_window_accept(&remote->window, call.incarnation,
@@ -498,10 +499,10 @@
 	return 0;
 }
 
-void peer_on_stranger(peer_t *peer, peer_stranger_t handler, void *private_data)
+void peer_on_unlisted(peer_t *peer, peer_unlisted_t handler, void *private_data)
 {
-	peer->on_stranger = handler;
-	peer->stranger_private = private_data;
+	peer->on_unlisted = handler;
+	peer->unlisted_private = private_data;
 }
 
 const peer_counters_t *peer_counters(const peer_t *peer)
--- a/packages/peer/tests/test_peer.c
+++ b/packages/peer/tests/test_peer.c
@@ -445,20 +445,20 @@
 	assert_int_equal(f->hosts[1].calls, 1);
 }
 
-/* What on_stranger is to return, and what it was called with. */
-typedef struct stranger {
+/* What on_unlisted is to return, and what it was called with. */
+typedef struct unlisted_host {
 	bool is_handled;
 	int calls;
 	cas_id_t last;
-} stranger_t;
+} unlisted_host_t;
 
-static bool on_stranger(cas_id_t from, void *private_data)
+static bool on_unlisted(cas_id_t from, void *private_data)
 {
-	stranger_t *stranger = private_data;
+	unlisted_host_t *host = private_data;
 
-	stranger->calls++;
-	stranger->last = from;
-	return stranger->is_handled;
+	host->calls++;
+	host->last = from;
+	return host->is_handled;
 }
 
 /* Makes host 2 unlisted at host 1, which has not listed it lately. */
@@ -470,7 +470,7 @@
 }
 
 /* Sends a call of host 2 to host 1. */
-static void call_as_stranger(fixture_t *f)
+static void call_unlisted(fixture_t *f)
 {
 	call(f, 2, 1, 1);
 	deliver_captured(f, 1, f->count - 1);
@@ -478,13 +478,13 @@
 
 /* Guards against a daemon that does not notice that its host list is outdated, and
  * against one that takes a forged call for a sign of it. */
-static void test_stranger(void **state)
+static void test_call_of_an_unlisted_host(void **state)
 {
 	fixture_t *f = *state;
-	stranger_t stranger = { 0 };
+	unlisted_host_t host = { 0 };
 	datagram_t *forged;
 
-	peer_on_stranger(f->hosts[1].peer, on_stranger, &stranger);
+	peer_on_unlisted(f->hosts[1].peer, on_unlisted, &host);
 	forget_host(f);
 	call(f, 0, 1, 1);
 	deliver_captured(f, 1, f->count - 1);
@@ -492,30 +492,30 @@
 	forged = &f->captured[f->count - 1];
 	forged->data[forged->len - 1] ^= 1;
 	deliver_captured(f, 1, f->count - 1);
-	assert_int_equal(stranger.calls, 0);
-	call_as_stranger(f);
-	assert_int_equal(stranger.calls, 1);
-	assert_int_equal(stranger.last, 3);
+	assert_int_equal(host.calls, 0);
+	call_unlisted(f);
+	assert_int_equal(host.calls, 1);
+	assert_int_equal(host.last, 3);
 	assert_int_equal(f->hosts[1].calls, 1);
 }
 
 /* Guards against a host that stays unlisted and whose heartbeats make all others
  * read the host list again and again. */
-static void test_stranger_that_stays(void **state)
+static void test_host_that_stays_unlisted(void **state)
 {
 	fixture_t *f = *state;
-	stranger_t stranger = { 0 };
+	unlisted_host_t host = { 0 };
 
-	peer_on_stranger(f->hosts[1].peer, on_stranger, &stranger);
+	peer_on_unlisted(f->hosts[1].peer, on_unlisted, &host);
 	forget_host(f);
-	call_as_stranger(f);
-	stranger.is_handled = true;
+	call_unlisted(f);
+	host.is_handled = true;
 	for (int i = 0; i < 5; i++)
-		call_as_stranger(f);
-	assert_int_equal(stranger.calls, 2);
-	cas_clock_advance(f->clock, PEER_STRANGER_PERIOD_US);
-	call_as_stranger(f);
-	assert_int_equal(stranger.calls, 3);
+		call_unlisted(f);
+	assert_int_equal(host.calls, 2);
+	cas_clock_advance(f->clock, PEER_UNLISTED_PERIOD_US);
+	call_unlisted(f);
+	assert_int_equal(host.calls, 3);
 }
 
 /* Guards against lost messages while a secret is replaced: at each step,
@@ -587,9 +587,10 @@
 		cmocka_unit_test_setup_teardown(test_departed_host, setup,
 						teardown),
 		cmocka_unit_test_setup_teardown(test_unknown, setup, teardown),
-		cmocka_unit_test_setup_teardown(test_stranger, setup, teardown),
-		cmocka_unit_test_setup_teardown(test_stranger_that_stays, setup,
-						teardown),
+		cmocka_unit_test_setup_teardown(test_call_of_an_unlisted_host,
+						setup, teardown),
+		cmocka_unit_test_setup_teardown(test_host_that_stays_unlisted,
+						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_secret_rotation, setup,
 						teardown),
 		cmocka_unit_test(test_fleet_sign),
--- a/programs/cassiad/config.c
+++ b/programs/cassiad/config.c
@@ -241,7 +241,7 @@
 			      int64_t revision, cas_id_t host)
 {
 	if (document == CONFIG_HOSTS && daemon->source)
-		source_hear_of_hosts(daemon->source, revision);
+		source_observe_hosts(daemon->source, revision);
 	if (!lacks(daemon, document, revision))
 		return;
 	record_missing(daemon, document, revision);
@@ -256,7 +256,7 @@
 }
 
 /* A host in a region that is not known may be reached over any link. */
-static bool is_near(void *private, cas_id_t host)
+static bool in_own_region(void *private, cas_id_t host)
 {
 	const cassiad_t *daemon = private;
 	const roster_host_t *entry =
@@ -318,7 +318,7 @@
 static const config_notices_ops_t notices_ops = {
 	.lacks = lacks,
 	.source_delivers = source_delivers,
-	.is_near = is_near,
+	.in_own_region = in_own_region,
 	.size = document_size,
 	.delivery_delay = delivery_delay,
 	.check_source = check_source,
--- a/programs/cassiad/control.c
+++ b/programs/cassiad/control.c
@@ -235,7 +235,7 @@
 
 /* A daemon with an outdated host list does not accept the messages that would
  * tell it of a newer one. */
-static bool on_stranger(cas_id_t from, void *private_data)
+static bool on_unlisted(cas_id_t from, void *private_data)
 {
 	const control_t *control = private_data;
 
@@ -321,7 +321,7 @@
 		return PEER_ENOMEM;
 	set_quota_tolerance(control);
 	register_procedures(control);
-	peer_on_stranger(control->peer, on_stranger, control);
+	peer_on_unlisted(control->peer, on_unlisted, control);
 	return 0;
 }
 
