--- a/review/stand_in_2.c
+++ b/review/stand_in_2.c
@@ -10,7 +10,7 @@
  *        the rule of the scenario was broken, 0 if it held, 2 if it did not run.
  *
  * The site: host 11 has a backend of the service "shop" and the clients, host 12
- * a backend of the service "files". The store's contents do not change.
+ * a backend of the service "files".
  */
 #define _GNU_SOURCE
 #include <arpa/inet.h>
@@ -39,6 +39,7 @@
 /* How long a backend that has answered early waits before it reads on. */
 #define READ_ON_S 0.5
 #define KEY "k1aaaaaaaaaaaaaaaaaa"
+#define SECOND_KEY "k2bbbbbbbbbbbbbbbbbb"
 #define TENANT "growers"
 #define CALLER_SERVICE "shop"
 
@@ -75,11 +76,13 @@
 	int front_port;
 	int ready_port;
 	FILE *record;
+	/* Of the configuration in the store; 8 replaces 7. */
+	_Atomic int version;
 	double start_s;
 	pthread_mutex_t lock; /* of record, runs and run_count */
 	run_t runs[RUNS_MAX];
 	int run_count;
-} site = { .lock = PTHREAD_MUTEX_INITIALIZER };
+} site = { .lock = PTHREAD_MUTEX_INITIALIZER, .version = 7 };
 
 static double now_s(void)
 {
@@ -288,6 +291,12 @@
 
 /* The store. */
 
+/* The store's revision: each version of the configuration is a change. */
+static int store_revision(void)
+{
+	return STORE_REVISION + site.version - 7;
+}
+
 static void encode_base64(const char *text, char *out)
 {
 	static const char digits[] = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmno"
@@ -310,7 +319,7 @@
 }
 
 static void append_item(char *items, size_t size, const char *key,
-			const char *value)
+			const char *value, int revision)
 {
 	char encoded[8192];
 	size_t used = strlen(items);
@@ -319,7 +328,7 @@
 	snprintf(items + used, size - used,
 		 "%s{\"key\":\"%s\",\"value\":\"%s\",\"revision\":%d,"
 		 "\"created\":%d,\"lease\":0}",
-		 used ? "," : "", key, encoded, STORE_REVISION, STORE_REVISION);
+		 used ? "," : "", key, encoded, revision, STORE_REVISION);
 }
 
 static void append_backend(char *items, size_t size, int host,
@@ -334,7 +343,28 @@
 		 "\"wk-hamilton\",\"version\":\"v1\",\"slots\":50,\"state\":"
 		 "\"ready\",\"cold_ms\":0,\"seq\":4,\"born\":1700000000000}",
 		 service, site.net, host, site.app_port);
-	append_item(items, size, key, value);
+	append_item(items, size, key, value, STORE_REVISION);
+}
+
+/* Appends the tenants. Version 8 takes the second key away from the first tenant
+ * and adds a tenant, whose name has spaces in the scenario "names". */
+static void append_tenants(char *config, size_t size, int version)
+{
+	size_t used = strlen(config);
+
+	snprintf(config + used, size - used,
+		 "\"tenants\":[{\"name\":\"" TENANT "\",\"api-keys\":[\"" KEY
+		 "\"%s],\"priority\":1,\"rate-per-s\":140,\"burst\":140}",
+		 version == 7 ? ",\"" SECOND_KEY "\"" : "");
+	used = strlen(config);
+	if (version > 7)
+		snprintf(config + used, size - used,
+			 ",{\"name\":\"%s\",\"api-keys\":["
+			 "\"k3cccccccccccccccccc\"],\"priority\":1,"
+			 "\"rate-per-s\":140,\"burst\":140}",
+			 site.trouble ? "Hail Net Orders" : "hail-net-orders");
+	used = strlen(config);
+	snprintf(config + used, size - used, "]}");
 }
 
 /* Routes of the configuration: uploads to "files" that may take up to 40 s, the
@@ -347,9 +377,13 @@
 		{ "order", "/order/", "unsafe", "5000" },
 		{ "lookup", "/lookup/", "safe", "5000" },
 	};
-	char config[6000] = "{\"version\":7,\"routes\":[";
+	int version = site.version;
+	char config[6000];
 	size_t used;
 
+	snprintf(config, sizeof(config), "{\"version\":%d,\"routes\":[",
+		 version);
+
 	for (size_t i = 0; i < sizeof(routes) / sizeof(*routes); i++) {
 		used = strlen(config);
 		snprintf(config + used, sizeof(config) - used,
@@ -361,45 +395,55 @@
 			 routes[i][3]);
 	}
 	used = strlen(config);
-	snprintf(config + used, sizeof(config) - used,
-		 "],\"services\":[{\"name\":\"shop\",\"health-path\":"
-		 "\"/healthz\",\"max-conns\":748,\"protocol\":\"h1\",\"tls\":"
-		 "false},{\"name\":\"files\",\"health-path\":\"/healthz\","
-		 "\"max-conns\":748,\"protocol\":\"h1\",\"tls\":false}],"
-		 "\"limits\":{\"max-header-bytes\":16384,\"max-body-bytes\":"
-		 "67108864,\"header-timeout-s\":3000,\"idle-timeout-s\":15000},"
-		 "\"tenants\":[{\"name\":\"" TENANT "\",\"api-keys\":[\"" KEY
-		 "\"],\"priority\":1,\"rate-per-s\":140,\"burst\":140}]}");
-	append_item(items, size, "op/config", config);
+	snprintf(
+		config + used, sizeof(config) - used,
+		"],\"services\":[{\"name\":\"shop\",\"health-path\":"
+		"\"/healthz\",\"max-conns\":748,\"protocol\":\"h1\",\"tls\":"
+		"false},{\"name\":\"files\",\"health-path\":\"/healthz\","
+		"\"max-conns\":748,\"protocol\":\"h1\",\"tls\":false}],"
+		"\"limits\":{\"max-header-bytes\":16384,\"max-body-bytes\":"
+		"67108864,\"header-timeout-s\":3000,\"idle-timeout-s\":15000},");
+	append_tenants(config, sizeof(config), version);
+	append_item(items, size, "op/config", config, store_revision());
+}
+
+/* Waits as long as a watch asks for, at most until the store has changed. Returns
+ * whether it has. */
+static bool wait_for_change(const head_t *head)
+{
+	const char *wait = strstr(head->text, "wait-ms=");
+	const char *after = strstr(head->text, "after=");
+	int seen = after ? (int)strtol(after + 6, NULL, 10) : 0;
+	double end_s = now_s() + (wait ? strtod(wait + 8, NULL) / 1000 : 1);
+
+	while (store_revision() <= seen && now_s() < end_s)
+		pause_s(0.01);
+	return store_revision() > seen;
 }
 
-/* Answers a call of the store: all of its items with a prefix at once, and a
- * watch when its time has passed, since nothing changes. */
+/* Answers a call of the store: its items with a prefix, or the changes that a
+ * watch has waited for, which can only be those of the configuration. */
 static bool answer_store_call(int fd, const head_t *head)
 {
-	static char items[20000];
-	char reply[24000];
-	char body[22000];
-	const char *wait = strstr(head->text, "wait-ms=");
+	char items[12000] = "";
+	char body[14000];
+	char reply[16000];
+	bool is_watch = !strncmp(head->text, "GET /-/kv-watch", 15);
 
-	if (!strncmp(head->text, "GET /-/kv-watch", 15)) {
-		pause_s(wait ? strtod(wait + 8, NULL) / 1000 : 1);
-		snprintf(body, sizeof(body), "{\"events\":[],\"as-of\":%d}",
-			 STORE_REVISION);
-	} else {
-		pthread_mutex_lock(&site.lock);
-		items[0] = '\0';
-		if (strstr(head->text, "prefix=servers/")) {
-			append_backend(items, sizeof(items), 11, "shop");
-			append_backend(items, sizeof(items), 12, "files");
-		} else if (strstr(head->text, "prefix=op/config")) {
+	if (is_watch) {
+		if (wait_for_change(head))
 			append_config(items, sizeof(items));
-		}
-		snprintf(body, sizeof(body),
-			 "{\"items\":[%s],\"more-pages\":false,\"as-of\":%d}",
-			 items, STORE_REVISION);
-		pthread_mutex_unlock(&site.lock);
+	} else if (strstr(head->text, "prefix=servers/")) {
+		append_backend(items, sizeof(items), 11, "shop");
+		append_backend(items, sizeof(items), 12, "files");
+	} else if (strstr(head->text, "prefix=op/config")) {
+		append_config(items, sizeof(items));
 	}
+	snprintf(body, sizeof(body),
+		 is_watch ? "{\"events\":[%s],\"as-of\":%d}"
+			  : "{\"items\":[%s],\"more-pages\":false,"
+			    "\"as-of\":%d}",
+		 items, store_revision());
 	snprintf(reply, sizeof(reply),
 		 "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
 		 "Content-Length: %zu\r\n\r\n%s",
@@ -578,6 +622,7 @@
 	char id[64];
 	const char *method;
 	const char *path;
+	const char *key;
 	const char *fields; /* further ones */
 	int64_t body_len;
 	int deadline_ms;
@@ -614,9 +659,10 @@
 	snprintf(head, sizeof(head),
 		 "%s %s%s HTTP/1.1\r\nHost: files.example\r\n"
 		 "Cassiadale-Request-Id: %s\r\nCassiadale-Deadline-Ms: %d\r\n"
-		 "Authorization: Token " KEY "\r\n%s%s\r\n",
+		 "Authorization: Token %s\r\n%s%s\r\n",
 		 request->method, request->path, request->id, request->id,
-		 request->deadline_ms, length, request->fields);
+		 request->deadline_ms, request->key ? request->key : KEY,
+		 length, request->fields);
 	note("client: sends %s %s%s, body of %lld, %s", request->method,
 	     request->path, request->id, (long long)request->body_len,
 	     request->fields[0] ? request->fields : "no further fields");
@@ -803,6 +849,47 @@
 	return wrong;
 }
 
+/* Takes a key away, with a version that also adds a tenant, and sends ten orders
+ * with the key 3 s after the store has it (config-s is 2 s). Returns how many of
+ * them ran, or -1. */
+static int play_names(void)
+{
+	request_t requests[20] = { { 0 } };
+	int ran = 0;
+	int ran_before = 0;
+
+	for (int i = 0; i < 20; i++) {
+		requests[i] = (request_t){ .method = "POST",
+					   .path = "/order/",
+					   .key = SECOND_KEY,
+					   .fields = "",
+					   .body_len = 1200,
+					   .deadline_ms = 5000 };
+		snprintf(requests[i].id, sizeof(requests[i].id), "order%d", i);
+	}
+	if (!play_requests(requests, 10))
+		return -1;
+	site.version = 8;
+	note("operator: version 8 is in the store, which takes a key away and "
+	     "adds the tenant \"%s\"",
+	     site.trouble ? "Hail Net Orders" : "hail-net-orders");
+	pause_s(3);
+	if (!play_requests(requests + 10, 10))
+		return -1;
+	for (int i = 0; i < 20; i++) {
+		const run_t *run = find_run(requests[i].id);
+
+		if (run && i < 10)
+			ran_before++;
+		if (!run || i < 10)
+			continue;
+		ran++;
+		note("CONFIG: %s ran with a key that was taken away", run->id);
+	}
+	note("result: %d of 10 ran before, %d of 10 after", ran_before, ran);
+	return ran_before == 10 ? ran : -1;
+}
+
 static bool is_ready(int host)
 {
 	int fd = connect_to(host, site.ready_port);
@@ -845,6 +932,8 @@
 		broken = play_early();
 	else if (!strcmp(site.scenario, "fields"))
 		broken = play_fields();
+	else if (!strcmp(site.scenario, "names"))
+		broken = play_names();
 	if (broken < 0)
 		return 2;
 	return broken > 0;
