--- a/packages/http/include/cassia/http_profile.h
+++ b/packages/http/include/cassia/http_profile.h
@@ -29,6 +29,11 @@
 	/* Milliseconds for which the upstream is still cold, in its responses
 	 * to health checks. */
 	cas_str_t warm_up_left;
+	/* Requests a second that the upstream takes from all daemons together, in
+	 * its responses for as long as it is limited. */
+	cas_str_t request_rate;
+	/* Has the value 1 in the responses of an upstream that leaves. */
+	cas_str_t leaving;
 	/* Any text may be a key, so keys cannot be recognized outside the
 	 * Authorization field. */
 	bool opaque_keys;
--- a/packages/http/profile.c
+++ b/packages/http/profile.c
@@ -57,5 +57,7 @@
 	.client_timeout_ms = { "Cassia-Timeout-Ms", 17 },
 	.upstream_deadline_ms = { "Cassia-Deadline-Ms", 18 },
 	.handle = { "Cassia-Handle", 13 },
+	.request_rate = { "Cassia-Request-Rate", 19 },
+	.leaving = { "Cassia-Leaving", 14 },
 	.is_not_run = is_not_run,
 };
--- a/programs/cassiad/daemon.c
+++ b/programs/cassiad/daemon.c
@@ -12,6 +12,7 @@
 #include "stats.h"
 #include "stop.h"
 #include "tick.h"
+#include "upstream_state.h"
 #include "warm_up_watch.h"
 
 /* How long one report of a slowdown shows that hosts are shared. */
@@ -158,7 +159,7 @@
 		return BASE_ENOMEM;
 	retry_throttle_set_ratio(daemon->throttle,
 				 (uint32_t)daemon->settings->first_per_retry);
-	if (warm_up_watch_create(daemon))
+	if (warm_up_watch_create(daemon) || upstream_state_create(daemon))
 		return BASE_ENOMEM;
 	return admit_create(daemon);
 }
--- a/programs/cassiad/daemon.h
+++ b/programs/cassiad/daemon.h
@@ -37,6 +37,7 @@
 typedef struct compressed_document compressed_document_t;
 typedef struct stats stats_t;
 typedef struct warm_up_watch warm_up_watch_t;
+typedef struct upstream_state upstream_state_t;
 typedef struct processor_use processor_use_t;
 typedef struct entry_request entry_request_t;
 typedef struct peer_request peer_request_t;
@@ -123,6 +124,7 @@
 	GHashTable *known_incarnations; /* cas_id_t to known_incarnation_t */
 	admission_t *admission;
 	warm_up_watch_t *warm_up_watch; /* of the own upstream */
+	upstream_state_t *upstream_state; /* of the own upstream */
 	thresholds_t *thresholds; /* admitted fractions from outcomes */
 	/* Shares of request trees that can be completed, from outcomes. */
 	tree_shares_t *tree_shares;
--- a/programs/cassiad/health_check.c
+++ b/programs/cassiad/health_check.c
@@ -5,6 +5,7 @@
  */
 #include "health_check.h"
 
+#include "upstream_state.h"
 #include "warm_up_watch.h"
 
 /* Shortest time between two requests. */
@@ -60,6 +61,7 @@
 		reply->headers, daemon->profile->warm_up_left));
 
 	warm_up_watch_load(daemon, reply->headers);
+	upstream_state_read(daemon, reply->headers);
 	if (cold_ms < 0)
 		return;
 	check->answered++;
--- a/programs/cassiad/operator_server.c
+++ b/programs/cassiad/operator_server.c
@@ -9,6 +9,7 @@
 #include "placement_report.h"
 #include "processor_use.h"
 #include "stop.h"
+#include "upstream_state.h"
 #include "warm_up_watch.h"
 #include "stats.h"
 
@@ -134,6 +135,7 @@
 	set_gauge(daemon, "cassia_attempts_remembered",
 		  (int64_t)attempt_table_count(daemon->attempts));
 	warm_up_watch_set_metrics(daemon);
+	upstream_state_set_metrics(daemon);
 	set_link_metrics(daemon);
 	set_placement_metrics(daemon);
 	control_set_metrics(daemon);
--- a/programs/cassiad/upstream_request.c
+++ b/programs/cassiad/upstream_request.c
@@ -9,6 +9,7 @@
 #include "stats.h"
 #include "stop.h"
 #include "upstream_gate.h"
+#include "upstream_state.h"
 #include "warm_up_watch.h"
 
 /* Memory that is allocated at once for a request and its small objects, such as
@@ -418,6 +419,7 @@
 
 	request->upstream_status = reply->status;
 	warm_up_watch_load(request->daemon, reply->headers);
+	upstream_state_read(request->daemon, reply->headers);
 	if (request->daemon->profile->is_not_run(reply->status,
 						 reply->headers)) {
 		on_refusal(request, reply);
--- a/standins/upstream.c
+++ b/standins/upstream.c
@@ -25,7 +25,8 @@
  *   X-Child-Status  X-Status of the child call
  *
  * GET /_stats returns the counters, GET /_delay/MICROSECONDS changes the delay,
- * GET /_health tells how long it is still cold (upstream_cold.c).
+ * GET /_health tells how long it is still cold (upstream_cold.c), GET /_rate and
+ * GET /_leaving change what it states of itself (upstream_state.c).
  * The run log (--run-log) has one line for each request that ran or was queued:
  * Cassia-Request-Id and X-Run-Id, each - when missing. Prints port=N at the
  * start.
@@ -43,6 +44,7 @@
 
 #include "cassia/http_client.h"
 #include "upstream_cold.h"
+#include "upstream_state.h"
 
 #define HEADER_MAX_BYTES (64 * 1024)
 #define READ_BYTES (64 * 1024)
@@ -386,10 +388,11 @@
 static char *load_fields(conn_t *conn, bool health)
 {
 	const upstream_t *upstream = conn->upstream;
+	char *fields = upstream_cold_fields(
+		conn, health, upstream->running,
+		(int)g_queue_get_length(upstream->queue), upstream->slots);
 
-	return upstream_cold_fields(conn, health, upstream->running,
-				    (int)g_queue_get_length(upstream->queue),
-				    upstream->slots);
+	return talloc_strdup_append_buffer(fields, upstream_state_fields(conn));
 }
 
 static void answer_request(conn_t *conn)
@@ -544,6 +547,10 @@
 		write_response(conn, 200, "", stats, strlen(stats));
 		return;
 	}
+	if (upstream_state_control(conn->input)) {
+		write_response(conn, 200, "", "", 0);
+		return;
+	}
 	if (strncmp(conn->input, "GET /_delay/", 12) == 0) {
 		upstream->delay_us = (int)strtol(conn->input + 12, NULL, 10);
 		write_response(conn, 200, "", "", 0);
@@ -714,6 +721,8 @@
 
 	g_option_context_add_main_entries(context, options, NULL);
 	g_option_context_add_main_entries(context, upstream_cold_options, NULL);
+	g_option_context_add_main_entries(context, upstream_state_options,
+					  NULL);
 	if (!g_option_context_parse(context, &argc, &argv, NULL))
 		return 2;
 	g_option_context_free(context);
