Compare only recent limits of upstreams in the choice of the less loaded

After a restart of the daemon beside an upstream, or an ejection, other daemons sent that upstream nothing while its peers were lightly loaded: in a site of two upstreams and 100 requests a second, none in 7 s. The ejection clears the concurrency limit of the upstream, the choice of the less loaded of two then assumes 8 for it, and one request of 8 is more than a few of 38. Without a request it reports no other limit. A low limit that was reported once, as one in a warm-up, has the same effect.

Limits are compared only if both were reported within a second; otherwise the requests outstanding decide. Ruled out: ejection (none was in force) and a count of outstanding requests that does not return to 0.

--- a/packages/routing/routing.c
+++ b/packages/routing/routing.c
@@ -6,6 +6,8 @@
 #define SLOW_START_MIN_WEIGHT 0.1
 /* An older report of the load is ignored. */
 #define BUSY_REPORT_MAX_AGE_US (100 * CAS_USEC_PER_MSEC)
+/* Limits are compared only if they were reported within this time. */
+#define LIMIT_REPORT_MAX_AGE_US CAS_USEC_PER_SEC
 /* From this load on, the upstream queues further requests. */
 #define SATURATED_PERMILLE 1000
 
@@ -179,6 +181,26 @@
 	return chosen;
 }
 
+static bool has_recent_limit(const routing_t *routing,
+			     const upstream_t *upstream)
+{
+	return upstream->concurrency_limit > 0 &&
+	       cas_clock_now(routing->clock) - upstream->limit_at_us <=
+		       LIMIT_REPORT_MAX_AGE_US;
+}
+
+/* Returns whether a request to the first upstream would meet less load. Only
+ * recent limits are compared: an upstream with an old low one, or with the
+ * default after an ejection, would get no requests, and so report no other. */
+static bool is_less_loaded(const routing_t *routing, const upstream_t *first,
+			   const upstream_t *second)
+{
+	if (!has_recent_limit(routing, first) ||
+	    !has_recent_limit(routing, second))
+		return first->outstanding < second->outstanding;
+	return relative_load(first) < relative_load(second);
+}
+
 /* Returns the less loaded of two random candidates, or NULL. */
 static upstream_t *pick_in_tier(const routing_t *routing,
 				candidates_t *candidates)
@@ -189,7 +211,7 @@
 	if (!first)
 		return NULL;
 	second = draw_candidate(routing, candidates, first);
-	if (second && relative_load(second) < relative_load(first))
+	if (second && is_less_loaded(routing, second, first))
 		return second;
 	return first;
 }
@@ -317,8 +339,10 @@
 		return;
 	if (upstream->outstanding > 0)
 		upstream->outstanding--;
-	if (result->limit_hint > 0)
+	if (result->limit_hint > 0) {
 		upstream->concurrency_limit = result->limit_hint;
+		upstream->limit_at_us = cas_clock_now(routing->clock);
+	}
 	if (result->busy_permille >= 0) {
 		upstream->busy_permille = result->busy_permille;
 		upstream->busy_at_us = cas_clock_now(routing->clock);
--- a/packages/routing/routing_internal.h
+++ b/packages/routing/routing_internal.h
@@ -26,6 +26,7 @@
 	int64_t slow_start_at_us; /* start of the last slow start */
 	int32_t outstanding; /* requests */
 	int32_t concurrency_limit; /* last one reported, 0: unknown */
+	int64_t limit_at_us; /* time of that report */
 	int32_t busy_permille; /* last load reported, -1: unknown */
 	int64_t busy_at_us; /* time of that report */
 	double smoothed_latency_us; /* of successes since the last ejection */
