Keep the request rate that an upstream states in its responses

The class of fault: what an upstream says of itself in its responses is not obeyed, only what the store says.

The daemon beside the upstream is the only way to it, so it alone keeps the rate, for the requests of all daemons, without a message: admission asks the stated rate in the one place that starts requests, beside the concurrency limit and the bound of a cold upstream. Starts are spaced evenly (generic cell rate algorithm, 0.2 s of tolerance). A request that would wait longer than 150 ms is refused as not run with the new reason upstream-rate; the sender takes it to another upstream without a retry unit, as in a warm-up. Senders learn through the limit and the load in outcomes, so that they place work where there is room first. Child calls and important requests go first, as in any queue.

The rate holds until a response without it comes a second or more after the last one that stated it, until the host list names another instance, or until the upstream refuses a connection. Text that is no rate changes nothing. A rate below 0.25 a second is raised to that: without a request there would be no response to end it.

Ruled out: a share of the rate for each sender (needs messages, and is wrong for seconds after each change), and a lower concurrency limit alone (it is no rate).

--- a/packages/admission/admission.c
+++ b/packages/admission/admission.c
@@ -5,6 +5,7 @@
 #include "admission_internal.h"
 
 #include "cassia/draw.h"
+#include "cassia/number.h"
 
 #define TICK_US (10 * CAS_USEC_PER_MSEC)
 #define DEMAND_UPDATE_US (100 * CAS_USEC_PER_MSEC)
@@ -17,6 +18,8 @@
 /* A child call is dropped only when the time left is at most the typical time
  * divided by this. */
 #define CHILD_TYPICAL_DIVISOR 4
+/* Longest wait of a root request at a stated rate. */
+#define RATE_WAIT_MAX_US (150 * CAS_USEC_PER_MSEC)
 /* Share of a known number of slots that is used as the limit. Upstreams become
  * slower when their last slots are in use. */
 #define USABLE_SLOT_SHARE 0.95
@@ -33,6 +36,7 @@
 		[ADMISSION_REASON_STOPPED] = "stopped",
 		[ADMISSION_REASON_WARMING_UP] = "warming-up",
 		[ADMISSION_REASON_LATE] = "late",
+		[ADMISSION_REASON_RATE] = "rate",
 	};
 
 	return names[reason];
@@ -93,6 +97,7 @@
 	ticket->state_since_us = now_us;
 	ticket->probe_number = limit_start(&admission->limit, now_us);
 	warm_up_start(&admission->warm_up, now_us);
+	rate_limit_record(&admission->rate, now_us);
 }
 
 /* Drops a request that was already removed from the queue. */
@@ -119,7 +124,8 @@
 {
 	return limit_allows(&admission->limit) &&
 	       warm_up_allows(&admission->warm_up, now_us,
-			      admission->limit.inflight);
+			      admission->limit.inflight) &&
+	       rate_limit_next_start(&admission->rate) <= now_us;
 }
 
 /* Starts queued requests while the limit allows it. A recursive call from a
@@ -193,8 +199,17 @@
 	return limit > QUEUE_LENGTH_MIN ? limit : QUEUE_LENGTH_MIN;
 }
 
+/* Returns the longest wait at a stated rate. Another upstream can still serve
+ * what would wait longer. */
+static int64_t rate_wait_max_us(const admission_t *admission)
+{
+	return (int64_t)cas_min((double)queue_time_max_us(admission),
+				(double)RATE_WAIT_MAX_US);
+}
+
 /* Returns why no further request may be queued, or ADMISSION_REASON_NONE. In a
- * warm-up fewer may wait: only those that can start in time. */
+ * warm-up or at a stated rate fewer may wait: only those that can start in
+ * time. */
 static admission_reason_t full_reason(const admission_t *admission)
 {
 	const warm_up_t *warm_up = &admission->warm_up;
@@ -208,6 +223,11 @@
 				      queue_time_max_us(admission),
 				      admission->limit.mean_total_us))
 		return ADMISSION_REASON_WARMING_UP;
+	if (admission->rate.in_force &&
+	    admission->queued >=
+		    rate_limit_queue_max(&admission->rate,
+					 rate_wait_max_us(admission)))
+		return ADMISSION_REASON_RATE;
 	return ADMISSION_REASON_NONE;
 }
 
@@ -419,6 +439,16 @@
 	talloc_free(ticket);
 }
 
+/* Returns what to name as the cause of a wait that was too long. */
+static admission_reason_t queue_time_reason(const admission_t *admission,
+					    int64_t now_us)
+{
+	if (warm_up_limits(&admission->warm_up, now_us))
+		return ADMISSION_REASON_WARMING_UP;
+	return admission->rate.in_force ? ADMISSION_REASON_RATE
+					: ADMISSION_REASON_QUEUE_TIME;
+}
+
 /* Returns why a queued request must be dropped, or ADMISSION_REASON_NONE.
  * position is its place in its queue. */
 static admission_reason_t expiry_reason(const admission_t *admission,
@@ -436,9 +466,7 @@
 	 * parent is lost with it. */
 	if (!is_child_queue(ticket->queue) &&
 	    now_us - ticket->state_since_us > queue_time_max_us(admission))
-		return warm_up_limits(&admission->warm_up, now_us)
-			       ? ADMISSION_REASON_WARMING_UP
-			       : ADMISSION_REASON_QUEUE_TIME;
+		return queue_time_reason(admission, now_us);
 	return ADMISSION_REASON_NONE;
 }
 
@@ -503,7 +531,10 @@
 {
 	int64_t now_us = cas_clock_now(admission->clock);
 	int64_t start_us = warm_up_next_start(&admission->warm_up, now_us);
+	int64_t rate_us = rate_limit_next_start(&admission->rate);
 
+	if (rate_us > start_us)
+		start_us = rate_us;
 	/* A paced queue continues when the next start is due. */
 	if (admission->queued && start_us > now_us &&
 	    start_us < now_us + TICK_US)
@@ -548,8 +579,10 @@
 
 int32_t admission_limit(const admission_t *admission)
 {
-	return (int32_t)warm_up_cap(&admission->warm_up,
-				    admission->limit.limit);
+	double limit = warm_up_cap(&admission->warm_up, admission->limit.limit);
+
+	return (int32_t)rate_limit_cap(&admission->rate, limit,
+				       admission->limit.mean_total_us);
 }
 
 int32_t admission_inflight(const admission_t *admission)
@@ -565,6 +598,10 @@
 int32_t admission_busy_permille(const admission_t *admission)
 {
 	int64_t work = admission_inflight(admission) + admission->queued;
+	int64_t permille = work * 1000 / admission_limit(admission);
 
-	return (int32_t)(work * 1000 / admission_limit(admission));
+	if (permille < 1000 && rate_limit_next_start(&admission->rate) >
+				       cas_clock_now(admission->clock))
+		return 1000;
+	return (int32_t)permille;
 }
--- a/packages/admission/admission_internal.h
+++ b/packages/admission/admission_internal.h
@@ -11,6 +11,7 @@
 #include "limit_internal.h"
 #include "load_internal.h"
 #include "load_report_internal.h"
+#include "rate_limit_internal.h"
 #include "warm_up_internal.h"
 
 /* Number of latest fractions kept for each class. Child calls are compared with
@@ -94,6 +95,7 @@
 	void *private;
 	limit_t limit;
 	warm_up_t warm_up;
+	rate_limit_t rate; /* that the upstream states */
 	load_track_t track;
 	recent_load_t recent;
 	int32_t listed_slots; /* of the upstream, 0: not known */
--- a/packages/admission/include/cassia/admission.h
+++ b/packages/admission/include/cassia/admission.h
@@ -69,6 +69,7 @@
 	 * request would wait too long. */
 	ADMISSION_REASON_WARMING_UP,
 	ADMISSION_REASON_LATE, /* would finish, but not within its objective */
+	ADMISSION_REASON_RATE, /* the upstream states that it takes fewer */
 } admission_reason_t;
 
 /* Returns a short name for logs and problem details. */
@@ -186,6 +187,24 @@
  * the warm-up is likely to be taken; 0: not known. */
 int64_t admission_warm_up_retry_us(const admission_t *admission);
 
+/* Takes over the request rate that the upstream states in a response. Starts are
+ * held to it as long as responses state it, see admission_note_no_rate. */
+void admission_note_rate(admission_t *admission, double rate_per_s);
+
+/* Takes note of a response that states no rate. The first one that comes a
+ * second or more after the last rate ends the limit. */
+void admission_note_no_rate(admission_t *admission);
+
+/* Forgets the rate: another run of the upstream has begun. */
+void admission_clear_rate(admission_t *admission);
+
+/* Returns the rate in force in requests a second, negative: none. */
+double admission_rate(const admission_t *admission);
+
+/* Returns after how many microseconds a request that is rejected now because of
+ * the rate is likely to be taken. */
+int64_t admission_rate_retry_us(const admission_t *admission);
+
 /* The load of the upstream and its queue, for senders. */
 typedef struct admission_load {
 	int32_t slowdown; /* of its host, in percent; 0: not known */
@@ -197,6 +216,7 @@
 	int64_t own_us;
 	int32_t refused_permille; /* of the arrivals lately */
 	bool warming_up;
+	bool rate_limited; /* the upstream states a rate */
 } admission_load_t;
 
 /* Returns the load as it concerns a kind of request. */
@@ -265,14 +285,15 @@
 int64_t admission_retry_after_us(const admission_t *admission,
 				 int32_t importance, cas_id_t customer);
 
-/* Returns the concurrency limit, in requests. It includes the warm-up. */
+/* Returns the concurrency limit, in requests. It includes the warm-up and the
+ * rate. */
 int32_t admission_limit(const admission_t *admission);
 /* Returns the number of running requests. */
 int32_t admission_inflight(const admission_t *admission);
 /* Returns the number of queued requests. */
 int32_t admission_queued(const admission_t *admission);
-/* Returns running and queued requests per mille of the limit; may exceed
- * 1000. */
+/* Returns running and queued requests per mille of the limit; may exceed 1000.
+ * At least 1000 while the rate that the upstream states allows no start. */
 int32_t admission_busy_permille(const admission_t *admission);
 /* Returns the smoothed time from start to finish of successful requests of a
  * kind, in microseconds. 0: not known. */
--- a/packages/admission/load.c
+++ b/packages/admission/load.c
@@ -3,6 +3,8 @@
 
 #include <math.h>
 
+#include "cassia/number.h"
+
 /* Time after which an event has 1/e of its weight. Long enough for several
  * events at a few requests a second, short enough to follow a burst. */
 #define DECAY_US (CAS_USEC_PER_SEC / 2)
@@ -62,19 +64,20 @@
 				 ? DECAY_US / recent->finished
 				 : time_per_request(admission);
 	double wait_us = 0;
-	int64_t warm_up_us;
+	int64_t paced_us;
 
 	if (room <= 0)
 		wait_us = each_us * (admission->queued + 1);
 	else if (report->known)
 		wait_us = each_us * report->waiting;
-	warm_up_us = room > 0 && warm_up_allows(warm_up, now_us,
-						admission->limit.inflight)
-			     ? 0
-			     : warm_up_wait(warm_up, now_us, admission->queued,
-					    admission->limit.mean_total_us);
-	if ((double)warm_up_us > wait_us)
-		return warm_up_us;
+	paced_us = room > 0 && warm_up_allows(warm_up, now_us,
+					      admission->limit.inflight)
+			   ? 0
+			   : warm_up_wait(warm_up, now_us, admission->queued,
+					  admission->limit.mean_total_us);
+	wait_us = cas_max(wait_us, (double)paced_us);
+	paced_us = rate_limit_wait(&admission->rate, now_us, admission->queued);
+	wait_us = cas_max(wait_us, (double)paced_us);
 	return wait_us < WAIT_MAX_US ? (int64_t)wait_us : WAIT_MAX_US;
 }
 
@@ -87,6 +90,8 @@
 
 	if (room < 0 || (report->known && report->waiting > 0))
 		return 0;
+	if (admission->rate.in_force && room > 0)
+		return rate_limit_next_start(&admission->rate) <= now_us;
 	/* The next start of a cold upstream is one only. */
 	if (warm_up_is_cold(&admission->warm_up, now_us) && room > 0)
 		return warm_up_next_start(&admission->warm_up, now_us) <=
@@ -133,6 +138,7 @@
 			latency_kind(&admission->limit.latency, kind), &report),
 		.refused_permille = refused_permille(&admission->recent),
 		.warming_up = warm_up_limits(&admission->warm_up, now_us),
+		.rate_limited = admission->rate.in_force,
 	};
 }
 
--- a/packages/admission/stated_rate.c
+++ b/packages/admission/stated_rate.c
@@ -1,6 +1,9 @@
-/* Reads the request rate that an upstream states. */
+/* What the owner of admission tells and sees of the rate that the upstream
+ * states. */
 #include "cassia/stated_rate.h"
 
+#include "admission_internal.h"
+
 static bool is_digit(char c)
 {
 	return c >= '0' && c <= '9';
@@ -33,3 +36,32 @@
 	*rate_per_s = rate;
 	return true;
 }
+
+void admission_note_rate(admission_t *admission, double rate_per_s)
+{
+	rate_limit_state(&admission->rate, cas_clock_now(admission->clock),
+			 rate_per_s);
+}
+
+void admission_note_no_rate(admission_t *admission)
+{
+	rate_limit_note_absence(&admission->rate,
+				cas_clock_now(admission->clock));
+}
+
+void admission_clear_rate(admission_t *admission)
+{
+	rate_limit_clear(&admission->rate);
+}
+
+double admission_rate(const admission_t *admission)
+{
+	return admission->rate.in_force ? admission->rate.rate_per_s : -1;
+}
+
+int64_t admission_rate_retry_us(const admission_t *admission)
+{
+	return rate_limit_wait(&admission->rate,
+			       cas_clock_now(admission->clock),
+			       admission->queued + 1);
+}
--- a/packages/attempt/messages/attempt.x
+++ b/packages/attempt/messages/attempt.x
@@ -56,7 +56,8 @@
 					 * in per mille */
 	unsigned int processor;		/* use of the daemon's share of the
 					 * processor, in per mille */
-	unsigned int warming_up;	/* 0 or 1: its pace is being found */
+	unsigned int paced;		/* 0 or 1: warms up, or states the rate
+					 * that it takes */
 	unsigned int tree_share;	/* requests of this kind whose calls
 					 * can be completed, in millionths; 0:
 					 * no calls were made */
--- a/packages/routing/estimate.c
+++ b/packages/routing/estimate.c
@@ -405,7 +405,7 @@
 	if (!(upstream->limit > 0))
 		upstream->limit = limit;
 	smooth(&upstream->limit, limit,
-	       result->load.warming_up ? 1 : LIMIT_SMOOTHING);
+	       result->load.paced ? 1 : LIMIT_SMOOTHING);
 }
 
 /* Takes over the report, within bounds. late_us: its age at the arrival. */
--- a/packages/routing/include/cassia/routing.h
+++ b/packages/routing/include/cassia/routing.h
@@ -63,7 +63,7 @@
 /* What the daemon of an upstream reports with an outcome, see attempt_load. */
 typedef struct routing_load {
 	bool known; /* the other members are valid */
-	bool warming_up; /* the pace of the upstream is being found */
+	bool paced; /* it warms up, or states the rate that it takes */
 	int32_t slowdown; /* percent of the usual time of work, 0: unknown */
 	int32_t room; /* requests that could start now */
 	int64_t wait_us; /* expected wait of a new request */
--- a/packages/routing/lists.c
+++ b/packages/routing/lists.c
@@ -206,7 +206,7 @@
 
 	if (limit > usual * LIMIT_RATIO_MAX)
 		limit = usual * LIMIT_RATIO_MAX;
-	if (limit < usual / LIMIT_RATIO_MAX && !estimate->report.warming_up)
+	if (limit < usual / LIMIT_RATIO_MAX && !estimate->report.paced)
 		limit = usual / LIMIT_RATIO_MAX;
 	capacity = limit / estimate_usual_speed(estimate);
 	/* Responses that are much later than the reports say lower the trust. */
--- a/packages/routing/placement.c
+++ b/packages/routing/placement.c
@@ -100,7 +100,7 @@
 
 	if (!estimate->reported)
 		return upstream->outstanding < TRIALS_MAX;
-	if (!estimate->report.warming_up)
+	if (!estimate->report.paced)
 		return true;
 	if (!(estimate_report_weight(estimate, now_us) > 0))
 		return upstream->outstanding < TRIALS_MAX;
--- a/packages/routing/tests/test_completion.c
+++ b/packages/routing/tests/test_completion.c
@@ -395,7 +395,7 @@
 
 	(void)state;
 	report_all(fixture, 5);
-	cold.load.warming_up = true;
+	cold.load.paced = true;
 	cold.load.room = 2;
 	cold.limit_hint = 2;
 	report(fixture, 1000, &cold);
--- a/programs/cassiad/entry.h
+++ b/programs/cassiad/entry.h
@@ -59,7 +59,7 @@
 	cas_id_t arrived_hosts[ENTRY_ATTEMPTS_MAX];
 	size_t arrived_host_count;
 	size_t hosts_max; /* upstreams that may get the request */
-	int32_t warm_up_reroutes; /* after an upstream that warms up */
+	int32_t paced_reroutes; /* after an upstream limited by its pace */
 	control_token_wait_t *token_wait; /* pending token, NULL: none */
 	call_attempt_t *attempt; /* running attempt, NULL: none */
 	int64_t attempt_started_us;
--- a/programs/cassiad/entry_attempts.c
+++ b/programs/cassiad/entry_attempts.c
@@ -6,10 +6,10 @@
 #include "stop.h"
 
 #define HTTP_SERVER_ERROR_MIN 500
-/* How often a request is sent on because an upstream warms up. When all
- * upstreams of a service have just started, each further host would cost all
- * daemons the same work once more. */
-#define WARM_UP_REROUTES_MAX 2
+/* How often a request is sent on because of the pace of an upstream. When all
+ * upstreams of a service are limited, each further host would cost all daemons
+ * the same work once more. */
+#define PACED_REROUTES_MAX 2
 
 static const call_attempt_ops_t attempt_ops;
 
@@ -278,7 +278,7 @@
 	load = &report->load.attempt_load_option_u.load;
 	return (routing_load_t){
 		.known = true,
-		.warming_up = load->warming_up,
+		.paced = load->paced,
 		.slowdown = int32_of(load->slowdown),
 		.room = int32_of(load->room),
 		.wait_us = load->wait_us,
@@ -433,6 +433,7 @@
 	case REASON_OVERLOADED:
 	case REASON_REGION: /* the daemon there has another table */
 	case REASON_WARMING_UP:
+	case REASON_UPSTREAM_RATE:
 		return ROUTING_SHED;
 	case REASON_REJECTED:
 		return ROUTING_ERROR;
@@ -441,12 +442,17 @@
 	}
 }
 
+/* Returns whether an upstream was not given a request because of its pace. */
+static bool is_paced(reason_t reason)
+{
+	return reason == REASON_WARMING_UP || reason == REASON_UPSTREAM_RATE;
+}
+
 static retry_outcome_t retry_outcome_of(const call_attempt_result_t *result)
 {
 	if (result->outcome == ATTEMPT_UNKNOWN)
 		return RETRY_OUTCOME_UNKNOWN;
-	return result->reason == REASON_SHED ||
-			       result->reason == REASON_WARMING_UP
+	return result->reason == REASON_SHED || is_paced(result->reason)
 		       ? RETRY_OUTCOME_SHED
 		       : RETRY_OUTCOME_NOT_RUN;
 }
@@ -462,7 +468,8 @@
 	case REASON_NO_UPSTREAM:
 		return true;
 	case REASON_WARMING_UP:
-		return request->warm_up_reroutes++ < WARM_UP_REROUTES_MAX;
+	case REASON_UPSTREAM_RATE:
+		return request->paced_reroutes++ < PACED_REROUTES_MAX;
 	default:
 		return false;
 	}
@@ -470,7 +477,7 @@
 
 /* Decides whether to send a request to another host without a retry unit. It
  * has reached no upstream, because its daemon is stopping or starting or cannot
- * be reached, or must not run it, or because the upstream warms up, so another
+ * be reached, or must not run it, or because of the upstream's pace, so another
  * attempt adds no load to the service. No host is tried twice. */
 static bool try_reroute(entry_request_t *request,
 			const call_attempt_result_t *result)
--- a/programs/cassiad/health_check.c
+++ b/programs/cassiad/health_check.c
@@ -61,7 +61,9 @@
 		reply->headers, daemon->profile->warm_up_left));
 
 	warm_up_watch_load(daemon, reply->headers);
-	upstream_state_read(daemon, reply->headers);
+	upstream_state_read(
+		daemon, reply->headers,
+		daemon->profile->is_not_run(reply->status, reply->headers));
 	if (cold_ms < 0)
 		return;
 	check->answered++;
--- a/programs/cassiad/reason.c
+++ b/programs/cassiad/reason.c
@@ -54,6 +54,8 @@
 			    "allowed." },
 	[REASON_WARMING_UP] = { "warming-up", 503,
 				"The upstream has just started." },
+	[REASON_UPSTREAM_RATE] = { "upstream-rate", 503,
+				   "The upstream takes fewer requests." },
 };
 
 const char *reason_name(reason_t reason)
--- a/programs/cassiad/reason.h
+++ b/programs/cassiad/reason.h
@@ -29,6 +29,7 @@
 	REASON_REJECTED, /* by an upstream that has a free slot */
 	REASON_REGION, /* the region of the upstream is not allowed */
 	REASON_WARMING_UP, /* the upstream has just started or recovered */
+	REASON_UPSTREAM_RATE, /* the upstream states that it takes fewer */
 	REASON_COUNT,
 } reason_t;
 
--- a/programs/cassiad/upstream_request.c
+++ b/programs/cassiad/upstream_request.c
@@ -33,9 +33,9 @@
 	int upstream_status; /* of the response, 0: none yet */
 };
 
-/* Longest time after which a request is told to come again in a warm-up. The
- * upstream may be warm by then. */
-#define WARM_UP_RETRY_MAX_MS 3000U
+/* Longest time after which a request is told to come again in a warm-up or at a
+ * stated rate. Both may have ended by then. */
+#define PACED_RETRY_MAX_MS 3000U
 
 /* A tree share of 0 means that none is known. Twice the unit in which it is sent,
  * so that it is not rounded down to 0. */
@@ -43,15 +43,21 @@
 
 static const http_call_ops_t upstream_ops;
 
-/* Returns when a request that is refused because of the warm-up should come
- * again: when the requests that wait have been taken. */
-static u_int warm_up_retry_ms(const cassiad_t *daemon)
+/* Returns when a request that is refused because of the warm-up or the rate of
+ * the upstream should come again: when the requests that wait have been taken.
+ * 0: not known. */
+static u_int paced_retry_ms(const cassiad_t *daemon, reason_t reason)
 {
-	int64_t retry_ms = admission_warm_up_retry_us(daemon->admission) /
-			   CAS_USEC_PER_MSEC;
+	int64_t retry_ms = 0;
 
-	return retry_ms < WARM_UP_RETRY_MAX_MS ? (u_int)retry_ms
-					       : WARM_UP_RETRY_MAX_MS;
+	if (reason == REASON_WARMING_UP)
+		retry_ms = admission_warm_up_retry_us(daemon->admission) /
+			   CAS_USEC_PER_MSEC;
+	else if (reason == REASON_UPSTREAM_RATE)
+		retry_ms = admission_rate_retry_us(daemon->admission) /
+			   CAS_USEC_PER_MSEC;
+	return retry_ms < PACED_RETRY_MAX_MS ? (u_int)retry_ms
+					     : PACED_RETRY_MAX_MS;
 }
 
 static u_int unsigned_of(int64_t number)
@@ -78,7 +84,7 @@
 		.wait_us = unsigned_of(load.wait_us),
 		.own_us = unsigned_of(load.own_us),
 		.turned_away = unsigned_of(load.refused_permille),
-		.warming_up = load.warming_up,
+		.paced = load.warming_up || load.rate_limited,
 	};
 }
 
@@ -127,8 +133,7 @@
 		.limit = (u_int)admission_limit(daemon->admission),
 		.busy = admission_busy_permille(daemon->admission),
 	};
-	if (reason == REASON_WARMING_UP)
-		report->retry_after_ms = warm_up_retry_ms(daemon);
+	report->retry_after_ms = paced_retry_ms(daemon, reason);
 	fill_load(daemon, entry_chain_key(context), &report->load);
 	if (report->load.known)
 		report->load.attempt_load_option_u.load.tree_share =
@@ -355,8 +360,10 @@
 	admission_result_t admission_result =
 		admission_result_of(request, result);
 
-	if (may_be_upstream_fault(request, result))
+	if (may_be_upstream_fault(request, result)) {
 		warm_up_watch_call(request->daemon, result->error);
+		upstream_state_call(request->daemon, result->error);
+	}
 	report_child_time(request);
 	request->call = NULL;
 	request->ticket = NULL;
@@ -415,13 +422,14 @@
 static void on_head(void *private, const http_reply_t *reply)
 {
 	upstream_request_t *request = private;
+	bool not_run = request->daemon->profile->is_not_run(reply->status,
+							    reply->headers);
 	attempt_outcome report;
 
 	request->upstream_status = reply->status;
 	warm_up_watch_load(request->daemon, reply->headers);
-	upstream_state_read(request->daemon, reply->headers);
-	if (request->daemon->profile->is_not_run(reply->status,
-						 reply->headers)) {
+	upstream_state_read(request->daemon, reply->headers, not_run);
+	if (not_run) {
 		on_refusal(request, reply);
 		return;
 	}
@@ -565,6 +573,8 @@
 		return REASON_DRAINING;
 	case ADMISSION_REASON_WARMING_UP:
 		return REASON_WARMING_UP;
+	case ADMISSION_REASON_RATE:
+		return REASON_UPSTREAM_RATE;
 	case ADMISSION_REASON_MEMORY:
 		return REASON_OVERLOADED;
 	default:
--- a/programs/cassiad/upstream_state.c
+++ b/programs/cassiad/upstream_state.c
@@ -1,6 +1,8 @@
-/* Reads and logs what the upstream of this host says of itself. */
+/* Reads the request rate that the upstream of this host states, and has
+ * admission keep it for the present run of the upstream. */
 #include "upstream_state.h"
 
+#include "cassia/http_error.h"
 #include "cassia/log.h"
 #include "cassia/stated_rate.h"
 
@@ -9,93 +11,100 @@
 #define RATE_LINE_US CAS_USEC_PER_SEC
 
 struct upstream_state {
-	bool has_rate; /* the last response stated one */
-	double rate_per_s; /* the last one stated */
-	bool leaving; /* a response said so */
-	int64_t rate_line_us;
+	cas_id_t instance; /* in the last entry of the host list, 0: none */
+	double logged_per_s; /* rate in the last log line, negative: none */
+	int64_t logged_us;
 	uint64_t malformed; /* rates that could not be read */
 };
 
 int upstream_state_create(cassiad_t *daemon)
 {
-	daemon->upstream_state = talloc_zero(daemon, upstream_state_t);
-	return daemon->upstream_state ? 0 : BASE_ENOMEM;
+	upstream_state_t *state = talloc_zero(daemon, upstream_state_t);
+
+	if (!state)
+		return BASE_ENOMEM;
+	state->logged_per_s = -1;
+	daemon->upstream_state = state;
+	return 0;
+}
+
+static int64_t to_milli(double rate_per_s)
+{
+	return (int64_t)(rate_per_s * MILLI_PER_UNIT);
 }
 
-static void log_rate(cassiad_t *daemon, cas_str_t text)
+static void log_rate(cassiad_t *daemon, const char *cause)
 {
 	upstream_state_t *state = daemon->upstream_state;
+	double rate_per_s = admission_rate(daemon->admission);
+	bool begins_or_ends = (rate_per_s < 0) != (state->logged_per_s < 0);
 	int64_t now_us = cas_clock_now(daemon->clock);
 
-	if (state->has_rate && now_us - state->rate_line_us < RATE_LINE_US)
+	if (rate_per_s == state->logged_per_s ||
+	    (!begins_or_ends && now_us - state->logged_us < RATE_LINE_US))
 		return;
-	state->rate_line_us = now_us;
 	cas_log(CAS_LOG_INFO, "upstream_rate",
-		CAS_LOG_STR("field", daemon->profile->request_rate),
-		CAS_LOG_STR("value", text),
+		CAS_LOG_INT("in_force", rate_per_s >= 0),
+		CAS_LOG_INT("rate_milli", to_milli(rate_per_s)),
+		CAS_LOG_INT("former_milli", to_milli(state->logged_per_s)),
+		CAS_LOG_CSTR("cause", cause),
 		CAS_LOG_INT("running", admission_inflight(daemon->admission)),
 		CAS_LOG_INT("queued", admission_queued(daemon->admission)));
+	state->logged_per_s = rate_per_s;
+	state->logged_us = now_us;
 }
 
-static void read_rate(cassiad_t *daemon, const http_headers_t *headers)
+void upstream_state_read(cassiad_t *daemon, const http_headers_t *headers,
+			 bool not_run)
 {
-	upstream_state_t *state = daemon->upstream_state;
 	const http_header_t *field =
 		http_headers_find(headers, daemon->profile->request_rate);
 	double rate_per_s;
 
-	if (!field) {
-		if (state->has_rate)
-			cas_log(CAS_LOG_INFO, "upstream_rate_absent",
-				CAS_LOG_INT("stated_milli",
-					    (int64_t)(state->rate_per_s *
-						      MILLI_PER_UNIT)));
-		state->has_rate = false;
-		return;
-	}
-	if (!stated_rate_parse(field->value, &rate_per_s)) {
-		state->malformed++;
+	if (field && !stated_rate_parse(field->value, &rate_per_s)) {
+		daemon->upstream_state->malformed++;
 		return;
 	}
-	if (!state->has_rate || rate_per_s != state->rate_per_s)
-		log_rate(daemon, field->value);
-	state->has_rate = true;
-	state->rate_per_s = rate_per_s;
+	if (field)
+		admission_note_rate(daemon->admission, rate_per_s);
+	else if (!not_run)
+		admission_note_no_rate(daemon->admission);
+	log_rate(daemon, field ? "stated" : "not-stated");
 }
 
-static void read_leaving(cassiad_t *daemon, const http_headers_t *headers)
+/* The rate was that of a run of the upstream that has ended. */
+static void clear_rate(cassiad_t *daemon, const char *cause)
 {
-	upstream_state_t *state = daemon->upstream_state;
+	admission_clear_rate(daemon->admission);
+	log_rate(daemon, cause);
+}
 
-	if (state->leaving ||
-	    !cas_str_equal(
-		    http_headers_value(headers, daemon->profile->leaving),
-		    CAS_STR("1")))
-		return;
-	state->leaving = true;
-	cas_log(CAS_LOG_INFO, "upstream_says_leaving",
-		CAS_LOG_INT("listing", daemon->own_listing),
-		CAS_LOG_INT("running", admission_inflight(daemon->admission)),
-		CAS_LOG_INT("queued", admission_queued(daemon->admission)));
+void upstream_state_call(cassiad_t *daemon, int http_error)
+{
+	if (http_error == HTTP_ECONNECT)
+		clear_rate(daemon, "refused");
 }
 
-void upstream_state_read(cassiad_t *daemon, const http_headers_t *headers)
+void upstream_state_listing(cassiad_t *daemon, const roster_host_t *host)
 {
-	read_rate(daemon, headers);
-	read_leaving(daemon, headers);
+	upstream_state_t *state = daemon->upstream_state;
+	cas_id_t instance = host ? cas_id_of(host->instance) : 0;
+
+	if (state->instance && instance && instance != state->instance)
+		clear_rate(daemon, "new-instance");
+	if (instance)
+		state->instance = instance;
 }
 
 void upstream_state_set_metrics(cassiad_t *daemon)
 {
-	const upstream_state_t *state = daemon->upstream_state;
+	double rate_per_s = admission_rate(daemon->admission);
 
+	cas_metrics_set(daemon->metrics, "cassia_upstream_rate_limited", "",
+			rate_per_s >= 0);
 	cas_metrics_set(daemon->metrics, "cassia_upstream_rate_milli", "",
-			state->has_rate
-				? (int64_t)(state->rate_per_s * MILLI_PER_UNIT)
-				: 0);
+			rate_per_s >= 0 ? to_milli(rate_per_s) : 0);
 	cas_metrics_set(daemon->metrics,
 			"cassia_upstream_rates_malformed_total", "",
-			(int64_t)state->malformed);
-	cas_metrics_set(daemon->metrics, "cassia_upstream_leaving", "",
-			state->leaving);
+			(int64_t)daemon->upstream_state->malformed);
 }
