Send nothing to an upstream whose responses say that it leaves

A daemon that had passed on a response with the leaving field went on sending its callers' requests to that upstream until the host list said so too, which may be late or never: the store may be down, or the daemon cut off from it.

An instance that said so counts as leaving in what the routing and the own listing are made of, beside the marks of the source, at the daemon where the request began and at the one beside the upstream. The latter closes the upstream 1 s later, as after a mark in the host list, so that senders that have heard nothing are refused there. The mark is for the instance that the request was sent to; it is forgotten a minute after the host list last named that instance. An instance that starts again under the same id within that time is not used until its entry has lapsed for a minute.

--- a/programs/cassiad/config.c
+++ b/programs/cassiad/config.c
@@ -7,6 +7,7 @@
 #include "stop.h"
 #include "daemon.h"
 #include "fetch.h"
+#include "stated_leaving.h"
 #include "upstream_state.h"
 #include "warm_up_watch.h"
 
@@ -69,9 +70,12 @@
 }
 
 /* Returns whether the upstream of a host leaves although the host list does not
- * say so: the list may be that of a peer that does not know of it. */
+ * say so: the list may be that of a peer that does not know of it, and an
+ * upstream may say so earlier in its responses. */
 static bool has_left(const cassiad_t *daemon, const roster_host_t *host)
 {
+	if (stated_leaving_has(daemon, host))
+		return true;
 	return daemon->source && host->instance.len &&
 	       source_has_left(daemon->source, host->instance);
 }
@@ -171,6 +175,14 @@
 	admission_set_slots(daemon->admission, host ? host->slots : 0);
 }
 
+void config_apply_leaving(cassiad_t *daemon)
+{
+	if (!daemon->roster || !daemon->table)
+		return;
+	apply_own_listing(daemon);
+	update_routing(daemon);
+}
+
 void config_apply(cassiad_t *daemon)
 {
 	if (daemon->table)
--- a/programs/cassiad/daemon.c
+++ b/programs/cassiad/daemon.c
@@ -9,6 +9,7 @@
 #include "cassia/platform.h"
 #include "control.h"
 #include "processor_use.h"
+#include "stated_leaving.h"
 #include "stats.h"
 #include "stop.h"
 #include "tick.h"
@@ -159,7 +160,8 @@
 		return BASE_ENOMEM;
 	retry_throttle_set_ratio(daemon->throttle,
 				 (uint32_t)daemon->settings->first_per_retry);
-	if (warm_up_watch_create(daemon) || upstream_state_create(daemon))
+	if (warm_up_watch_create(daemon) || upstream_state_create(daemon) ||
+	    stated_leaving_create(daemon))
 		return BASE_ENOMEM;
 	return admit_create(daemon);
 }
--- a/programs/cassiad/daemon.h
+++ b/programs/cassiad/daemon.h
@@ -37,6 +37,7 @@
 typedef struct compressed_document compressed_document_t;
 typedef struct stats stats_t;
 typedef struct warm_up_watch warm_up_watch_t;
+typedef struct stated_leaving stated_leaving_t;
 typedef struct upstream_state upstream_state_t;
 typedef struct processor_use processor_use_t;
 typedef struct entry_request entry_request_t;
@@ -125,6 +126,7 @@
 	admission_t *admission;
 	warm_up_watch_t *warm_up_watch; /* of the own upstream */
 	upstream_state_t *upstream_state; /* of the own upstream */
+	stated_leaving_t *stated_leaving; /* upstreams of all hosts */
 	thresholds_t *thresholds; /* admitted fractions from outcomes */
 	/* Shares of request trees that can be completed, from outcomes. */
 	tree_shares_t *tree_shares;
@@ -180,6 +182,9 @@
  * checks the source for new documents. */
 void config_reload(cassiad_t *daemon);
 
+/* Applies that an upstream has said that it leaves. */
+void config_apply_leaving(cassiad_t *daemon);
+
 /* Passes the current table and host list to all components. */
 void config_apply(cassiad_t *daemon);
 
--- a/programs/cassiad/entry.h
+++ b/programs/cassiad/entry.h
@@ -59,6 +59,7 @@
 	cas_id_t arrived_hosts[ENTRY_ATTEMPTS_MAX];
 	size_t arrived_host_count;
 	size_t hosts_max; /* upstreams that may get the request */
+	cas_id_t instance; /* that the last attempt was sent to, 0: unknown */
 	int32_t paced_reroutes; /* after an upstream limited by its pace */
 	control_token_wait_t *token_wait; /* pending token, NULL: none */
 	call_attempt_t *attempt; /* running attempt, NULL: none */
--- a/programs/cassiad/tick.c
+++ b/programs/cassiad/tick.c
@@ -7,6 +7,7 @@
 
 #include "control.h"
 #include "processor_use.h"
+#include "stated_leaving.h"
 #include "stats.h"
 #include "stop.h"
 #include "warm_up_watch.h"
@@ -32,6 +33,7 @@
 		daemon->slow_tick_due_us = now + SLOW_TICK_US;
 		thresholds_tick(daemon->thresholds);
 		stats_tick(daemon);
+		stated_leaving_tick(daemon);
 	}
 	stop_tick(daemon);
 }
--- a/programs/cassiad/upstream_request.c
+++ b/programs/cassiad/upstream_request.c
@@ -6,6 +6,7 @@
 #include "child_calls.h"
 #include "entry.h"
 #include "processor_use.h"
+#include "stated_leaving.h"
 #include "stats.h"
 #include "stop.h"
 #include "upstream_gate.h"
@@ -419,6 +420,23 @@
 	on_done(request, &result);
 }
 
+/* Returns the upstream instance that the request is for, 0: not known. The host
+ * list may have named another one since the request was sent. */
+static cas_id_t instance_of(const upstream_request_t *request)
+{
+	const cassiad_t *daemon = request->daemon;
+	cas_str_t instance = http_headers_value(request->spec.headers,
+						daemon->profile->instance);
+	const roster_host_t *host =
+		daemon->roster
+			? roster_find(daemon->roster, daemon->settings->host_id)
+			: NULL;
+
+	if (instance.len)
+		return cas_id_of(instance);
+	return host ? stated_leaving_instance(host) : 0;
+}
+
 static void on_head(void *private, const http_reply_t *reply)
 {
 	upstream_request_t *request = private;
@@ -429,6 +447,9 @@
 	request->upstream_status = reply->status;
 	warm_up_watch_load(request->daemon, reply->headers);
 	upstream_state_read(request->daemon, reply->headers, not_run);
+	stated_leaving_read(request->daemon, reply->headers,
+			    instance_of(request),
+			    request->daemon->settings->host_id);
 	if (not_run) {
 		on_refusal(request, reply);
 		return;
--- a/programs/cassiad/upstream_state.c
+++ b/programs/cassiad/upstream_state.c
@@ -5,6 +5,7 @@
 #include "cassia/http_error.h"
 #include "cassia/log.h"
 #include "cassia/stated_rate.h"
+#include "stated_leaving.h"
 
 #define MILLI_PER_UNIT 1000
 /* Shortest time between two log lines about a changed rate. */
@@ -88,7 +89,7 @@
 void upstream_state_listing(cassiad_t *daemon, const roster_host_t *host)
 {
 	upstream_state_t *state = daemon->upstream_state;
-	cas_id_t instance = host ? cas_id_of(host->instance) : 0;
+	cas_id_t instance = host ? stated_leaving_instance(host) : 0;
 
 	if (state->instance && instance && instance != state->instance)
 		clear_rate(daemon, "new-instance");
