--- a/packages/http/include/cassia/http_profile.h
+++ b/packages/http/include/cassia/http_profile.h
@@ -7,6 +7,11 @@
 
 #include "cassia/http_headers.h"
 
+/* Names by which one field is known, tried in turn. */
+typedef struct http_profile_names {
+	cas_str_t names[2]; /* the second may be empty */
+} http_profile_names_t;
+
 typedef struct http_profile {
 	cas_str_t key_scheme; /* Authorization scheme of customers' keys */
 	cas_str_t request_id;
@@ -31,9 +36,9 @@
 	cas_str_t warm_up_left;
 	/* Requests a second that the upstream takes from all daemons together, in
 	 * its responses for as long as it is limited. */
-	cas_str_t request_rate;
+	http_profile_names_t request_rate;
 	/* Has the value 1 in the responses of an upstream that leaves. */
-	cas_str_t leaving;
+	http_profile_names_t leaving;
 	/* Any text may be a key, so keys cannot be recognized outside the
 	 * Authorization field. */
 	bool opaque_keys;
@@ -66,6 +71,10 @@
 				 const http_headers_t *headers,
 				 const http_profile_request_t *request);
 
+/* Returns the first field that has one of the names (borrowed), or NULL. */
+const http_header_t *http_profile_find(const http_profile_names_t *names,
+				       const http_headers_t *headers);
+
 /* Header fields defined by this project, with the prefix Cassia-. */
 extern const http_profile_t http_profile_cassia;
 
--- a/packages/http/profile.c
+++ b/packages/http/profile.c
@@ -51,13 +51,24 @@
 	return (profile->handle.len ? handle : id) == IDENTITY_SAME;
 }
 
+const http_header_t *http_profile_find(const http_profile_names_t *names,
+				       const http_headers_t *headers)
+{
+	const size_t count = sizeof(names->names) / sizeof(names->names[0]);
+	const http_header_t *header = NULL;
+
+	for (size_t i = 0; i < count && !header && names->names[i].len; i++)
+		header = http_headers_find(headers, names->names[i]);
+	return header;
+}
+
 const http_profile_t http_profile_cassia = {
 	.key_scheme = { "Bearer", 6 },
 	.request_id = { "Cassia-Request-Id", 17 },
 	.client_timeout_ms = { "Cassia-Timeout-Ms", 17 },
 	.upstream_deadline_ms = { "Cassia-Deadline-Ms", 18 },
 	.handle = { "Cassia-Handle", 13 },
-	.request_rate = { "Cassia-Request-Rate", 19 },
-	.leaving = { "Cassia-Leaving", 14 },
+	.request_rate = { { { "Cassia-Request-Rate", 19 } } },
+	.leaving = { { { "Cassia-Leaving", 14 } } },
 	.is_not_run = is_not_run,
 };
--- a/programs/cassiad/stated_leaving.c
+++ b/programs/cassiad/stated_leaving.c
@@ -57,12 +57,11 @@
 			 cas_id_t instance, cas_id_t host)
 {
 	GHashTable *instances = daemon->stated_leaving->instances;
+	const http_header_t *field =
+		http_profile_find(&daemon->profile->leaving, headers);
 	leaving_instance_t *entry;
 
-	if (!instance ||
-	    !cas_str_equal(
-		    http_headers_value(headers, daemon->profile->leaving),
-		    CAS_STR("1")) ||
+	if (!field || !cas_str_equal(field->value, CAS_STR("1")) || !instance ||
 	    g_hash_table_contains(instances, &instance))
 		return;
 	entry = g_new0(leaving_instance_t, 1);
--- a/programs/cassiad/upstream_state.c
+++ b/programs/cassiad/upstream_state.c
@@ -59,7 +59,7 @@
 			 bool not_run)
 {
 	const http_header_t *field =
-		http_headers_find(headers, daemon->profile->request_rate);
+		http_profile_find(&daemon->profile->request_rate, headers);
 	double rate_per_s;
 
 	if (field && !stated_rate_parse(field->value, &rate_per_s)) {
--- a/standins/upstream_state.c
+++ b/standins/upstream_state.c
@@ -44,9 +44,10 @@
 	if (rate)
 		fields = talloc_asprintf_append_buffer(
 			fields, "%.*s: %s\r\n",
-			CAS_STR_ARG(profile->request_rate), rate);
+			CAS_STR_ARG(profile->request_rate.names[0]), rate);
 	if (leaving)
 		fields = talloc_asprintf_append_buffer(
-			fields, "%.*s: 1\r\n", CAS_STR_ARG(profile->leaving));
+			fields, "%.*s: 1\r\n",
+			CAS_STR_ARG(profile->leaving.names[0]));
 	return fields;
 }
