--- a/standins/upstream.c
+++ b/standins/upstream.c
@@ -20,6 +20,9 @@
  *   X-Raw-Repeat    bytes sent after X-Raw without end, with the escapes of C
  *   X-Cross         responds with a Cassia-Request-Id of zeros, as if the
  *                   response belonged to another request
+ *   X-Crash         the upstream crashes when it has run the request for half of
+ *                   its time: all connections are reset, new ones are refused
+ *                   for --crash-ms
  *   X-Child         target of a child call through the local daemon, made after
  *                   the delay; needs --local-port
  *   X-Child-Status  X-Status of the child call
@@ -73,6 +76,11 @@
 	long repeated; /* requests with an X-Run-Id received before */
 	long requests_with_key; /* Authorization or csk_ in the header */
 	long health_requests;
+	GHashTable *conns; /* all conn_t */
+	struct tevent_fd *listen_fde; /* NULL while crashed */
+	int listen_fd;
+	int crash_ms; /* how long it is down after a crash */
+	long crashes;
 	long cancelled; /* requests whose connection closed before the response
 			   was complete, without X-Silent */
 } upstream_t;
@@ -116,12 +124,14 @@
 	{ "queue", 0, 0, G_OPTION_ARG_INT, &self.queue_max, "", NULL },
 	{ "local-port", 0, 0, G_OPTION_ARG_INT, &self.local_port,
 	  "Port of the daemon for child calls", NULL },
+	{ "crash-ms", 0, 0, G_OPTION_ARG_INT, &self.crash_ms, "", NULL },
 	{ "run-log", 0, 0, G_OPTION_ARG_FILENAME, &self.run_log_path, "",
 	  NULL },
 	{ NULL, 0, 0, 0, NULL, NULL, NULL },
 };
 
 static void start_request(conn_t *conn);
+static void start_listening(void);
 
 /* Returns the value of the first field of that name in the request header,
  * owned by ctx, or NULL. */
@@ -179,6 +189,7 @@
 	if (conn->child_call)
 		http_call_cancel(conn->child_call);
 	release_slot(conn);
+	g_hash_table_remove(conn->upstream->conns, conn);
 	talloc_free(conn->fde);
 	close(conn->fd);
 	talloc_free(conn);
@@ -297,11 +308,12 @@
 		"\"connections\":%ld,"
 		"\"keys\":%ld,\"cancelled\":%ld,"
 		"\"running\":%d,\"most_running\":%d,"
-		"\"health\":%ld,\"worst_second\":%d}\n",
+		"\"health\":%ld,\"worst_second\":%d,\"crashes\":%ld}\n",
 		upstream->requests, upstream->repeated, upstream->connections,
 		upstream->requests_with_key, upstream->cancelled,
 		upstream->running, upstream->most_running,
-		upstream->health_requests, upstream_cold_worst());
+		upstream->health_requests, upstream_cold_worst(),
+		upstream->crashes);
 }
 
 static void write_response(conn_t *conn, int status, const char *extra_fields,
@@ -483,6 +495,51 @@
 		answer_request(private);
 }
 
+static void on_recovered(struct tevent_context *ev, struct tevent_timer *timer,
+			 struct timeval now, void *private)
+{
+	(void)ev;
+	(void)timer;
+	(void)now;
+	(void)private;
+	start_listening();
+}
+
+/* Ends all connections as the end of the process would. */
+static void crash(upstream_t *upstream)
+{
+	const struct linger reset = { .l_onoff = 1, .l_linger = 0 };
+	GList *conns = g_hash_table_get_keys(upstream->conns);
+
+	upstream->crashes++;
+	TALLOC_FREE(upstream->listen_fde);
+	close(upstream->listen_fd);
+	g_queue_clear(upstream->queue);
+	for (GList *link = conns; link; link = link->next) {
+		conn_t *conn = link->data;
+
+		setsockopt(conn->fd, SOL_SOCKET, SO_LINGER, &reset,
+			   sizeof(reset));
+		conn_close(conn);
+	}
+	g_list_free(conns);
+	tevent_add_timer(upstream->ev, upstream->ev,
+			 tevent_timeval_current_ofs(
+				 (uint32_t)(upstream->crash_ms / 1000),
+				 (uint32_t)(upstream->crash_ms % 1000) * 1000),
+			 on_recovered, NULL);
+}
+
+static void on_crash_due(struct tevent_context *ev, struct tevent_timer *timer,
+			 struct timeval now, void *private)
+{
+	(void)ev;
+	(void)timer;
+	(void)now;
+	(void)private;
+	crash(&self);
+}
+
 static void start_request(conn_t *conn)
 {
 	upstream_t *upstream = conn->upstream;
@@ -498,6 +555,13 @@
 		conn->silent = true;
 		return;
 	}
+	if (get_field_number(conn, "X-Crash", 0)) {
+		tevent_add_timer(
+			upstream->ev, conn,
+			tevent_timeval_current_ofs(0, (uint32_t)(delay_us / 2)),
+			on_crash_due, conn);
+		return;
+	}
 	tevent_add_timer(
 		upstream->ev, conn,
 		tevent_timeval_current_ofs((uint32_t)(delay_us / 1000000),
@@ -674,8 +738,9 @@
 static void on_accept(struct tevent_context *ev, struct tevent_fd *fde,
 		      uint16_t flags, void *private)
 {
-	int *listen_fd = private;
-	int fd = accept4(*listen_fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+	const upstream_t *upstream = private;
+	int fd = accept4(upstream->listen_fd, NULL, NULL,
+			 SOCK_NONBLOCK | SOCK_CLOEXEC);
 	const int enable = 1;
 	conn_t *conn;
 
@@ -687,6 +752,7 @@
 	conn = talloc_zero(ev, conn_t);
 	conn->upstream = &self;
 	conn->fd = fd;
+	g_hash_table_add(self.conns, conn);
 	conn->fde = tevent_add_fd(ev, conn, fd, TEVENT_FD_READ, on_fd, conn);
 }
 
@@ -708,16 +774,25 @@
 		perror("upstream: listen");
 		return -1;
 	}
-	printf("port=%u\n", ntohs(address.sin_port));
+	self.port = ntohs(address.sin_port);
+	printf("port=%d\n", self.port);
 	fflush(stdout);
 	return fd;
 }
 
+static void start_listening(void)
+{
+	self.listen_fd = listen_on_address();
+	if (self.listen_fd < 0)
+		exit(1);
+	self.listen_fde = tevent_add_fd(self.ev, self.ev, self.listen_fd,
+					TEVENT_FD_READ, on_accept, &self);
+}
+
 int main(int argc, char **argv)
 {
 	const http_client_settings_t settings = { .connections_max = 1000 };
 	GOptionContext *context = g_option_context_new(NULL);
-	int listen_fd;
 
 	g_option_context_add_main_entries(context, options, NULL);
 	g_option_context_add_main_entries(context, upstream_cold_options, NULL);
@@ -738,10 +813,7 @@
 		setvbuf(self.run_log, NULL, _IOLBF, 0);
 	}
 	upstream_cold_begin();
-	listen_fd = listen_on_address();
-	if (listen_fd < 0)
-		return 1;
-	tevent_add_fd(self.ev, self.ev, listen_fd, TEVENT_FD_READ, on_accept,
-		      &listen_fd);
+	self.conns = g_hash_table_new(NULL, NULL);
+	start_listening();
 	return tevent_loop_wait(self.ev);
 }
