Send nothing for a second to an upstream whose daemon cannot reach it

While an upstream is down, the daemon beside it refuses each request as not run with no-upstream, and the sender takes it to another one.

It now ejects the upstream at once, for a second, whatever the number of others that are down; the last usable one stays. The time does not double as for a daemon that refuses connections: the daemon is there, and tells with the next request whether the upstream has returned.

test_down_ejects_for_a_short_time does not build without the outcome ROUTING_DOWN; with it mapped to ROUTING_REFUSED it fails in the second outage.

--- a/packages/routing/eject.c
+++ b/packages/routing/eject.c
@@ -41,6 +41,7 @@
 
 /* The set of upstreams of which at most a third may be ejected at a time. */
 typedef enum eject_cap {
+	EJECT_CAP_DOWN, /* no bound, and no longer than EJECT_BASE_US */
 	EJECT_CAP_NONE, /* no bound: it refuses all, and so does not serve */
 	EJECT_CAP_TIER, /* those of the same tier */
 	EJECT_CAP_SERVICE, /* all; also ejects the only one of a tier */
@@ -71,7 +72,7 @@
 
 		if (peer != upstream && peer->max_connections &&
 		    !is_unavailable(peer, now_us) &&
-		    (!peer->stopping || cap == EJECT_CAP_NONE))
+		    (!peer->stopping || cap <= EJECT_CAP_NONE))
 			(*usable_others)++;
 		if (routing_is_closed(peer) ||
 		    (cap == EJECT_CAP_TIER && peer->tier != upstream->tier))
@@ -95,7 +96,7 @@
 		    &already_ejected, &usable_others);
 	if (!usable_others)
 		return false;
-	return cap == EJECT_CAP_NONE || (already_ejected + 1) * 3 <= scope_size;
+	return cap <= EJECT_CAP_NONE || (already_ejected + 1) * 3 <= scope_size;
 }
 
 /* Ejects the upstream unless it is ejected already or the cap forbids it. Its
@@ -104,7 +105,7 @@
 static bool eject(routing_t *routing, upstream_t *upstream, eject_cap_t cap)
 {
 	int64_t now_us = cas_clock_now(routing->clock);
-	bool refused = cap == EJECT_CAP_NONE;
+	bool refused = cap <= EJECT_CAP_NONE;
 	int64_t until_us;
 
 	if (now_us < upstream->ejected_until_us ||
@@ -114,8 +115,12 @@
 		upstream->recent_ejections = 0;
 		upstream->refusal_doublings = 0;
 	}
-	until_us = now_us + (EJECT_BASE_US << upstream->recent_ejections);
-	if (upstream->recent_ejections < EJECT_DOUBLINGS_MAX) {
+	until_us = now_us +
+		   (cap == EJECT_CAP_DOWN
+			    ? EJECT_BASE_US
+			    : EJECT_BASE_US << upstream->recent_ejections);
+	if (cap != EJECT_CAP_DOWN &&
+	    upstream->recent_ejections < EJECT_DOUBLINGS_MAX) {
 		upstream->recent_ejections++;
 		upstream->refusal_doublings += refused;
 	}
@@ -303,6 +308,9 @@
 	case ROUTING_REFUSED:
 		eject(routing, upstream, EJECT_CAP_NONE);
 		break;
+	case ROUTING_DOWN:
+		eject(routing, upstream, EJECT_CAP_DOWN);
+		break;
 	case ROUTING_UNREACHABLE:
 		if (eject(routing, upstream, EJECT_CAP_NONE))
 			upstream->unreachable = true;
--- a/packages/routing/include/cassia/routing.h
+++ b/packages/routing/include/cassia/routing.h
@@ -49,6 +49,9 @@
 	/* Connection refused, or the daemon takes no new requests: ejects at
 	 * once, until it responds again. */
 	ROUTING_REFUSED,
+	/* Its daemon reports that the upstream does not run: ejects at once and
+	 * for a short time, as it may return soon. */
+	ROUTING_DOWN,
 	ROUTING_UNREACHABLE, /* no connection in time: ejects at once */
 	ROUTING_EXPIRED, /* no response before the deadline */
 	ROUTING_CANCELLED, /* cancelled by the caller; ignored */
--- a/packages/routing/tests/test_routing.c
+++ b/packages/routing/tests/test_routing.c
@@ -212,6 +212,26 @@
 	talloc_free(fixture);
 }
 
+/* Guards against requests to an upstream that is known to be down, and against
+ * one that has returned and stays ejected for long: each outage would double the
+ * time. */
+static void test_down_ejects_for_a_short_time(void **state)
+{
+	fixture_t *fixture = create_fixture(6, 1, 0);
+
+	(void)state;
+	set_view(fixture);
+	for (int i = 0; i < 5; i++) {
+		finish_request(fixture, 1000, ROUTING_DOWN, 0);
+		assert_true(routing_is_ejected(fixture->routing, 1000));
+		assert_int_equal(count_picks(fixture, 1000, false), 0);
+		cas_clock_advance(fixture->clock, 11 * CAS_USEC_PER_SEC / 10);
+		assert_false(routing_is_ejected(fixture->routing, 1000));
+	}
+	assert_true(count_picks(fixture, 1000, false) > 0);
+	talloc_free(fixture);
+}
+
 /* Guards against ejecting a healthy upstream, which moves its traffic to other
  * regions, because requests reach it shortly before their deadline and expire.
  * Seen in a benchmark after a restart of the fleet. */
@@ -575,6 +595,7 @@
 		cmocka_unit_test(test_ejects_failing_upstream),
 		cmocka_unit_test(test_keeps_upstreams_that_fail_alike),
 		cmocka_unit_test(test_old_limit_is_not_compared),
+		cmocka_unit_test(test_down_ejects_for_a_short_time),
 		cmocka_unit_test(test_expired_with_little_time),
 		cmocka_unit_test(test_shed_requests_do_not_eject),
 		cmocka_unit_test(test_leaving_and_new_hosts),
--- a/programs/cassiad/entry_attempts.c
+++ b/programs/cassiad/entry_attempts.c
@@ -448,6 +448,8 @@
 	case REASON_WARMING_UP:
 	case REASON_UPSTREAM_RATE:
 		return ROUTING_SHED;
+	case REASON_NO_UPSTREAM:
+		return result->has_report ? ROUTING_DOWN : ROUTING_FAILED;
 	case REASON_REJECTED:
 		return ROUTING_ERROR;
 	default:
