Quarantine requests that crash the upstreams which run them

A failed attempt counted for the upstream and for the retry budget, never for the request. The class of fault: evidence about a request is thrown away at the daemon that sees it.

The daemon beside an upstream now tells a crash from a connection that was reset (it tries to connect, 100 ms at most) and reports the digests of the requests that ran to the daemons of the same service, which all work for those upstreams passes: one datagram to each, sent again until acknowledged. A reported request is a suspect. An upstream runs one suspect at a time; more are refused as not run, and go to another upstream without a retry unit. A suspect that crashes an upstream in isolation, where another host has seen a crash before, is blocked for 30 s, then 5 and 30 minutes; one that runs to a good end as often as it has met a crash is free. So a popular request that ran on all upstreams of a rack that failed is held up for one round only, and one host alone blocks nothing at others. A daemon that starts asks the others; two have to agree.

A blocked request is refused as not run, 503 with the time that is left in Retry-After, by the gate that every path to the upstream asks. A status of 4xx would say that it is at fault, which is not certain. The table has 2,048 suspects at most, a report 48 digests, and a host is believed two crashes a second. Digests are keyed by the fleet secret, and cover customer, method, path, query, the first 4 kB of the body and its length.

Ruled out: no sending on after a crash (the client comes again by itself, and innocent requests lose their repeat), a count of crashes without isolation (it blocks what is popular when a rack fails), reports to all daemons (only those beside the upstreams need them).

--- a/packages/base/include/cassia/wire.h
+++ b/packages/base/include/cassia/wire.h
@@ -11,6 +11,7 @@
 	CASSIA_PROC_BEAT = 1, /* heartbeat: membership_beat */
 	CASSIA_PROC_QUOTA_ASK = 2, /* request for quota: quota_ask */
 	CASSIA_PROC_NOTICE = 3, /* revisions of the sender: membership_notice */
+	CASSIA_PROC_CRASH = 4, /* crash of an upstream: quarantine_report */
 };
 
 #endif
--- a/programs/cassiad/config.c
+++ b/programs/cassiad/config.c
@@ -7,6 +7,7 @@
 #include "stop.h"
 #include "daemon.h"
 #include "fetch.h"
+#include "crash_watch.h"
 #include "stated_leaving.h"
 #include "upstream_state.h"
 #include "warm_up_watch.h"
@@ -188,6 +189,8 @@
 	if (daemon->table)
 		keys_set_table(daemon->keys, daemon->table);
 	control_apply_config(daemon);
+	if (daemon->roster)
+		crash_watch_set_roster(daemon);
 	if (daemon->table && daemon->roster)
 		update_routing(daemon);
 	entry_recheck_keys(daemon);
--- a/programs/cassiad/control.c
+++ b/programs/cassiad/control.c
@@ -170,6 +170,25 @@
 	tick_control_changed(control->daemon);
 }
 
+static int on_crash(cas_id_t from, uint64_t incarnation, void *args,
+		    void *reply, void *private)
+{
+	control_t *control = private;
+
+	quarantine_on_report(control->daemon->quarantine, from, incarnation,
+			     args, reply);
+	return 0;
+}
+
+static void on_crash_reply(cas_id_t from, uint64_t incarnation, void *reply,
+			   void *private)
+{
+	control_t *control = private;
+
+	(void)incarnation;
+	quarantine_on_reply(control->daemon->quarantine, from, reply);
+}
+
 static void register_procedures(control_t *control)
 {
 	const peer_proc_t beat = {
@@ -201,9 +220,20 @@
 		.private_data = control,
 	};
 
+	const peer_proc_t crash = {
+		.args_xdr = (xdrproc_t)xdr_quarantine_report,
+		.args_size = sizeof(quarantine_report),
+		.reply_xdr = (xdrproc_t)xdr_quarantine_reply,
+		.reply_size = sizeof(quarantine_reply),
+		.on_call = on_crash,
+		.on_reply = on_crash_reply,
+		.private_data = control,
+	};
+
 	peer_register(control->peer, CASSIA_PROC_BEAT, &beat);
 	peer_register(control->peer, CASSIA_PROC_NOTICE, &notice);
 	peer_register(control->peer, CASSIA_PROC_QUOTA_ASK, &ask);
+	peer_register(control->peer, CASSIA_PROC_CRASH, &crash);
 }
 
 static void query_boot_peer(void *private, cas_id_t host)
@@ -348,8 +378,10 @@
 	int64_t membership_due =
 		membership_next_due(daemon->control->membership);
 	int64_t quota_due = quota_next_due(daemon->control->quota);
+	int64_t quarantine_due = quarantine_next_due(daemon->quarantine);
+	int64_t due = membership_due < quota_due ? membership_due : quota_due;
 
-	return membership_due < quota_due ? membership_due : quota_due;
+	return quarantine_due < due ? quarantine_due : due;
 }
 
 /* Returns whether the documents are as new as the source, which spares the
@@ -373,6 +405,8 @@
 		membership_tick(control->membership);
 	if (quota_next_due(control->quota) <= now)
 		quota_tick(control->quota);
+	if (quarantine_next_due(daemon->quarantine) <= now)
+		quarantine_tick(daemon->quarantine);
 	if (daemon->ready)
 		return;
 	config_boot_tick(control->boot);
@@ -425,6 +459,12 @@
 	talloc_free(wait);
 }
 
+void control_send_quarantine_report(cassiad_t *daemon, cas_id_t to,
+				    const quarantine_report *report)
+{
+	peer_send(daemon->control->peer, to, CASSIA_PROC_CRASH, report);
+}
+
 void control_set_draining(cassiad_t *daemon, bool draining)
 {
 	membership_set_draining(daemon->control->membership, draining);
--- a/programs/cassiad/control.h
+++ b/programs/cassiad/control.h
@@ -59,6 +59,10 @@
 void control_derive_fleet_secrets(const settings_t *settings,
 				  fleet_secrets_t *secrets);
 
+/* Sends a report to another host; it may be lost. */
+void control_send_quarantine_report(cassiad_t *daemon, cas_id_t to,
+				    const quarantine_report *report);
+
 /* Sets whether heartbeats announce that this daemon drains. */
 void control_set_draining(cassiad_t *daemon, bool draining);
 
--- a/programs/cassiad/daemon.c
+++ b/programs/cassiad/daemon.c
@@ -8,6 +8,7 @@
 #include "cassia/peer.h"
 #include "cassia/platform.h"
 #include "control.h"
+#include "crash_watch.h"
 #include "processor_use.h"
 #include "stated_leaving.h"
 #include "stats.h"
@@ -161,7 +162,7 @@
 	retry_throttle_set_ratio(daemon->throttle,
 				 (uint32_t)daemon->settings->first_per_retry);
 	if (warm_up_watch_create(daemon) || upstream_state_create(daemon) ||
-	    stated_leaving_create(daemon))
+	    stated_leaving_create(daemon) || crash_watch_create(daemon))
 		return BASE_ENOMEM;
 	return admit_create(daemon);
 }
--- a/programs/cassiad/daemon.h
+++ b/programs/cassiad/daemon.h
@@ -14,6 +14,7 @@
 #include "cassia/config_notices.h"
 #include "cassia/config_store.h"
 #include "cassia/metrics.h"
+#include "cassia/quarantine.h"
 #include "cassia/drain.h"
 #include "cassia/drain_times.h"
 #include "cassia/error.h"
@@ -37,6 +38,7 @@
 typedef struct compressed_document compressed_document_t;
 typedef struct stats stats_t;
 typedef struct warm_up_watch warm_up_watch_t;
+typedef struct crash_watch crash_watch_t;
 typedef struct stated_leaving stated_leaving_t;
 typedef struct upstream_state upstream_state_t;
 typedef struct processor_use processor_use_t;
@@ -127,6 +129,10 @@
 	warm_up_watch_t *warm_up_watch; /* of the own upstream */
 	upstream_state_t *upstream_state; /* of the own upstream */
 	stated_leaving_t *stated_leaving; /* upstreams of all hosts */
+	crash_watch_t *crash_watch; /* of the own upstream */
+	quarantine_t *quarantine; /* requests that crash upstreams */
+	/* The request that the own upstream runs in isolation, NULL: none. */
+	const void *isolated_request;
 	thresholds_t *thresholds; /* admitted fractions from outcomes */
 	/* Shares of request trees that can be completed, from outcomes. */
 	tree_shares_t *tree_shares;
--- a/programs/cassiad/entry_attempts.c
+++ b/programs/cassiad/entry_attempts.c
@@ -447,7 +447,11 @@
 	case REASON_REGION: /* the daemon there has another table */
 	case REASON_WARMING_UP:
 	case REASON_UPSTREAM_RATE:
+	case REASON_ISOLATED:
+	case REASON_QUARANTINED:
 		return ROUTING_SHED;
+	case REASON_UPSTREAM_CRASHED:
+		return ROUTING_DOWN;
 	case REASON_NO_UPSTREAM:
 		return result->has_report ? ROUTING_DOWN : ROUTING_FAILED;
 	case REASON_REJECTED:
@@ -457,10 +461,12 @@
 	}
 }
 
-/* Returns whether an upstream was not given a request because of its pace. */
+/* Returns whether an upstream was not given a request because of its pace, or
+ * because it runs one that needs care. */
 static bool is_paced(reason_t reason)
 {
-	return reason == REASON_WARMING_UP || reason == REASON_UPSTREAM_RATE;
+	return reason == REASON_WARMING_UP || reason == REASON_UPSTREAM_RATE ||
+	       reason == REASON_ISOLATED;
 }
 
 static retry_outcome_t retry_outcome_of(const call_attempt_result_t *result)
@@ -484,6 +490,7 @@
 		return true;
 	case REASON_WARMING_UP:
 	case REASON_UPSTREAM_RATE:
+	case REASON_ISOLATED:
 		return request->paced_reroutes++ < PACED_REROUTES_MAX;
 	default:
 		return false;
@@ -552,7 +559,8 @@
 		apply_report(request, report);
 	if (result->outcome == ATTEMPT_UNKNOWN)
 		request->may_have_run = true;
-	if (try_reroute(request, result) || decide_repeat(request, result))
+	if (result->reason != REASON_QUARANTINED &&
+	    (try_reroute(request, result) || decide_repeat(request, result)))
 		entry_start_attempt(request);
 	else
 		entry_refuse(request, result->reason, retry_after_us(result));
--- a/programs/cassiad/operator_server.c
+++ b/programs/cassiad/operator_server.c
@@ -9,6 +9,7 @@
 #include "placement_report.h"
 #include "processor_use.h"
 #include "stop.h"
+#include "crash_watch.h"
 #include "upstream_state.h"
 #include "warm_up_watch.h"
 #include "stats.h"
@@ -136,6 +137,7 @@
 		  (int64_t)attempt_table_count(daemon->attempts));
 	warm_up_watch_set_metrics(daemon);
 	upstream_state_set_metrics(daemon);
+	crash_watch_set_metrics(daemon);
 	set_link_metrics(daemon);
 	set_placement_metrics(daemon);
 	control_set_metrics(daemon);
--- a/programs/cassiad/reason.c
+++ b/programs/cassiad/reason.c
@@ -56,6 +56,14 @@
 				"The upstream has just started." },
 	[REASON_UPSTREAM_RATE] = { "upstream-rate", 503,
 				   "The upstream takes fewer requests." },
+	[REASON_UPSTREAM_CRASHED] = { "upstream-crashed", 502,
+				      "The upstream ended." },
+	[REASON_ISOLATED] = { "isolated", 503,
+			      "The request is tried with care after an "
+			      "upstream that ran it has ended." },
+	[REASON_QUARANTINED] = { "quarantined", 503,
+				 "Upstreams that ran this request have "
+				 "ended." },
 };
 
 const char *reason_name(reason_t reason)
--- a/programs/cassiad/reason.h
+++ b/programs/cassiad/reason.h
@@ -30,6 +30,9 @@
 	REASON_REGION, /* the region of the upstream is not allowed */
 	REASON_WARMING_UP, /* the upstream has just started or recovered */
 	REASON_UPSTREAM_RATE, /* the upstream states that it takes fewer */
+	REASON_UPSTREAM_CRASHED, /* the upstream ended while it ran it */
+	REASON_ISOLATED, /* the upstream runs another suspect */
+	REASON_QUARANTINED, /* upstreams have crashed that ran it */
 	REASON_COUNT,
 } reason_t;
 
--- a/programs/cassiad/upstream_gate.c
+++ b/programs/cassiad/upstream_gate.c
@@ -20,14 +20,32 @@
 				   context->customer, own_region(daemon));
 }
 
+static reason_t check_quarantine(const cassiad_t *daemon,
+				 const upstream_gate_query_t *query)
+{
+	switch (quarantine_check(daemon->quarantine, query->digest)) {
+	case QUARANTINE_BLOCKED:
+		return REASON_QUARANTINED;
+	case QUARANTINE_SUSPECT:
+		return daemon->isolated_request && daemon->isolated_request !=
+							   query->request
+			       ? REASON_ISOLATED
+			       : REASON_NONE;
+	default:
+		return REASON_NONE;
+	}
+}
+
 reason_t upstream_gate_check(const cassiad_t *daemon,
-			     const attempt_context *context)
+			     const upstream_gate_query_t *query)
 {
+	const attempt_context *context = query->context;
+
 	if (cas_clock_now(daemon->clock) >= context->deadline)
 		return REASON_DEADLINE;
 	if (!drain_accepts_upstream_work(daemon->drain))
 		return REASON_DRAINING;
 	if (!is_region_allowed(daemon, context))
 		return REASON_REGION;
-	return REASON_NONE;
+	return check_quarantine(daemon, query);
 }
--- a/programs/cassiad/upstream_gate.h
+++ b/programs/cassiad/upstream_gate.h
@@ -7,8 +7,14 @@
 
 #include "daemon.h"
 
+typedef struct upstream_gate_query {
+	const attempt_context *context;
+	quarantine_digest_t digest; /* 0: not known */
+	const void *request; /* as in cassiad.isolated_request */
+} upstream_gate_query_t;
+
 /* Returns REASON_NONE, or why the request must not be sent. */
 reason_t upstream_gate_check(const cassiad_t *daemon,
-			     const attempt_context *context);
+			     const upstream_gate_query_t *query);
 
 #endif
--- a/programs/cassiad/upstream_request.c
+++ b/programs/cassiad/upstream_request.c
@@ -4,6 +4,7 @@
 #include "cassia/http_error.h"
 #include "cassia/log.h"
 #include "child_calls.h"
+#include "crash_watch.h"
 #include "entry.h"
 #include "processor_use.h"
 #include "stated_leaving.h"
@@ -32,6 +33,7 @@
 	bool head_delivered; /* ops->head was called */
 	bool shed_by_upstream; /* the response says that it has not run */
 	int upstream_status; /* of the response, 0: none yet */
+	crash_waiter_t crash_waiter; /* in the list while the outcome waits */
 };
 
 /* Longest time after which a request is told to come again in a warm-up or at a
@@ -42,6 +44,8 @@
  * so that it is not rounded down to 0. */
 #define TREE_SHARE_MIN (2.0 / ATTEMPT_FRACTION_SCALE)
 
+#define HTTP_SERVER_ERROR 500
+
 static const http_call_ops_t upstream_ops;
 
 /* Returns when a request that is refused because of the warm-up or the rate of
@@ -236,6 +240,10 @@
 	const attempt_context *context = &request->context;
 	int64_t wait_us;
 
+	if (request->result.reason == REASON_QUARANTINED)
+		return quarantine_blocked_us(request->daemon->quarantine,
+					     request->crash_waiter.digest) /
+		       CAS_USEC_PER_MSEC;
 	if (!daemon_hosts_are_shared(request->daemon) ||
 	    request->result.outcome != ATTEMPT_NOT_RUN ||
 	    request->result.reason != REASON_SHED)
@@ -246,10 +254,43 @@
 	return wait_us / CAS_USEC_PER_MSEC;
 }
 
+static upstream_gate_query_t gate_query(const upstream_request_t *request)
+{
+	return (upstream_gate_query_t){
+		.context = &request->context,
+		.digest = request->crash_waiter.digest,
+		.request = request,
+	};
+}
+
+/* Ends the isolation if it is that of the request. */
+static void release_isolation(const upstream_request_t *request)
+{
+	if (request->daemon->isolated_request == request)
+		request->daemon->isolated_request = NULL;
+}
+
+/* Checks the gate, and isolates a suspect that may be sent. */
+static reason_t enter_gate(upstream_request_t *request)
+{
+	cassiad_t *daemon = request->daemon;
+	const upstream_gate_query_t query = gate_query(request);
+	reason_t reason = upstream_gate_check(daemon, &query);
+
+	if (reason != REASON_NONE ||
+	    quarantine_check(daemon->quarantine, query.digest) ==
+		    QUARANTINE_FREE)
+		return reason;
+	daemon->isolated_request = request;
+	request->crash_waiter.isolated = true;
+	return REASON_NONE;
+}
+
 static void finish_request(upstream_request_t *request)
 {
 	call_attempt_result_t *result = &request->result;
 
+	release_isolation(request);
 	count_region_refusal(request);
 	log_unserved(request);
 	upstream_request_fill_outcome(
@@ -258,7 +299,8 @@
 		&result->report);
 	result->has_report = true;
 	if (!result->report.retry_after_ms)
-		result->report.retry_after_ms = (u_int)retry_after_ms(request);
+		result->report.retry_after_ms =
+			unsigned_of(retry_after_ms(request));
 	result->retry_after_ms = result->report.retry_after_ms;
 	remove_live_entry(request, result->outcome != ATTEMPT_SERVED);
 	request->ops->done(request->private, result);
@@ -304,8 +346,8 @@
  * have ended since; only a closed upstream opens again that soon. */
 static reason_t refused_by_gate(const upstream_request_t *request)
 {
-	reason_t reason =
-		upstream_gate_check(request->daemon, &request->context);
+	const upstream_gate_query_t query = gate_query(request);
+	reason_t reason = upstream_gate_check(request->daemon, &query);
 
 	return reason == REASON_NONE || reason == REASON_DEADLINE
 		       ? REASON_DRAINING
@@ -354,6 +396,27 @@
 	       (!request->spec.body || !http_body_error(request->spec.body));
 }
 
+static void on_crash_known(crash_waiter_t *waiter, bool crashed)
+{
+	upstream_request_t *request =
+		(void *)((char *)waiter -
+			 offsetof(upstream_request_t, crash_waiter));
+
+	if (crashed)
+		request->result.reason = REASON_UPSTREAM_CRASHED;
+	finish_request(request);
+}
+
+/* Returns whether the upstream may have crashed while it ran the request. One
+ * that has begun to respond is not taken for the cause. libcurl connects again
+ * after a reset of a kept connection, and then reports that it could not. */
+static bool may_have_met_crash(const upstream_request_t *request,
+			       const http_result_t *result)
+{
+	return result->sent && !request->head_delivered &&
+	       (result->error == HTTP_ERESET || result->error == HTTP_ECONNECT);
+}
+
 static void on_done(void *private, const http_result_t *result)
 {
 	upstream_request_t *request = private;
@@ -377,8 +440,16 @@
 	} else if (result->error) {
 		set_failure(request, result);
 	}
+	if (!result->error && !request->shed_by_upstream &&
+	    request->upstream_status < HTTP_SERVER_ERROR)
+		quarantine_note_served(request->daemon->quarantine,
+				       request->crash_waiter.digest);
 	admission_finish(request->daemon->admission, ticket, admission_result);
-	finish_request(request);
+	if (may_be_upstream_fault(request, result) &&
+	    may_have_met_crash(request, result))
+		crash_watch_add(request->daemon, &request->crash_waiter);
+	else
+		finish_request(request);
 }
 
 static bool belongs_to_request(void *private, const http_reply_t *reply)
@@ -473,10 +544,7 @@
  * while it was opened. */
 static bool may_send(void *private)
 {
-	const upstream_request_t *request = private;
-
-	return upstream_gate_check(request->daemon, &request->context) ==
-	       REASON_NONE;
+	return enter_gate(private) == REASON_NONE;
 }
 
 static int add_id_and_handle(upstream_request_t *request,
@@ -554,7 +622,7 @@
 	cassiad_t *daemon = request->daemon;
 	char id_text[ATTEMPT_ID_TEXT_BYTES];
 	/* It may have waited in the queue since it was accepted. */
-	reason_t reason = upstream_gate_check(daemon, &request->context);
+	reason_t reason = enter_gate(request);
 
 	if (reason == REASON_NONE &&
 	    !stop_has_time(daemon, &request->context, 0))
@@ -671,6 +739,7 @@
 		talloc_pooled_object(daemon, upstream_request_t,
 				     REQUEST_OBJECTS, REQUEST_POOL_BYTES);
 	const attempt_context *context = spec->context;
+	upstream_gate_query_t query;
 	reason_t reason;
 
 	if (!request)
@@ -688,7 +757,12 @@
 		return NULL;
 	}
 	upstream_request_count_early(daemon, &request->context);
-	reason = upstream_gate_check(daemon, context);
+	request->crash_waiter.done = on_crash_known;
+	request->crash_waiter.digest = crash_watch_digest(
+		daemon, context->customer, spec->method, spec->target,
+		spec->body, spec->content_length);
+	query = gate_query(request);
+	reason = upstream_gate_check(daemon, &query);
 	/* Admission counts the requests whose deadline has passed. */
 	if (reason == REASON_NONE || reason == REASON_DEADLINE)
 		offer_to_admission(request);
@@ -705,6 +779,10 @@
 		sent = http_call_cancel(request->call);
 	if (request->ticket)
 		admission_cancel(request->daemon->admission, request->ticket);
+	if (request->crash_waiter.next)
+		sent = true;
+	crash_watch_remove(&request->crash_waiter);
+	release_isolation(request);
 	remove_live_entry(request, true);
 	talloc_free(request);
 	return sent;
