Take a response with an invalid head for a broken one

Status 000 itself never reached a caller: 0, 000, 099, 199, 2000, 20, -200, 2O0, abc and a line without a status ended as 502 already. But 600 and 999 were passed on as they are, "200OK" and " 200 OK" counted as 200, and 101, which no request asks for, held the caller until its deadline. The cause: the client read the status with strtol, took everything below 200 for an interim response and any other number for a final one; lines without a colon were skipped, and a Content-Length was read as far as it is a number.

reply_head.c decides it in one place, for upstreams and daemons alike: a status line must have a version 1.x, one space, a status from 100 to 599 other than 101, and a space before a reason; a field a token as its name; lengths must be numbers and agree. Any other head ends the call as HTTP_EPROTO before a field of it is believed, such as one that says the request has not run, and libcurl closes the connection.

test_invalid_head_is_no_response fails without the change, at 101; test_unusual_heads_are_responses guards the valid ones. The status lines also pass two daemons in test_path_faulty_responses.sh, with and without the field of a refusal.

--- a/packages/http/client_internal.h
+++ b/packages/http/client_internal.h
@@ -66,6 +66,7 @@
 	bool head_ready; /* the head of the final response is complete */
 	bool head_delivered; /* the head callback has been called */
 	bool header_too_large;
+	bool head_invalid; /* a line of it, or the length */
 	bool send_refused; /* by may_send */
 	/* The kept connection was not clean before the request was sent, so the
 	 * call is to be started again on a new one. */
--- a/packages/http/client_reply.c
+++ b/packages/http/client_reply.c
@@ -2,52 +2,42 @@
 #include "client_internal.h"
 
 #include <errno.h>
-#include <stdlib.h>
+#include <string.h>
 
 #include "cassia/http_error.h"
+#include "reply_head_internal.h"
 
 /* Limit on the header of a response, 1xx responses and trailer fields included.
  * libcurl 7.88 itself stores any number of trailer fields. */
 #define REPLY_HEADER_MAX_BYTES ((size_t)64 * 1024)
 
-static cas_str_t trim(cas_str_t s)
+/* Removes the end of a line. */
+static cas_str_t without_line_end(cas_str_t line)
 {
-	while (s.len && (s.ptr[0] == ' ' || s.ptr[0] == '\t')) {
-		s.ptr++;
-		s.len--;
-	}
-	while (s.len && strchr(" \t\r\n", s.ptr[s.len - 1]))
-		s.len--;
-	return s;
+	while (line.len && strchr("\r\n", line.ptr[line.len - 1]))
+		line.len--;
+	return line;
 }
 
 /* Parses a status line, which starts a new head: earlier ones belonged to 1xx
  * responses. */
-static void parse_status(http_call_t *call, cas_str_t line)
+static int parse_status(http_call_t *call, cas_str_t line)
 {
-	const char *space = memchr(line.ptr, ' ', line.len);
-
 	call->reply_headers->count = 0;
 	call->content_length = -1;
-	call->status = space ? (int)strtol(space, NULL, 10) : 0;
+	return reply_head_read_status(line, &call->status) ? 0 : HTTP_EPROTO;
 }
 
 static int parse_field(http_call_t *call, cas_str_t line)
 {
-	const char *colon = memchr(line.ptr, ':', line.len);
 	cas_str_t name;
 	cas_str_t value;
 
-	if (!colon)
-		return 0;
 	line = cas_str_dup(call->reply_headers, line);
 	if (!line.ptr)
 		return HTTP_ENOMEM;
-	colon = memchr(line.ptr, ':', line.len);
-	name = (cas_str_t){ line.ptr, (size_t)(colon - line.ptr) };
-	value = trim((cas_str_t){ colon + 1, line.len - name.len - 1 });
-	if (http_name_equal(name, CAS_STR("Content-Length")))
-		call->content_length = strtoll(value.ptr, NULL, 10);
+	if (!reply_head_read_field(line, &name, &value))
+		return HTTP_EPROTO;
 	return http_headers_add(call->reply_headers, name, value);
 }
 
@@ -70,13 +60,15 @@
 	       call->ops->matches_request(call->private, &reply);
 }
 
-/* Called at the end of a head. A response to another request is rejected here,
- * because a failure makes libcurl close the connection, whereas it keeps the
+/* Called at the end of a head. An invalid head, and a response to another
+ * request, are rejected here, because a failure makes libcurl close the connection, whereas it keeps the
  * connection for reuse once it has received the complete response. */
 static int finish_head(http_call_t *call)
 {
 	if (call->status < 200)
 		return 0;
+	if (!reply_head_read_length(call->reply_headers, &call->content_length))
+		return HTTP_EPROTO;
 	if (http_headers_find(call->reply_headers,
 			      CAS_STR("Transfer-Encoding")))
 		call->content_length = -1;
@@ -93,7 +85,7 @@
 {
 	client_handle_t *handle = cls;
 	http_call_t *call = handle->call;
-	cas_str_t line = trim((cas_str_t){ data, size * count });
+	cas_str_t line = without_line_end((cas_str_t){ data, size * count });
 	int error = 0;
 
 	call->reply_header_bytes += size * count;
@@ -107,9 +99,11 @@
 	if (!line.len)
 		error = finish_head(call);
 	else if (cas_str_starts_with(line, CAS_STR("HTTP/")))
-		parse_status(call, line);
+		error = parse_status(call, line);
 	else
 		error = parse_field(call, line);
+	if (error == HTTP_EPROTO)
+		call->head_invalid = true;
 	return error ? 0 : size * count;
 }
 
@@ -134,6 +128,8 @@
 		return HTTP_EEXPIRED;
 	if (call->header_too_large)
 		return HTTP_ETOOLARGE;
+	if (call->head_invalid)
+		return HTTP_EPROTO;
 	if (call->crossed)
 		return HTTP_ECROSSED;
 	switch (code) {
--- a/packages/http/tests/test_http_client.c
+++ b/packages/http/tests/test_http_client.c
@@ -601,6 +601,117 @@
 			       sizeof(responses) / sizeof(*responses));
 }
 
+/* Sends a response with this status line and further fields, complete otherwise,
+ * on a new connection or, if kept is set, on one that has carried a request. */
+static void start_call_with_head(fixture_t *f, const char *head, bool kept)
+{
+	char *text = talloc_asprintf(f,
+				     "%s\r\nId: x\r\nContent-Length: 2\r\n"
+				     "\r\nok",
+				     head);
+	int request = 1;
+
+	if (kept) {
+		start_call(f, "a");
+		wait_request(f, 0, request++);
+		send_response(f, 0, RESPONSE_WITH_ID("a"));
+		wait_done(f);
+	}
+	start_call(f, "x");
+	wait_request(f, 0, request);
+	send_response(f, 0, text);
+	wait_done(f);
+}
+
+/* Guards against a status 000 that the client gets as the response, and other
+ * heads that are not valid. */
+static void test_invalid_head_is_no_response(void **state)
+{
+	static const char *const heads[] = {
+		"HTTP/1.1 000 OK",
+		"HTTP/1.1 0 OK",
+		"HTTP/1.1 099 OK",
+		"HTTP/1.1 101 Switching Protocols",
+		"HTTP/1.1 199",
+		"HTTP/1.1 600 OK",
+		"HTTP/1.1 999 OK",
+		"HTTP/1.1 20 OK",
+		"HTTP/1.1 2000 OK",
+		"HTTP/1.1 -200 OK",
+		"HTTP/1.1 2O0 OK",
+		"HTTP/1.1 abc OK",
+		"HTTP/1.1 200OK",
+		"HTTP/1.1  200 OK",
+		"HTTP/1.1 +20 OK",
+		"HTTP/1.1",
+		"HTTP/1.1 ",
+		"HTTP/1.1\t200 OK",
+		"HTTP/1.x 200 OK",
+		"HTTP/11 200 OK",
+		"HTTP/2.0 200 OK",
+		"http/1.1 200 OK",
+		"HTTP/1.1 200 OK\r\nno field",
+		"HTTP/1.1 200 OK\r\n: value",
+		"HTTP/1.1 200 OK\r\nName : value",
+		"HTTP/1.1 200 OK\r\nA: b\r\n folded",
+		"HTTP/1.1 200 OK\r\nContent-Length: 3",
+		"HTTP/1.1 200 OK\r\nContent-Length: 2x",
+		"HTTP/1.1 200 OK\r\nContent-Length: -2",
+		"HTTP/1.1 200 OK\r\nContent-Length:",
+		"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 OK",
+	};
+
+	(void)state;
+	for (size_t i = 0; i < 2 * sizeof(heads) / sizeof(*heads); i++) {
+		fixture_t *f = fixture_create();
+		void *fixture = f;
+
+		assert_non_null(f);
+		start_call_with_head(f, heads[i / 2], i % 2);
+		if (f->result.error != HTTP_EPROTO || f->status)
+			print_message("head: %s\n", heads[i / 2]);
+		assert_int_equal(f->result.error, HTTP_EPROTO);
+		assert_true(f->result.sent);
+		assert_int_equal(f->status, 0);
+		start_call(f, "b");
+		send_response(f, wait_request_on_other_conn(f),
+			      RESPONSE_WITH_ID("b"));
+		wait_done(f);
+		assert_int_equal(f->result.error, 0);
+		teardown(&fixture);
+	}
+}
+
+/* Guards against valid heads that are taken for invalid ones. */
+static void test_unusual_heads_are_responses(void **state)
+{
+	static const char *const heads[] = {
+		"HTTP/1.1 200",
+		"HTTP/1.1 200 ",
+		"HTTP/1.0 200 OK",
+		"HTTP/1.1 200 2 \xc3\xa4 !",
+		"HTTP/1.1 200 OK\r\nA:",
+		"HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~9z: v",
+		"HTTP/1.1 200 OK\r\nContent-Length: 2",
+		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK",
+		"HTTP/1.1 199 Other\r\n\r\nHTTP/1.1 200 OK",
+	};
+
+	(void)state;
+	for (size_t i = 0; i < 2 * sizeof(heads) / sizeof(*heads); i++) {
+		fixture_t *f = fixture_create();
+		void *fixture = f;
+
+		assert_non_null(f);
+		start_call_with_head(f, heads[i / 2], i % 2);
+		if (f->result.error)
+			print_message("head: %s\n", heads[i / 2]);
+		assert_int_equal(f->result.error, 0);
+		assert_int_equal(f->status, 200);
+		teardown(&fixture);
+	}
+}
+
 /* Guards against a body that ends early and is taken for a complete one. */
 static void test_truncated_body_is_an_error(void **state)
 {
@@ -731,6 +842,8 @@
 		cmocka_unit_test_setup_teardown(test_timeout_while_connecting,
 						setup, teardown),
 		cmocka_unit_test(test_truncated_head_is_no_response),
+		cmocka_unit_test(test_invalid_head_is_no_response),
+		cmocka_unit_test(test_unusual_heads_are_responses),
 		cmocka_unit_test(test_truncated_body_is_an_error),
 		cmocka_unit_test(test_endless_head_ends_call),
 		cmocka_unit_test(test_endless_body_ends_call),
--- a/tests/test_path_faulty_responses.sh
+++ b/tests/test_path_faulty_responses.sh
@@ -84,6 +84,17 @@
 	check_faulty "$method, reset within the head" 502 $option \
 		-H "X-Raw: ${OK_HEAD}X-Field: value\\r\\n" -H 'X-Raw-Reset: 1'
 done
+for status in '000 OK' '0 OK' '099 OK' '101 Switching' '600 OK' '999 OK' \
+	200OK ' 200 OK' '2O0 OK' ''; do
+	check_faulty "status line '$status'" 502 -X POST -H "X-Raw: \
+HTTP/1.1 $status\\r\\nContent-Length: 2\\r\\n\\r\\nok"
+	check_faulty "status line '$status', not run" 502 -X POST -H "X-Raw: \
+HTTP/1.1 $status\\r\\nCassia-Outcome: not-run\\r\\nContent-Length: 2\\r\\n\\r\\nok"
+done
+check_faulty "field without colon" 502 -X POST \
+	-H "X-Raw: ${OK_HEAD}X-Field\\r\\nContent-Length: 2\\r\\n\\r\\nok"
+check_faulty "two lengths" 502 -X POST -H "X-Raw: ${OK_HEAD}Content-Length: 3\
+\\r\\nContent-Length: 2\\r\\n\\r\\nok"
 check_faulty "reset body without length" cut -X POST \
 	-H "X-Raw: ${OK_HEAD}\\r\\nabc" -H 'X-Raw-Reset: 1'
 check_faulty "chunked body without end" cut -X POST \
