Tell a host of the list that drops it

The host that a list drops is in no group any more, so no notice went to it; it learned of the list from the reply to one of its own heartbeats, the last of all daemons.

Watchers and leaders that adopt a list which drops hosts of their data centre now send their notices to these hosts as well, until they acknowledge or 5 s have passed, whatever further lists come meanwhile. The peer module may call procedures that are open to departed hosts there.

--- a/packages/membership/membership.c
+++ b/packages/membership/membership.c
@@ -160,7 +160,8 @@
 {
 	size_t beat_targets_max = membership_group_count(m->view->count) +
 				  m->remote_dc_count + 2 * LEADER_COUNT;
-	size_t notice_targets_max = m->view->count + m->remote_dc_count;
+	size_t notice_targets_max =
+		m->view->count + m->remote_dc_count + DROPPED_HOSTS_MAX;
 
 	talloc_free(m->beat_targets);
 	m->beat_target_count = 0;
@@ -213,6 +214,7 @@
 		return MEMBERSHIP_ENOMEM;
 	}
 	talloc_free(m->host_states);
+	membership_notice_dropped(m, view, now);
 	if (m->view)
 		retire_current_view(m, view, now);
 	m->view = view;
--- a/packages/membership/membership_internal.h
+++ b/packages/membership/membership_internal.h
@@ -99,6 +99,17 @@
 	bool acknowledged; /* replied that it knows these revisions */
 } notice_target_t;
 
+/* Hosts of the data centre that are told of the list which drops them: at most so
+ * many, and for so long. */
+#define DROPPED_HOSTS_MAX 64
+#define DROPPED_KEEP_US (5 * CAS_USEC_PER_SEC)
+
+/* A host that an adopted list has dropped, and that has not acknowledged it. */
+typedef struct dropped_host {
+	cas_id_t id;
+	int64_t until_us; /* it is told */
+} dropped_host_t;
+
 /* The leaders of a group, by ascending index. A leader's rank is its place in
  * this list. */
 typedef struct leaders {
@@ -164,6 +175,8 @@
 	int notice_attempts; /* rounds of notices sent */
 	bool is_reporting; /* to the leaders of the own group, not flooding */
 	int64_t next_notice_us; /* INT64_MAX: none */
+	dropped_host_t dropped[DROPPED_HOSTS_MAX];
+	size_t dropped_count;
 };
 
 /* view.c */
@@ -254,6 +267,10 @@
 
 /* notice.c */
 
+/* Remembers the hosts that a new view of the data centre drops, before it takes
+ * the place of the one in use. */
+void membership_notice_dropped(membership_t *m, const view_t *view,
+			       int64_t now);
 /* Sends the notices that are due. */
 void membership_notice_tick(membership_t *m, int64_t now);
 /* Announces newly adopted revisions by the role of this daemon. */
--- a/packages/membership/notice.c
+++ b/packages/membership/notice.c
@@ -3,7 +3,8 @@
  * the leaders of the data centre, and a leader also to its group and to the other
  * data centres. Any other daemon reports a revision to the leaders of its group
  * unless one of them has named it first. A daemon announces a revision only once
- * it holds it, so that the receiver can fetch it from the sender. Leaders that do
+ * it holds it, so that the receiver can fetch it from the sender. Watchers and
+ * leaders also tell the hosts that a host list has dropped. Leaders that do
  * not acknowledge it may have ended: their groups then get the notices directly.
  */
 #include "membership_internal.h"
@@ -88,6 +89,35 @@
 	}
 }
 
+static void remove_dropped(membership_t *m, size_t index)
+{
+	m->dropped[index] = m->dropped[--m->dropped_count];
+}
+
+void membership_notice_dropped(membership_t *m, const view_t *view, int64_t now)
+{
+	for (size_t i = m->dropped_count; i-- > 0;)
+		if (now >= m->dropped[i].until_us ||
+		    membership_view_find(view, m->dropped[i].id) >= 0)
+			remove_dropped(m, i);
+	for (size_t i = 0; m->view && i < m->view->count &&
+			   m->dropped_count < DROPPED_HOSTS_MAX;
+	     i++)
+		if (membership_view_find(view, m->view->ids[i]) < 0)
+			m->dropped[m->dropped_count++] = (dropped_host_t){
+				.id = m->view->ids[i],
+				.until_us = now + DROPPED_KEEP_US,
+			};
+}
+
+/* Adds the dropped hosts: they are in no group any more. */
+static void add_dropped(membership_t *m, int64_t now)
+{
+	for (size_t i = 0; i < m->dropped_count; i++)
+		if (now < m->dropped[i].until_us)
+			add_notice_target(m, m->dropped[i].id, NULL);
+}
+
 /* Chooses the targets by this daemon's roles. rank is its rank as a leader, or
  * -1. The notices are sent by the next tick. */
 static void start_flood(membership_t *m, int64_t now, int rank)
@@ -99,6 +129,7 @@
 		add_remote_hosts(m, (size_t)rank);
 	}
 	add_all_leaders(m, now);
+	add_dropped(m, now);
 	m->notice_attempts = 0;
 	m->next_notice_us = now;
 }
@@ -281,4 +312,9 @@
 		if (knows_all)
 			target->acknowledged = true;
 	}
+	for (size_t i = 0; knows_all && i < m->dropped_count; i++)
+		if (m->dropped[i].id == from) {
+			remove_dropped(m, i);
+			break;
+		}
 }
--- a/packages/membership/tests/test_membership.c
+++ b/packages/membership/tests/test_membership.c
@@ -387,6 +387,58 @@
 	net_destroy(net);
 }
 
+/* Returns after how long a host hears of the list that drops it, or limit_us. */
+static int64_t time_until_told(uint32_t seed, uint32_t loss_permille,
+			       int64_t limit_us)
+{
+	network_t *net = net_create(60, 3, seed);
+	bool listed[60];
+	size_t dropped = 20 + cas_rng_below(net->rng, 20);
+	int64_t start_us;
+	int64_t time_us;
+
+	for (size_t i = 0; i < 60; i++)
+		listed[i] = i != dropped;
+	net_publish(net, 2, listed);
+	net_start_all(net);
+	net_run(net, 5 * SEC);
+	net->loss_permille = loss_permille;
+	net_adopt(&net->nodes[cas_rng_below(net->rng, 20)], 2);
+	start_us = cas_clock_now(net->clock);
+	do {
+		net_step(net);
+		time_us = cas_clock_now(net->clock) - start_us;
+	} while (net->nodes[dropped].roster_revision < 2 && time_us < limit_us);
+	net_destroy(net);
+	return time_us;
+}
+
+/* Guards against a host that is the last to hear that it has been taken off the
+ * host list: it goes on sending its callers' requests to an upstream that has
+ * left. A list takes up to 0.5 s to all others. */
+static void test_dropped_host_is_told(void **state)
+{
+	int64_t worst_us = 0;
+	int64_t worst_with_loss_us = 0;
+
+	(void)state;
+	for (uint32_t seed = 1; seed <= 30; seed++) {
+		int64_t time_us = time_until_told(seed, 0, 5 * SEC);
+
+		worst_us = time_us > worst_us ? time_us : worst_us;
+		time_us = time_until_told(seed, 200, 5 * SEC);
+		worst_with_loss_us = time_us > worst_with_loss_us
+					     ? time_us
+					     : worst_with_loss_us;
+	}
+	printf("figure: dropped host told after at most %lld ms, with a fifth "
+	       "of the messages lost %lld ms\n",
+	       (long long)(worst_us / 1000),
+	       (long long)(worst_with_loss_us / 1000));
+	assert_true(worst_us <= SEC / 2);
+	assert_true(worst_with_loss_us <= SEC);
+}
+
 /* Guards against a fence that is lost to message loss: a tenth of the messages
  * are lost for 60 s. */
 static void test_fence_survives_message_loss(void **state)
@@ -422,6 +474,7 @@
 		cmocka_unit_test(test_table_beside_lost_leaders),
 		cmocka_unit_test(test_table_spreads_within_two_seconds),
 		cmocka_unit_test(test_missed_revision_is_learned),
+		cmocka_unit_test(test_dropped_host_is_told),
 		cmocka_unit_test(test_fence_survives_message_loss),
 	};
 
--- a/packages/peer/include/cassia/peer.h
+++ b/packages/peer/include/cassia/peer.h
@@ -56,7 +56,8 @@
 	void (*on_reply)(cas_id_t from, uint64_t incarnation, void *reply,
 			 void *private_data);
 	void *private_data;
-	/* Hosts that have been taken off the host list may call it. */
+	/* Hosts that have been taken off the host list may call it, and it may
+	 * be called there. */
 	bool is_open_to_departed;
 } peer_proc_t;
 
--- a/packages/peer/peer.c
+++ b/packages/peer/peer.c
@@ -150,6 +150,18 @@
 	return 0;
 }
 
+/* Returns whether the procedure may be called by the host, and there. */
+static bool is_reachable(const peer_t *peer, const remote_t *remote,
+			 uint32_t proc)
+{
+	if (!has_departed(remote))
+		return true;
+	return proc < PEER_PROC_COUNT &&
+	       peer->procs[proc].is_open_to_departed &&
+	       cas_clock_now(peer->clock) - remote->departed_us <
+		       PEER_DEPARTED_KEEP_US;
+}
+
 int peer_send(peer_t *peer, cas_id_t to, uint32_t proc, const void *args)
 {
 	remote_t *remote = find_remote(peer, to);
@@ -161,10 +173,12 @@
 	uint8_t data[PEER_MAX_BYTES];
 	int len;
 
-	if (!remote || has_departed(remote))
+	if (!remote)
 		return PEER_EHOST;
 	if (proc >= PEER_PROC_COUNT || !peer->procs[proc].args_xdr)
 		return PEER_EINVAL;
+	if (!is_reachable(peer, remote, proc))
+		return PEER_EHOST;
 	call.xid = peer->next_xid++;
 	call.sequence = ++peer->sequence;
 	len = peer_codec_encode_call(&peer->settings.secrets, &call, to,
@@ -203,17 +217,6 @@
 	send_datagram(peer, source, data, (size_t)len);
 }
 
-static bool may_call(const peer_t *peer, const remote_t *remote,
-		     const peer_call_t *call)
-{
-	if (!has_departed(remote))
-		return true;
-	return call->proc < PEER_PROC_COUNT &&
-	       peer->procs[call->proc].is_open_to_departed &&
-	       cas_clock_now(peer->clock) - remote->departed_us <
-		       PEER_DEPARTED_KEEP_US;
-}
-
 static bool is_ignored(const peer_t *peer, cas_id_t host)
 {
 	int64_t now = cas_clock_now(peer->clock);
@@ -254,7 +257,7 @@
 	remote = find_remote(peer, call.from);
 	if (!remote)
 		report_unlisted(peer, call.from);
-	if (!remote || !may_call(peer, remote, &call))
+	if (!remote || !is_reachable(peer, remote, call.proc))
 		return PEER_EHOST;
 	error = peer_window_accept(&remote->window, call.incarnation,
 				   call.sequence);
--- a/packages/peer/tests/test_peer.c
+++ b/packages/peer/tests/test_peer.c
@@ -412,7 +412,11 @@
 	assert_int_equal(counters->dropped_sender, 1);
 	assert_int_equal(peer_send(f->hosts[1].peer, 3, PROC, &value),
 			 PEER_EHOST);
+	assert_int_equal(peer_send(f->hosts[1].peer, 3, DEPARTED_PROC, &value),
+			 0);
 	cas_clock_advance(f->clock, PEER_DEPARTED_KEEP_US);
+	assert_int_equal(peer_send(f->hosts[1].peer, 3, DEPARTED_PROC, &value),
+			 PEER_EHOST);
 	call_proc(f, 2, 1, DEPARTED_PROC, 6);
 	deliver_captured(f, 1, f->count - 1);
 	assert_int_equal(counters->dropped_sender, 2);
--- a/programs/cassiad/control.c
+++ b/programs/cassiad/control.c
@@ -209,6 +209,7 @@
 		.on_call = on_notice,
 		.on_reply = on_notice_reply,
 		.private_data = control,
+		.is_open_to_departed = true,
 	};
 	const peer_proc_t ask = {
 		.args_xdr = (xdrproc_t)xdr_quota_ask,
