Derive the key of request digests once, and log digests with attempts

A daemon derived the key from the first secret for every request. It now does so when the secret changes. upstream_attempt shows the digest of its request, which links a refused request to the line request_quarantined. A suspect that finds no place is told to come again after 0.2 s, not at once, and a crash without known requests is no longer reported: such a report is what a started daemon sends to ask for blocked requests.

--- a/packages/quarantine/quarantine.c
+++ b/packages/quarantine/quarantine.c
@@ -138,6 +138,8 @@
 	    now_us - quarantine->crash_us >= SAME_CRASH_US)
 		quarantine->crashes++;
 	quarantine->crash_us = now_us;
+	if (!count)
+		return;
 	if (count > QUARANTINE_DIGESTS_MAX)
 		count = QUARANTINE_DIGESTS_MAX;
 	add_crashes(quarantine, digests, count, quarantine->self, isolated);
--- a/packages/routing/eject.c
+++ b/packages/routing/eject.c
@@ -41,12 +41,18 @@
 
 /* The set of upstreams of which at most a third may be ejected at a time. */
 typedef enum eject_cap {
-	EJECT_CAP_DOWN, /* no bound, and no longer than EJECT_BASE_US */
 	EJECT_CAP_NONE, /* no bound: it refuses all, and so does not serve */
+	EJECT_CAP_DOWN, /* the same, and never longer than EJECT_BASE_US */
 	EJECT_CAP_TIER, /* those of the same tier */
 	EJECT_CAP_SERVICE, /* all; also ejects the only one of a tier */
 } eject_cap_t;
 
+/* Returns whether the upstream certainly does not serve. */
+static bool is_refusal(eject_cap_t cap)
+{
+	return cap == EJECT_CAP_NONE || cap == EJECT_CAP_DOWN;
+}
+
 static bool is_unavailable(const upstream_t *upstream, int64_t now_us)
 {
 	return routing_is_closed(upstream) ||
@@ -72,7 +78,7 @@
 
 		if (peer != upstream && peer->max_connections &&
 		    !is_unavailable(peer, now_us) &&
-		    (!peer->stopping || cap <= EJECT_CAP_NONE))
+		    (!peer->stopping || is_refusal(cap)))
 			(*usable_others)++;
 		if (routing_is_closed(peer) ||
 		    (cap == EJECT_CAP_TIER && peer->tier != upstream->tier))
@@ -96,7 +102,7 @@
 		    &already_ejected, &usable_others);
 	if (!usable_others)
 		return false;
-	return cap <= EJECT_CAP_NONE || (already_ejected + 1) * 3 <= scope_size;
+	return is_refusal(cap) || (already_ejected + 1) * 3 <= scope_size;
 }
 
 /* Ejects the upstream unless it is ejected already or the cap forbids it. Its
@@ -105,7 +111,7 @@
 static bool eject(routing_t *routing, upstream_t *upstream, eject_cap_t cap)
 {
 	int64_t now_us = cas_clock_now(routing->clock);
-	bool refused = cap <= EJECT_CAP_NONE;
+	bool refused = is_refusal(cap);
 	int64_t until_us;
 
 	if (now_us < upstream->ejected_until_us ||
--- a/programs/cassiad/crash_watch.c
+++ b/programs/cassiad/crash_watch.c
@@ -2,8 +2,9 @@
 #include "crash_watch.h"
 
 #include <errno.h>
-#include <fcntl.h>
 #include <sodium.h>
+#include <stdio.h>
+#include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -17,6 +18,8 @@
 struct crash_watch {
 	cassiad_t *daemon;
 	crash_waiter_t waiters; /* head of a circular list, the oldest first */
+	uint8_t secret[ATTEMPT_KEY_BYTES]; /* from which the key was derived */
+	uint8_t key[QUARANTINE_KEY_BYTES]; /* of the digests */
 	bool probing; /* a connection attempt is running */
 	bool refused; /* it has failed at once */
 	int fd; /* of the attempt, -1: none */
@@ -178,13 +181,19 @@
 	control_send_quarantine_report(daemon, to, report);
 }
 
+void crash_watch_format_digest(quarantine_digest_t digest, char *text)
+{
+	snprintf(text, CRASH_DIGEST_TEXT_BYTES, "%016llx",
+		 (unsigned long long)digest);
+}
+
 static void log_blocked(void *private, quarantine_digest_t digest,
 			int32_t crashes, int64_t block_us)
 {
-	char text[2 * sizeof(digest) + 1];
+	char text[CRASH_DIGEST_TEXT_BYTES];
 
 	(void)private;
-	snprintf(text, sizeof(text), "%016llx", (unsigned long long)digest);
+	crash_watch_format_digest(digest, text);
 	cas_log(CAS_LOG_WARN, "request_quarantined",
 		CAS_LOG_CSTR("digest", text), CAS_LOG_INT("crashes", crashes),
 		CAS_LOG_INT("block_ms", block_us / CAS_USEC_PER_MSEC));
@@ -215,6 +224,20 @@
 	return watch->timeout && daemon->quarantine ? 0 : BASE_ENOMEM;
 }
 
+/* Derives the key of the digests when the first secret is a new one. */
+static void update_key(const cassiad_t *daemon)
+{
+	static const uint8_t label[] = "cassia-quarantine";
+	crash_watch_t *watch = daemon->crash_watch;
+	const uint8_t *secret = daemon->secrets.keys[0];
+
+	if (memcmp(watch->secret, secret, sizeof(watch->secret)) == 0)
+		return;
+	memcpy(watch->secret, secret, sizeof(watch->secret));
+	crypto_generichash(watch->key, sizeof(watch->key), secret,
+			   sizeof(watch->secret), label, sizeof(label));
+}
+
 quarantine_digest_t crash_watch_digest(const cassiad_t *daemon,
 				       cas_id_t customer, cas_str_t method,
 				       cas_str_t target, http_body_t *body,
@@ -226,7 +249,6 @@
 		.target = target,
 		.body_bytes = body ? content_length : 0,
 	};
-	uint8_t key[QUARANTINE_KEY_BYTES];
 
 	if (!daemon->secrets.count)
 		return 0;
@@ -236,10 +258,8 @@
 	if (body && !http_body_is_closed(body) &&
 	    request.body.len < QUARANTINE_BODY_BYTES)
 		return 0;
-	crypto_generichash(key, sizeof(key), daemon->secrets.keys[0],
-			   ATTEMPT_KEY_BYTES,
-			   (const uint8_t *)"cassia-quarantine", 17);
-	return quarantine_digest(key, &request);
+	update_key(daemon);
+	return quarantine_digest(daemon->crash_watch->key, &request);
 }
 
 void crash_watch_set_roster(cassiad_t *daemon)
--- a/programs/cassiad/crash_watch.h
+++ b/programs/cassiad/crash_watch.h
@@ -30,6 +30,10 @@
 				       cas_str_t target, http_body_t *body,
 				       int64_t content_length);
 
+/* Writes a digest as hexadecimal text, which logs show. */
+#define CRASH_DIGEST_TEXT_BYTES (2 * sizeof(quarantine_digest_t) + 1)
+void crash_watch_format_digest(quarantine_digest_t digest, char *text);
+
 /* Adds a waiter whose members digest, isolated and done are set. */
 void crash_watch_add(cassiad_t *daemon, crash_waiter_t *waiter);
 
--- a/programs/cassiad/upstream_request.c
+++ b/programs/cassiad/upstream_request.c
@@ -39,6 +39,8 @@
 /* Longest time after which a request is told to come again in a warm-up or at a
  * stated rate. Both may have ended by then. */
 #define PACED_RETRY_MAX_MS 3000U
+/* Time after which a suspect is told to come again: about that of one request. */
+#define ISOLATED_RETRY_MS 200U
 
 /* A tree share of 0 means that none is known. Twice the unit in which it is sent,
  * so that it is not rounded down to 0. */
@@ -48,13 +50,15 @@
 
 static const http_call_ops_t upstream_ops;
 
-/* Returns when a request that is refused because of the warm-up or the rate of
- * the upstream should come again: when the requests that wait have been taken.
- * 0: not known. */
+/* Returns when a request that is refused because of the pace of the upstream
+ * should come again: when the requests before it have been taken. 0: not
+ * known. */
 static u_int paced_retry_ms(const cassiad_t *daemon, reason_t reason)
 {
 	int64_t retry_ms = 0;
 
+	if (reason == REASON_ISOLATED)
+		return ISOLATED_RETRY_MS;
 	if (reason == REASON_WARMING_UP)
 		retry_ms = admission_warm_up_retry_us(daemon->admission) /
 			   CAS_USEC_PER_MSEC;
@@ -208,14 +212,17 @@
 	cassiad_t *daemon = request->daemon;
 	const call_attempt_result_t *result = &request->result;
 	char text[ATTEMPT_ID_TEXT_BYTES];
+	char digest[CRASH_DIGEST_TEXT_BYTES];
 
 	if (result->outcome == ATTEMPT_SERVED || !stats_allow_log_line(daemon))
 		return;
+	crash_watch_format_digest(request->crash_waiter.digest, digest);
 	cas_log(CAS_LOG_INFO, "upstream_attempt",
 		CAS_LOG_STR("id", request_id_of(request, text)),
 		CAS_LOG_CSTR("outcome", stats_outcome_name(result->outcome)),
 		CAS_LOG_CSTR("reason", reason_name(result->reason)),
 		CAS_LOG_INT("error", result->error),
+		CAS_LOG_CSTR("digest", digest),
 		CAS_LOG_INT("importance", request->context.importance),
 		CAS_LOG_INT("left_us", request->context.deadline -
 					       cas_clock_now(daemon->clock)),
