Have the fault soak crash upstreams with one request

Seeds with remainder 1 modulo 5 send, three times a second through the faults, a request that crashes the upstream which runs it; the stand-in is back after 1.5 s. At most 5 crashes are allowed, and one for each start of a daemon. A crash explains what happens to other requests at that upstream, as other faults do.

--- a/soak/fault_soak.sh
+++ b/soak/fault_soak.sh
@@ -12,6 +12,7 @@
 # know the slots of their upstreams: requests of such different length would
 # mislead the search for a limit. Seeds with remainder 0 have shorter requests and
 # no known slots; SLOTS_LINE= in the environment leaves them out for any seed.
+# Seeds with remainder 1 have a request that crashes the upstreams which run it.
 # Callers go on using kept connections until the process is gone.
 set -u
 BUILD=${1:-build}
@@ -37,6 +38,10 @@
 FAULT_EFFECT_MS=1000
 RELAY_EFFECT_MS=5000
 LISTEN_MS=500 # from the start of a daemon until it listens
+CRASH_MS=1500 # how long an upstream is down after a crash
+# Upstreams that one request may crash, besides one for each start of a daemon,
+# which may not have heard of it yet.
+CRASHES_MAX=5
 . tools/site.sh
 numbers=$(seq 11 $((10 + HOSTS)))
 trap site_stop EXIT
@@ -355,6 +360,8 @@
 signal_ms_13=0
 series_rng_state=$((SEED * 104729 + 1))
 planned_only=false
+has_deadly=false
+[ $((SEED % 5)) -ne 1 ] || has_deadly=true
 [ $((SEED % 5)) -ne 2 ] || planned_only=true
 slots_line=${SLOTS_LINE-"slots = 20"}
 if [ $((SEED % 5)) -eq 0 ]; then
@@ -395,7 +402,7 @@
 	printf '[quota]\nwindow_ms = 5000\nover = 0.25\nslack = 20\n' \
 		>> "$SITE/$name.toml"
 	start_upstream "$name" "$number" --run-log "$SITE/$name.runs" \
-		--delay-us 20000 --slots 20 --queue 5
+		--delay-us 20000 --slots 20 --queue 5 --crash-ms $CRASH_MS
 	start_host_daemon "$number"
 	eval "state_ends_ms_$number=0"
 done
@@ -416,6 +423,12 @@
 start_caller second second /quote "11 12" --rate 60 \
 	--duration-ms $LOAD_MS --timeout-ms 4000
 SECOND=$PID
+if $has_deadly; then
+	start_caller deadly first "/quote?deadly" "11 12" --rate 3 \
+		--duration-ms $((FAULT_S * 1000)) --timeout-ms 4000 \
+		--header "X-Crash: 1"
+	DEADLY=$PID
+fi
 # Pauses of up to 6 s, longer than a stop, and slow requests, which last until its
 # limit when a stopping daemon takes them.
 # shellcheck disable=SC2086 # one word for each number
@@ -464,6 +477,24 @@
 wait_process $SECOND
 wait_process $KEPT
 wait_process $LATE
+if $has_deadly; then
+	wait_process $DEADLY
+	# A crash explains what happens to the requests at its upstream.
+	for number in $numbers; do
+		sed -n "s/^crashed_ms=//p" \
+			"$SITE/$(name_of_host "$number").up.log" |
+			while read -r crashed_ms; do
+				echo "$number $crashed_ms" \
+					$((crashed_ms + CRASH_MS +
+					   FAULT_EFFECT_MS))
+			done
+	done > "$SITE/crashes"
+	cat "$SITE/crashes" >> "$SITE/host.faults"
+	starts=$(cat "$SITE"/b*.log | grep -c 'event=listening listener=peer')
+	check_at_most "upstreams that the deadly request crashed" \
+		"$(wc -l < "$SITE/crashes")" \
+		$((CRASHES_MAX + starts - HOSTS + 2))
+fi
 
 # The run logs of the upstreams name each request by the id that its caller gave
 # it. A POST request may run at most once.
--- a/standins/upstream.c
+++ b/standins/upstream.c
@@ -512,6 +512,9 @@
 	GList *conns = g_hash_table_get_keys(upstream->conns);
 
 	upstream->crashes++;
+	printf("crashed_ms=%lld\n",
+	       (long long)(g_get_real_time() / G_TIME_SPAN_MILLISECOND));
+	fflush(stdout);
 	TALLOC_FREE(upstream->listen_fde);
 	close(upstream->listen_fd);
 	g_queue_clear(upstream->queue);
