--- a/packages/membership/include/cassia/membership.h
+++ b/packages/membership/include/cassia/membership.h
@@ -91,7 +91,8 @@
  * needed of the list is copied. After a list that replaces a third or more of
  * the data centre's hosts, or that has a quorum without a host of some quorum
  * of the list in use, this daemon confirms nothing for two leases. The
- * revision is announced to other daemons. Returns 0, MEMBERSHIP_EREVISION or
+ * revision is announced to other daemons, also to those of hosts of the data
+ * centre that the list drops. Returns 0, MEMBERSHIP_EREVISION or
  * MEMBERSHIP_ENOMEM.
  */
 int membership_set_roster(membership_t *m, const roster_t *roster);
--- a/packages/routing/placement.c
+++ b/packages/routing/placement.c
@@ -92,8 +92,8 @@
 }
 
 /* Returns whether the upstream may get one more request of this daemon by its
- * own reports: one without any gets a trial, and one that is warming up as many
- * as it has room for. */
+ * own reports: one without any gets a trial, and one whose pace is limited as
+ * many as it has room for. */
 static bool has_allowance(const upstream_t *upstream, int64_t now_us)
 {
 	const estimate_upstream_t *estimate = &upstream->estimate;
--- a/programs/cassiad/config.c
+++ b/programs/cassiad/config.c
@@ -9,7 +9,7 @@
 #include "fetch.h"
 #include "crash_watch.h"
 #include "stated_leaving.h"
-#include "upstream_state.h"
+#include "upstream_rate.h"
 #include "warm_up_watch.h"
 
 /* A host list that is copied from another daemon after it was missing for this
@@ -171,7 +171,7 @@
 	if (daemon->own_listing != previous)
 		follow_own_listing(daemon, previous);
 	warm_up_watch_listing(daemon, host);
-	upstream_state_listing(daemon, host);
+	upstream_rate_listing(daemon, host);
 	/* May start queued requests. */
 	admission_set_slots(daemon->admission, host ? host->slots : 0);
 }
--- a/programs/cassiad/daemon.c
+++ b/programs/cassiad/daemon.c
@@ -14,7 +14,7 @@
 #include "stats.h"
 #include "stop.h"
 #include "tick.h"
-#include "upstream_state.h"
+#include "upstream_rate.h"
 #include "warm_up_watch.h"
 
 /* How long one report of a slowdown shows that hosts are shared. */
@@ -161,7 +161,7 @@
 		return BASE_ENOMEM;
 	retry_throttle_set_ratio(daemon->throttle,
 				 (uint32_t)daemon->settings->first_per_retry);
-	if (warm_up_watch_create(daemon) || upstream_state_create(daemon) ||
+	if (warm_up_watch_create(daemon) || upstream_rate_create(daemon) ||
 	    stated_leaving_create(daemon) || crash_watch_create(daemon))
 		return BASE_ENOMEM;
 	return admit_create(daemon);
--- a/programs/cassiad/daemon.h
+++ b/programs/cassiad/daemon.h
@@ -40,7 +40,7 @@
 typedef struct warm_up_watch warm_up_watch_t;
 typedef struct crash_watch crash_watch_t;
 typedef struct stated_leaving stated_leaving_t;
-typedef struct upstream_state upstream_state_t;
+typedef struct upstream_rate upstream_rate_t;
 typedef struct processor_use processor_use_t;
 typedef struct entry_request entry_request_t;
 typedef struct peer_request peer_request_t;
@@ -127,12 +127,12 @@
 	GHashTable *known_incarnations; /* cas_id_t to known_incarnation_t */
 	admission_t *admission;
 	warm_up_watch_t *warm_up_watch; /* of the own upstream */
-	upstream_state_t *upstream_state; /* of the own upstream */
+	upstream_rate_t *upstream_rate; /* of the own upstream */
 	stated_leaving_t *stated_leaving; /* upstreams of all hosts */
 	crash_watch_t *crash_watch; /* of the own upstream */
 	quarantine_t *quarantine; /* requests that crash upstreams */
 	/* The request that the own upstream runs in isolation, NULL: none. */
-	const void *isolated_request;
+	const struct upstream_request *isolated_request;
 	thresholds_t *thresholds; /* admitted fractions from outcomes */
 	/* Shares of request trees that can be completed, from outcomes. */
 	tree_shares_t *tree_shares;
--- a/programs/cassiad/entry_attempts.c
+++ b/programs/cassiad/entry_attempts.c
@@ -203,15 +203,6 @@
 	return attempt;
 }
 
-/* Returns the upstream instance that the host list names, 0: not known. */
-static cas_id_t instance_on(const cassiad_t *daemon, cas_id_t id)
-{
-	const roster_host_t *host =
-		daemon->roster ? roster_find(daemon->roster, id) : NULL;
-
-	return host ? stated_leaving_instance(host) : 0;
-}
-
 void entry_start_attempt(entry_request_t *request)
 {
 	cassiad_t *daemon = request->daemon;
@@ -237,7 +228,7 @@
 		entry_count_call(request);
 	}
 	request->tried_hosts[request->tried_host_count++] = choice.host;
-	request->instance = instance_on(daemon, choice.host);
+	request->instance = stated_leaving_instance_on(daemon, choice.host);
 	request->attempt_started_us = cas_clock_now(daemon->clock);
 	routing_begin_body(daemon->routing, choice.host,
 			   entry_body_bytes(request));
--- a/programs/cassiad/health_check.c
+++ b/programs/cassiad/health_check.c
@@ -5,7 +5,7 @@
  */
 #include "health_check.h"
 
-#include "upstream_state.h"
+#include "upstream_rate.h"
 #include "warm_up_watch.h"
 
 /* Shortest time between two requests. */
@@ -61,7 +61,7 @@
 		reply->headers, daemon->profile->warm_up_left));
 
 	warm_up_watch_load(daemon, reply->headers);
-	upstream_state_read(
+	upstream_rate_read(
 		daemon, reply->headers,
 		daemon->profile->is_not_run(reply->status, reply->headers));
 	if (cold_ms < 0)
--- a/programs/cassiad/operator_server.c
+++ b/programs/cassiad/operator_server.c
@@ -10,7 +10,7 @@
 #include "processor_use.h"
 #include "stop.h"
 #include "crash_watch.h"
-#include "upstream_state.h"
+#include "upstream_rate.h"
 #include "warm_up_watch.h"
 #include "stats.h"
 
@@ -136,7 +136,7 @@
 	set_gauge(daemon, "cassia_attempts_remembered",
 		  (int64_t)attempt_table_count(daemon->attempts));
 	warm_up_watch_set_metrics(daemon);
-	upstream_state_set_metrics(daemon);
+	upstream_rate_set_metrics(daemon);
 	crash_watch_set_metrics(daemon);
 	set_link_metrics(daemon);
 	set_placement_metrics(daemon);
--- a/programs/cassiad/reason.c
+++ b/programs/cassiad/reason.c
@@ -59,8 +59,8 @@
 	[REASON_UPSTREAM_CRASHED] = { "upstream-crashed", 502,
 				      "The upstream ended." },
 	[REASON_ISOLATED] = { "isolated", 503,
-			      "The request is tried with care after an "
-			      "upstream that ran it has ended." },
+			      "An upstream that ran this request has ended; "
+			      "it is now run alone." },
 	[REASON_QUARANTINED] = { "quarantined", 503,
 				 "Upstreams that ran this request have "
 				 "ended." },
--- a/programs/cassiad/stated_leaving.c
+++ b/programs/cassiad/stated_leaving.c
@@ -40,6 +40,14 @@
 	return host->instance.len ? cas_id_of(host->instance) : host->id;
 }
 
+cas_id_t stated_leaving_instance_on(const cassiad_t *daemon, cas_id_t host)
+{
+	const roster_host_t *entry =
+		daemon->roster ? roster_find(daemon->roster, host) : NULL;
+
+	return entry ? stated_leaving_instance(entry) : 0;
+}
+
 static void log_instance(const cassiad_t *daemon, cas_id_t id)
 {
 	const roster_host_t *host =
--- a/programs/cassiad/stated_leaving.h
+++ b/programs/cassiad/stated_leaving.h
@@ -13,6 +13,9 @@
  * its host if instances are not named. */
 cas_id_t stated_leaving_instance(const roster_host_t *host);
 
+/* Returns that of the entry of a host, 0: it has none. */
+cas_id_t stated_leaving_instance_on(const cassiad_t *daemon, cas_id_t host);
+
 /* Reads the header of a response of the instance (0: not known). host is the one
  * that it runs on, for the log. */
 void stated_leaving_read(cassiad_t *daemon, const http_headers_t *headers,
--- a/programs/cassiad/upstream_gate.h
+++ b/programs/cassiad/upstream_gate.h
@@ -10,7 +10,7 @@
 typedef struct upstream_gate_query {
 	const attempt_context *context;
 	quarantine_digest_t digest; /* 0: not known */
-	const void *request; /* as in cassiad.isolated_request */
+	const struct upstream_request *request;
 } upstream_gate_query_t;
 
 /* Returns REASON_NONE, or why the request must not be sent. */
--- a/programs/cassiad/upstream_state.c
+++ b/programs/cassiad/upstream_rate.c
@@ -1,6 +1,6 @@
 /* Reads the request rate that the upstream of this host states, and has
  * admission keep it for the present run of the upstream. */
-#include "upstream_state.h"
+#include "upstream_rate.h"
 
 #include "cassia/http_error.h"
 #include "cassia/log.h"
@@ -11,21 +11,21 @@
 /* Shortest time between two log lines about a changed rate. */
 #define RATE_LINE_US CAS_USEC_PER_SEC
 
-struct upstream_state {
+struct upstream_rate {
 	cas_id_t instance; /* in the last entry of the host list, 0: none */
 	double logged_per_s; /* rate in the last log line, negative: none */
 	int64_t logged_us;
 	uint64_t malformed; /* rates that could not be read */
 };
 
-int upstream_state_create(cassiad_t *daemon)
+int upstream_rate_create(cassiad_t *daemon)
 {
-	upstream_state_t *state = talloc_zero(daemon, upstream_state_t);
+	upstream_rate_t *rate = talloc_zero(daemon, upstream_rate_t);
 
-	if (!state)
+	if (!rate)
 		return BASE_ENOMEM;
-	state->logged_per_s = -1;
-	daemon->upstream_state = state;
+	rate->logged_per_s = -1;
+	daemon->upstream_rate = rate;
 	return 0;
 }
 
@@ -36,34 +36,34 @@
 
 static void log_rate(cassiad_t *daemon, const char *cause)
 {
-	upstream_state_t *state = daemon->upstream_state;
+	upstream_rate_t *rate = daemon->upstream_rate;
 	double rate_per_s = admission_rate(daemon->admission);
-	bool begins_or_ends = (rate_per_s < 0) != (state->logged_per_s < 0);
+	bool begins_or_ends = (rate_per_s < 0) != (rate->logged_per_s < 0);
 	int64_t now_us = cas_clock_now(daemon->clock);
 
-	if (rate_per_s == state->logged_per_s ||
-	    (!begins_or_ends && now_us - state->logged_us < RATE_LINE_US))
+	if (rate_per_s == rate->logged_per_s ||
+	    (!begins_or_ends && now_us - rate->logged_us < RATE_LINE_US))
 		return;
 	cas_log(CAS_LOG_INFO, "upstream_rate",
 		CAS_LOG_INT("in_force", rate_per_s >= 0),
 		CAS_LOG_INT("rate_milli", to_milli(rate_per_s)),
-		CAS_LOG_INT("former_milli", to_milli(state->logged_per_s)),
+		CAS_LOG_INT("former_milli", to_milli(rate->logged_per_s)),
 		CAS_LOG_CSTR("cause", cause),
 		CAS_LOG_INT("running", admission_inflight(daemon->admission)),
 		CAS_LOG_INT("queued", admission_queued(daemon->admission)));
-	state->logged_per_s = rate_per_s;
-	state->logged_us = now_us;
+	rate->logged_per_s = rate_per_s;
+	rate->logged_us = now_us;
 }
 
-void upstream_state_read(cassiad_t *daemon, const http_headers_t *headers,
-			 bool not_run)
+void upstream_rate_read(cassiad_t *daemon, const http_headers_t *headers,
+			bool not_run)
 {
 	const http_header_t *field =
 		http_profile_find(&daemon->profile->request_rate, headers);
 	double rate_per_s;
 
 	if (field && !stated_rate_parse(field->value, &rate_per_s)) {
-		daemon->upstream_state->malformed++;
+		daemon->upstream_rate->malformed++;
 		return;
 	}
 	if (field)
@@ -80,24 +80,24 @@
 	log_rate(daemon, cause);
 }
 
-void upstream_state_call(cassiad_t *daemon, int http_error)
+void upstream_rate_call(cassiad_t *daemon, int http_error)
 {
 	if (http_error == HTTP_ECONNECT)
 		clear_rate(daemon, "refused");
 }
 
-void upstream_state_listing(cassiad_t *daemon, const roster_host_t *host)
+void upstream_rate_listing(cassiad_t *daemon, const roster_host_t *host)
 {
-	upstream_state_t *state = daemon->upstream_state;
+	upstream_rate_t *rate = daemon->upstream_rate;
 	cas_id_t instance = host ? stated_leaving_instance(host) : 0;
 
-	if (state->instance && instance && instance != state->instance)
+	if (rate->instance && instance && instance != rate->instance)
 		clear_rate(daemon, "new-instance");
 	if (instance)
-		state->instance = instance;
+		rate->instance = instance;
 }
 
-void upstream_state_set_metrics(cassiad_t *daemon)
+void upstream_rate_set_metrics(cassiad_t *daemon)
 {
 	double rate_per_s = admission_rate(daemon->admission);
 
@@ -107,5 +107,5 @@
 			rate_per_s >= 0 ? to_milli(rate_per_s) : 0);
 	cas_metrics_set(daemon->metrics,
 			"cassia_upstream_rates_malformed_total", "",
-			(int64_t)daemon->upstream_state->malformed);
+			(int64_t)daemon->upstream_rate->malformed);
 }
