Share the set-up of the platform's header fields between tests

Six scripts changed the settings of a daemon with the same two edits; they call use_platform_profile now. The two tests of response heads share their loop. The checks are the same; test_http_client, test_crashing_request.sh, test_child_importance.sh, test_stop_open_routes.sh and test_allowed_regions.sh pass.

--- a/packages/http/tests/test_http_client.c
+++ b/packages/http/tests/test_http_client.c
@@ -602,25 +602,42 @@
 }
 
 /* Sends a response with this status line and further fields, complete otherwise,
- * on a new connection or, if kept is set, on one that has carried a request. */
-static void start_call_with_head(fixture_t *f, const char *head, bool kept)
+ * on a new connection and on one that has carried a request. Checks the result
+ * of the call, and that the connection is not used again after an error. */
+static void check_head(const char *head, int error)
 {
-	char *text = talloc_asprintf(f,
-				     "%s\r\nId: x\r\nContent-Length: 2\r\n"
-				     "\r\nok",
-				     head);
-	int request = 1;
+	for (int kept = 0; kept <= 1; kept++) {
+		fixture_t *f = fixture_create();
+		void *state = f;
+		char *text;
 
-	if (kept) {
-		start_call(f, "a");
-		wait_request(f, 0, request++);
-		send_response(f, 0, RESPONSE_WITH_ID("a"));
+		assert_non_null(f);
+		text = talloc_asprintf(
+			f, "%s\r\nId: x\r\nContent-Length: 2\r\n\r\nok", head);
+		if (kept) {
+			start_call(f, "a");
+			wait_request(f, 0, 1);
+			send_response(f, 0, RESPONSE_WITH_ID("a"));
+			wait_done(f);
+		}
+		start_call(f, "x");
+		wait_request(f, 0, 1 + kept);
+		send_response(f, 0, text);
 		wait_done(f);
+		if (f->result.error != error)
+			print_message("head: %s\n", head);
+		assert_int_equal(f->result.error, error);
+		assert_true(f->result.sent);
+		assert_int_equal(f->status, error ? 0 : 200);
+		if (error) {
+			start_call(f, "b");
+			send_response(f, wait_request_on_other_conn(f),
+				      RESPONSE_WITH_ID("b"));
+			wait_done(f);
+			assert_int_equal(f->result.error, 0);
+		}
+		teardown(&state);
 	}
-	start_call(f, "x");
-	wait_request(f, 0, request);
-	send_response(f, 0, text);
-	wait_done(f);
 }
 
 /* Guards against a status 000 that the client gets as the response, and other
@@ -662,24 +679,8 @@
 	};
 
 	(void)state;
-	for (size_t i = 0; i < 2 * sizeof(heads) / sizeof(*heads); i++) {
-		fixture_t *f = fixture_create();
-		void *fixture = f;
-
-		assert_non_null(f);
-		start_call_with_head(f, heads[i / 2], i % 2);
-		if (f->result.error != HTTP_EPROTO || f->status)
-			print_message("head: %s\n", heads[i / 2]);
-		assert_int_equal(f->result.error, HTTP_EPROTO);
-		assert_true(f->result.sent);
-		assert_int_equal(f->status, 0);
-		start_call(f, "b");
-		send_response(f, wait_request_on_other_conn(f),
-			      RESPONSE_WITH_ID("b"));
-		wait_done(f);
-		assert_int_equal(f->result.error, 0);
-		teardown(&fixture);
-	}
+	for (size_t i = 0; i < sizeof(heads) / sizeof(*heads); i++)
+		check_head(heads[i], HTTP_EPROTO);
 }
 
 /* Guards against valid heads that are taken for invalid ones. */
@@ -698,18 +699,8 @@
 	};
 
 	(void)state;
-	for (size_t i = 0; i < 2 * sizeof(heads) / sizeof(*heads); i++) {
-		fixture_t *f = fixture_create();
-		void *fixture = f;
-
-		assert_non_null(f);
-		start_call_with_head(f, heads[i / 2], i % 2);
-		if (f->result.error)
-			print_message("head: %s\n", heads[i / 2]);
-		assert_int_equal(f->result.error, 0);
-		assert_int_equal(f->status, 200);
-		teardown(&fixture);
-	}
+	for (size_t i = 0; i < sizeof(heads) / sizeof(*heads); i++)
+		check_head(heads[i], 0);
 }
 
 /* Guards against a body that ends early and is taken for a complete one. */
--- a/tests/test_allowed_regions.sh
+++ b/tests/test_allowed_regions.sh
@@ -66,7 +66,7 @@
 start_host d1 deep a1 14 --delay-us 1000
 # On the platform, child calls carry no handle, but an id with that of the parent.
 start_host p1 edge m1 15
-sed -i -e '1i protocol = "platform"' -e '/^\[local\]/,/^port/d' "$SITE/p1.toml"
+use_platform_profile p1
 printf '[quota]\nwindow_ms = 5000\nover = 0.25\nslack = 20\n' >> "$SITE/p1.toml"
 kill_process "$PID"
 start_daemon p1
--- a/tests/test_child_importance.sh
+++ b/tests/test_child_importance.sh
@@ -27,8 +27,7 @@
 	service=${service%:*}
 	host_row "$name" "$service" m1 "$number" >> "$SITE/hosts.rows"
 	write_settings "$name" "$service" m1 "$number"
-	sed -i -e '1i protocol = "platform"' -e '/^\[local\]/,/^port/d' \
-		"$SITE/$name.toml"
+	use_platform_profile "$name"
 	printf '[quota]\nwindow_ms = 5000\nover = 0.25\nslack = 20\n' \
 		>> "$SITE/$name.toml"
 done
--- a/tests/test_crashing_request.sh
+++ b/tests/test_crashing_request.sh
@@ -27,8 +27,7 @@
 		"slots = 40
 instance = \"i-$name\"" >> "$SITE/hosts.rows"
 	write_settings "$name" "$service" "$dc" "$number"
-	sed -i -e '1i protocol = "platform"' -e '/^\[local\]/,/^port/d' \
-		"$SITE/$name.toml"
+	use_platform_profile "$name"
 	start_upstream "$name" "$number" --delay-us 40000 --slots 40 \
 		--crash-ms 2000
 	start_daemon "$name"
--- a/tests/test_stop_open_routes.sh
+++ b/tests/test_stop_open_routes.sh
@@ -22,8 +22,7 @@
 	DRAIN_TIMEOUT_MS=$LIMIT_MS start_host "$name" booking m1 "$number" \
 		--delay-us 300000
 	kill_process "$PID"
-	sed -i -e '1i protocol = "platform"' -e '/^\[local\]/,/^port/d' \
-		"$SITE/$name.toml"
+	use_platform_profile "$name"
 	start_daemon "$name"
 	eval "PID_$number=$PID"
 done
--- a/tests/test_upstream_stated_limit.sh
+++ b/tests/test_upstream_stated_limit.sh
@@ -27,8 +27,7 @@
 		"slots = 40
 instance = \"i-$name\"" >> "$SITE/hosts.rows"
 	write_settings "$name" "$service" m1 "$number"
-	sed -i -e '1i protocol = "platform"' -e '/^\[local\]/,/^port/d' \
-		"$SITE/$name.toml"
+	use_platform_profile "$name"
 	start_upstream "$name" "$number" --delay-us 20000 --slots 40
 	start_daemon "$name"
 	eval "DAEMON_$name=$PID"
--- a/tests/test_warm_up.sh
+++ b/tests/test_warm_up.sh
@@ -30,8 +30,7 @@
 	host_row "$name" "$service" m1 "$number" "slots = $SLOTS" \
 		>> "$SITE/hosts.rows"
 	write_settings "$name" "$service" m1 "$number"
-	sed -i -e '1i protocol = "platform"' -e '/^\[local\]/,/^port/d' \
-		"$SITE/$name.toml"
+	use_platform_profile "$name"
 	printf '[warm_up]\nfactor = 1.5\nslack = 8\n' >> "$SITE/$name.toml"
 done
 write_hosts 1
--- a/tools/site.sh
+++ b/tools/site.sh
@@ -370,6 +370,13 @@
 		"$SITE/$1.toml"
 }
 
+# use_platform_profile NAME: changes the settings of a host so that its daemon
+# speaks the platform's header fields and has no listener for child calls.
+use_platform_profile() {
+	sed -i -e '1i protocol = "platform"' -e '/^\[local\]/,/^port/d' \
+		"$SITE/$1.toml"
+}
+
 # add_seeds NAME NUMBER...: adds the daemons of hosts to the settings of a host as
 # its seeds.
 add_seeds() {
