--- a/packages/http/client_reply.c
+++ b/packages/http/client_reply.c
@@ -61,8 +61,9 @@
 }
 
 /* Called at the end of a head. An invalid head, and a response to another
- * request, are rejected here, because a failure makes libcurl close the connection, whereas it keeps the
- * connection for reuse once it has received the complete response. */
+ * request, are rejected here, because a failure makes libcurl close the
+ * connection, whereas it keeps the connection for reuse once it has received the
+ * complete response. */
 static int finish_head(http_call_t *call)
 {
 	if (call->status < 200)
--- a/packages/quarantine/include/cassia/quarantine.h
+++ b/packages/quarantine/include/cassia/quarantine.h
@@ -21,7 +21,7 @@
 #include "quarantine_messages.h"
 
 enum quarantine_error {
-	QUARANTINE_ENOMEM = -2101,
+	QUARANTINE_ENOMEM = -2201,
 };
 
 /* Identifies equal requests: a keyed hash, so that it tells nothing about their
