Look up the instance of an upstream only when it says that it leaves

The daemon beside an upstream hashed the name of the instance for every response, before it looked whether the response has the field. The look at the field now comes first; what is remembered is the same.

--- a/programs/cassiad/crash_watch.c
+++ b/programs/cassiad/crash_watch.c
@@ -159,6 +159,7 @@
 {
 	crash_watch_t *watch = daemon->crash_watch;
 	crash_waiter_t *head = &watch->waiters;
+
 	waiter->next = head;
 	waiter->prev = head->prev;
 	head->prev->next = waiter;
--- a/programs/cassiad/entry_attempts.c
+++ b/programs/cassiad/entry_attempts.c
@@ -404,8 +404,9 @@
 	entry_request_t *request = private;
 
 	apply_report(request, report);
-	stated_leaving_read(request->daemon, reply->headers, request->instance,
-			    current_host(request));
+	if (stated_leaving_is_in(request->daemon, reply->headers))
+		stated_leaving_note(request->daemon, request->instance,
+				    current_host(request));
 	if (retry_error_response(request, reply))
 		return;
 	request->answered = true;
--- a/programs/cassiad/stated_leaving.c
+++ b/programs/cassiad/stated_leaving.c
@@ -61,16 +61,21 @@
 			    daemon->roster ? daemon->roster->revision : 0));
 }
 
-void stated_leaving_read(cassiad_t *daemon, const http_headers_t *headers,
-			 cas_id_t instance, cas_id_t host)
+bool stated_leaving_is_in(const cassiad_t *daemon,
+			  const http_headers_t *headers)
 {
-	GHashTable *instances = daemon->stated_leaving->instances;
 	const http_header_t *field =
 		http_profile_find(&daemon->profile->leaving, headers);
+
+	return field && cas_str_equal(field->value, CAS_STR("1"));
+}
+
+void stated_leaving_note(cassiad_t *daemon, cas_id_t instance, cas_id_t host)
+{
+	GHashTable *instances = daemon->stated_leaving->instances;
 	leaving_instance_t *entry;
 
-	if (!field || !cas_str_equal(field->value, CAS_STR("1")) || !instance ||
-	    g_hash_table_contains(instances, &instance))
+	if (!instance || g_hash_table_contains(instances, &instance))
 		return;
 	entry = g_new0(leaving_instance_t, 1);
 	entry->instance = instance;
--- a/programs/cassiad/stated_leaving.h
+++ b/programs/cassiad/stated_leaving.h
@@ -16,10 +16,13 @@
 /* Returns that of the entry of a host, 0: it has none. */
 cas_id_t stated_leaving_instance_on(const cassiad_t *daemon, cas_id_t host);
 
-/* Reads the header of a response of the instance (0: not known). host is the one
- * that it runs on, for the log. */
-void stated_leaving_read(cassiad_t *daemon, const http_headers_t *headers,
-			 cas_id_t instance, cas_id_t host);
+/* Returns whether the header of a response says that the upstream leaves. */
+bool stated_leaving_is_in(const cassiad_t *daemon,
+			  const http_headers_t *headers);
+
+/* Remembers that the instance (0: not known) leaves. host is the one that it runs
+ * on, for the log. */
+void stated_leaving_note(cassiad_t *daemon, cas_id_t instance, cas_id_t host);
 
 /* Returns whether the instance in the entry has said that it leaves. */
 bool stated_leaving_has(const cassiad_t *daemon, const roster_host_t *host);
--- a/programs/cassiad/upstream_request.c
+++ b/programs/cassiad/upstream_request.c
@@ -391,9 +391,9 @@
 	request->upstream_status = reply->status;
 	warm_up_watch_load(request->daemon, reply->headers);
 	upstream_rate_read(request->daemon, reply->headers, not_run);
-	stated_leaving_read(request->daemon, reply->headers,
-			    instance_of(request),
-			    request->daemon->settings->host_id);
+	if (stated_leaving_is_in(request->daemon, reply->headers))
+		stated_leaving_note(request->daemon, instance_of(request),
+				    request->daemon->settings->host_id);
 	if (not_run) {
 		on_refusal(request, reply);
 		return;
